--- /dev/null
+++ b/sequoiapoint/cli/gateway.py
@@ -0,0 +1,33 @@
+"""``gateway``: run one gateway host until it is told to stop."""
+
+import argparse
+import sys
+
+from sequoiapoint.cli import exit_codes
+from sequoiapoint.protocol.gateway_settings import load_gateway_settings
+
+
+def add_parser(commands: argparse._SubParsersAction) -> None:
+    """Add the command's arguments."""
+    parser = commands.add_parser("gateway", help="run one gateway host")
+    parser.add_argument("--settings", required=True, metavar="FILE")
+    parser.set_defaults(run=run)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Run the command."""
+    loaded = load_gateway_settings(arguments.settings)
+    if loaded.errors:
+        for error in loaded.errors:
+            print(error, file=sys.stderr)
+        return exit_codes.INVALID
+    # The parts of the process are only imported here, so that the other commands
+    # start fast.
+    import uvloop
+
+    from sequoiapoint.node.gateway_host import GatewayHost
+    from sequoiapoint.platform import PlatformAdapter
+
+    uvloop.install()
+    GatewayHost(loaded.value, arguments.settings, PlatformAdapter()).run()
+    return exit_codes.OK
--- a/sequoiapoint/cli/main.py
+++ b/sequoiapoint/cli/main.py
@@ -3,9 +3,9 @@
 import argparse
 import sys
 
-from sequoiapoint.cli import check, config, drain, explain, serve, status
+from sequoiapoint.cli import check, config, drain, explain, gateway, serve, status
 
-COMMANDS = (serve, check, config, status, explain, drain)
+COMMANDS = (serve, gateway, check, config, status, explain, drain)
 EXIT_CODES_HELP = (
     "exit codes: 0 done, 1 failed, 2 invalid input, 3 rejected, "
     "4 not known yet, 5 host unreachable"
--- a/sequoiapoint/cli/remote.py
+++ b/sequoiapoint/cli/remote.py
@@ -5,11 +5,13 @@
 import os
 import sys
 from collections.abc import Mapping
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from sequoiapoint.cli import exit_codes
 from sequoiapoint.protocol.errors import Failure
-from sequoiapoint.transport import http_client
+
+if TYPE_CHECKING:
+    from sequoiapoint.transport import http_client
 
 TOKEN_VARIABLE = "SEQUOIAPOINT_TOKEN"
 TIMEOUT_S = 15.0
@@ -29,12 +31,15 @@
     path: str,
     body: bytes | None = None,
     headers: Mapping[str, str] | None = None,
-) -> http_client.HttpResponse | Failure:
+) -> "http_client.HttpResponse | Failure":
     """Call the host that the arguments name.
 
     The operator's token comes from the environment, so that it stands in no
     process list.
     """
+    # Only here, so that commands that call no host need no HTTP library.
+    from sequoiapoint.transport import http_client
+
     token = os.environ.get(TOKEN_VARIABLE, "")
     sent = {"Authorization": f"Bearer {token}"} if token else {}
     return http_client.call(
@@ -48,7 +53,7 @@
     )
 
 
-def fail(response: http_client.HttpResponse | Failure) -> int:
+def fail(response: "http_client.HttpResponse | Failure") -> int:
     """Print why a call failed, and return the exit code."""
     if isinstance(response, Failure):
         print(f"cannot reach {response.peer}: {response.detail}", file=sys.stderr)
--- /dev/null
+++ b/sequoiapoint/coordination/order_lease.py
@@ -0,0 +1,76 @@
+"""The lease of the host that gives orders to engines.
+
+The platform's store says who holds a group's only partition.  A holder trusts that for
+less than the lease, counted on a clock that runs through suspension; a successor waits
+out a whole lease before its first order, so that two holders never take turns.
+"""
+
+from sequoiapoint.protocol.gateway import GroupMembership
+
+PARTITION = 0
+"""The partition whose owner gives orders."""
+TRUST_SHARE = 0.75
+"""Part of a lease for which a holder trusts it; the rest covers clocks and delays."""
+
+
+class OrderLease:
+    """Whether this host may give orders, and under which number.
+
+    :param lease_s: Length of the lease in seconds.
+    """
+
+    def __init__(self, lease_s: float) -> None:
+        self._lease_s = lease_s
+        self._membership = GroupMembership(0)
+        self._asked_at = -lease_s
+        self._held_since: float | None = None
+        self._refused_fence = -1
+
+    @property
+    def generation(self) -> int:
+        """Return the newest generation heard of."""
+        return self._membership.generation
+
+    @property
+    def fence(self) -> int:
+        """Return the number to give orders under."""
+        return self._membership.generation
+
+    def renew(self, membership: GroupMembership, asked_at: float) -> None:
+        """Take in the store's answer.
+
+        :param asked_at: When the question was sent; the lease runs from then.
+        """
+        if membership.generation < self._membership.generation:
+            return
+        is_held = PARTITION in membership.partitions
+        if not is_held or asked_at - self._asked_at > self._lease_s:
+            self._held_since = None
+        if is_held and self._held_since is None:
+            self._held_since = asked_at
+        self._membership = membership
+        self._asked_at = asked_at
+
+    def note_refused(self, fence: int) -> None:
+        """Note that an engine has seen a higher number."""
+        self._refused_fence = max(self._refused_fence, fence)
+
+    def release(self) -> None:
+        """Stop giving orders."""
+        self._held_since = None
+
+    def is_held(self, now: float) -> bool:
+        """Tell whether the store's word is recent enough to be trusted."""
+        trusted_until = self._asked_at + TRUST_SHARE * self._lease_s
+        return self._held_since is not None and now < trusted_until
+
+    def may_order(self, now: float) -> bool:
+        """Tell whether this host may give orders.
+
+        :param now: Seconds on the clock that runs through suspension.
+        """
+        return (
+            self.is_held(now)
+            and now >= self._held_since + self._lease_s
+            and self.fence > self._refused_fence
+        )
--- a/sequoiapoint/coordination/quarantine.py
+++ b/sequoiapoint/coordination/quarantine.py
@@ -19,22 +19,23 @@
 
     :param deaths: The server incarnations that died with the request in flight.
     :param until: When this is forgotten, in seconds on the local clock.
+    :param is_quarantined: Whether the request is refused.
     """
 
     fingerprint: str
     deaths: frozenset[str]
     until: float
-
-    @property
-    def is_quarantined(self) -> bool:
-        """Tell whether the request is refused."""
-        return len(self.deaths) >= DEATHS_TO_QUARANTINE
+    is_quarantined: bool
 
 
 class Quarantine:
-    """The suspects and the quarantined requests that this host knows of."""
+    """The suspects and the quarantined requests that this host knows of.
+
+    :param deaths_needed: Deaths of different servers' processes for a quarantine.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, deaths_needed: int = DEATHS_TO_QUARANTINE) -> None:
+        self._deaths_needed = deaths_needed
         self._suspicions: dict[str, Suspicion] = {}
 
     def record_death(self, fingerprint: str, incarnation: str, now: float) -> bool:
@@ -55,9 +56,11 @@
         all_deaths = deaths | (known.deaths if known else frozenset())
         if known is not None and all_deaths == known.deaths:
             return known.is_quarantined
-        quarantined = len(all_deaths) >= DEATHS_TO_QUARANTINE
+        quarantined = len(all_deaths) >= self._deaths_needed
         until = now + (QUARANTINE_S if quarantined else SUSPECT_S)
-        self._suspicions[fingerprint] = Suspicion(fingerprint, all_deaths, until)
+        self._suspicions[fingerprint] = Suspicion(
+            fingerprint, all_deaths, until, quarantined
+        )
         return quarantined
 
     def clear(self, fingerprint: str) -> None:
--- /dev/null
+++ b/sequoiapoint/node/gateway_host.py
@@ -0,0 +1,178 @@
+"""One gateway host: its parts, its signals, its start and its planned stop."""
+
+import asyncio
+import http
+import signal
+from pathlib import Path
+
+from sequoiapoint.node.gateway_state import GatewayState
+from sequoiapoint.node.order_giver import OrderGiver
+from sequoiapoint.node.peer_exchange import PeerExchange
+from sequoiapoint.node.relay import Relay
+from sequoiapoint.node.store_watch import StoreWatch
+from sequoiapoint.protocol.gateway_settings import (
+    GatewaySettings,
+    load_gateway_settings,
+)
+from sequoiapoint.protocol.ports import Adapter
+from sequoiapoint.transport.clock import monotonic_s, wall_ms
+from sequoiapoint.transport.decision_log import DecisionLog
+from sequoiapoint.transport.loop_server import InboundRequest, LoopServer, Responder
+from sequoiapoint.transport.metrics import CONTENT_TYPE, Metrics
+from sequoiapoint.transport.store_client import StoreClient
+
+HOUSEKEEPING_INTERVAL_S = 0.5
+"""Time between looks at idle connections and limits."""
+SETTINGS_INTERVAL_S = 2.0
+"""Time between looks at the settings file, which may change without a signal."""
+ROTATION_S = 3.0
+"""Time after the order to stop until the balancer sends no new connections: it asks
+each second, and two misses in a row count."""
+STOP_MARGIN_S = 0.6
+"""Part of the time to stop that is kept for the last bytes."""
+STOP_POLL_S = 0.05
+"""Time between looks at whether the last request has ended."""
+
+
+class GatewayHost:
+    """Runs one gateway host until it is told to stop.
+
+    :param settings_path: The file that is read again when it changes.
+    """
+
+    def __init__(
+        self, settings: GatewaySettings, settings_path: str, adapter: Adapter
+    ) -> None:
+        self._settings_path = settings_path
+        self._settings_text = Path(settings_path).read_text(encoding="utf-8")
+        self._adapter = adapter
+        self._settings = settings
+        self._stop = asyncio.Event()
+
+    def run(self) -> None:
+        """Run until the process is told to stop."""
+        log = DecisionLog(
+            self._settings.log_level,
+            self._settings.log_lines_per_s,
+            {"host": self._settings.host},
+        )
+        with log:
+            asyncio.run(self._run(log))
+
+    async def _run(self, log: DecisionLog) -> None:
+        settings = self._settings
+        metrics = Metrics()
+        self._state = state = GatewayState(
+            settings, self._adapter, metrics, log, wall_ms()
+        )
+        log.event("host_start", zone=settings.zone, store=settings.store)
+        store = StoreClient(settings.store, self._adapter.store, metrics)
+        watch = StoreWatch(state, store)
+        exchange = PeerExchange(state, store, watch)
+        orders = OrderGiver(state, store, exchange)
+        self._callers = LoopServer(Relay(state).handle, self._note_malformed)
+        readiness = LoopServer(self._answer_readiness, self._note_malformed)
+        scrapes = LoopServer(self._answer_scrape, self._note_malformed)
+        await self._callers.start(settings.caller_address)
+        await readiness.start(settings.readiness_address)
+        await scrapes.start(settings.metrics_address)
+        await exchange.start()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        tasks = [
+            loop.create_task(work)
+            for work in (
+                watch.run(),
+                exchange.run(),
+                orders.run(),
+                self._keep_house(),
+                self._watch_settings(),
+            )
+        ]
+        for task in tasks:
+            task.add_done_callback(self._end_on_error)
+        await self._stop.wait()
+        await self._drain(orders)
+        for task in tasks:
+            task.cancel()
+        await exchange.stop()
+        for server in (self._callers, readiness, scrapes):
+            await server.stop()
+        log.event("host_stop", dropped_lines=log.dropped)
+
+    def _end_on_error(self, task: asyncio.Task) -> None:
+        """Stop the host when one of its parts has failed."""
+        if not task.cancelled() and task.exception() is not None:
+            self._state.log.event("part_failed", error=repr(task.exception()))
+            self._stop.set()
+
+    async def _drain(self, orders: OrderGiver) -> None:
+        """Finish the requests in work while the balancer turns to other hosts."""
+        began = monotonic_s()
+        limit_s = self._settings.bounds.drain_timeout_s - STOP_MARGIN_S
+        self._state.is_draining = True
+        self._callers.is_draining = True
+        self._state.log.event("host_draining", busy=self._callers.busy_count)
+        leaving = asyncio.get_running_loop().create_task(orders.release())
+        while monotonic_s() - began < limit_s:
+            await asyncio.sleep(STOP_POLL_S)
+            waited_s = monotonic_s() - began
+            if waited_s >= ROTATION_S and not self._callers.busy_count:
+                break
+        leaving.cancel()
+
+    def _reload(self) -> None:
+        """Read the settings again after a signal."""
+        self._state.log.event("host_reload", "signal")
+        self._read_settings()
+
+    def _read_settings(self) -> None:
+        """Put changed settings in force, as far as that needs no restart."""
+        try:
+            text = Path(self._settings_path).read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            self._state.log.event("host_reload", "unreadable", error=error)
+            return
+        if text == self._settings_text:
+            return
+        self._settings_text = text
+        loaded = load_gateway_settings(self._settings_path)
+        if loaded.errors:
+            self._state.log.event("host_reload", "invalid", error=loaded.errors[0])
+            return
+        self._settings = self._state.settings = loaded.value
+        self._state.log.event("host_reload", "in_force")
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_INTERVAL_S)
+            self._read_settings()
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
+            self._state.pools.close_idle(monotonic_s())
+            if self._state.configuration is not None:
+                self._callers.limits = self._state.configuration.limits
+
+    def _note_malformed(self, status: int) -> None:
+        self._state.metrics.refusal(f"malformed_{status}")
+        self._state.log.event("request_malformed", str(status))
+
+    async def _answer_readiness(
+        self, request: InboundRequest, responder: Responder
+    ) -> None:
+        is_ready = (
+            request.target.partition("?")[0] == self._adapter.callers.readiness_path()
+            and self._state.is_ready
+        )
+        status = http.HTTPStatus.OK if is_ready else http.HTTPStatus.SERVICE_UNAVAILABLE
+        responder.send_whole(int(status), [])
+
+    async def _answer_scrape(
+        self, request: InboundRequest, responder: Responder
+    ) -> None:
+        headers = [(b"Content-Type", CONTENT_TYPE.encode())]
+        responder.send_whole(200, headers, self._state.metrics.exposition())
--- /dev/null
+++ b/sequoiapoint/node/gateway_state.py
@@ -0,0 +1,140 @@
+"""What the parts of one gateway host share."""
+
+import asyncio
+import heapq
+import itertools
+import random
+from dataclasses import dataclass, field
+
+from sequoiapoint.coordination.quarantine import Quarantine
+from sequoiapoint.coordination.retry_window import RetryWindow
+from sequoiapoint.protocol.gateway import GatewayConfiguration, ServerEntry
+from sequoiapoint.protocol.gateway_settings import GatewaySettings
+from sequoiapoint.protocol.ports import Adapter
+from sequoiapoint.state.demand import OwnDemand
+from sequoiapoint.state.fleet import Fleet
+from sequoiapoint.state.route_table import RouteTable
+from sequoiapoint.state.server_load import LoadBook
+from sequoiapoint.transport.decision_log import DecisionLog
+from sequoiapoint.transport.loop_client import ConnectionPool
+from sequoiapoint.transport.metrics import Metrics
+
+CRASHES_TO_QUARANTINE = 3
+"""Server processes that must have died on a request: as many as may be lost to it."""
+
+
+class WaitingRoom:
+    """Requests that wait for a server, woken the most urgent first."""
+
+    def __init__(self) -> None:
+        self._waiting: list[tuple[int, float, int, asyncio.Future[None]]] = []
+        self._numbers = itertools.count()
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    async def wait(self, priority: int, deadline: float, timeout_s: float) -> None:
+        """Wait until something has changed, at most for a time in seconds."""
+        future = asyncio.get_running_loop().create_future()
+        item = (priority, deadline, next(self._numbers), future)
+        heapq.heappush(self._waiting, item)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await future
+        except TimeoutError:
+            pass
+        finally:
+            if item in self._waiting:
+                self._waiting.remove(item)
+                heapq.heapify(self._waiting)
+
+    def notify(self) -> None:
+        """Let all that wait look again, the most urgent first."""
+        waiting, self._waiting = self._waiting, []
+        while waiting:
+            future = heapq.heappop(waiting)[3]
+            if not future.done():
+                future.set_result(None)
+
+
+class ServerPools:
+    """Connections to the servers, by process of a server."""
+
+    def __init__(self) -> None:
+        self._pools: dict[tuple[str, int], ConnectionPool] = {}
+
+    def of(self, entry: ServerEntry) -> ConnectionPool:
+        """Return the connections to a process of a server."""
+        pool = self._pools.get(entry.incarnation)
+        if pool is None:
+            pool = self._pools[entry.incarnation] = ConnectionPool(entry.address)
+        return pool
+
+    def keep(self, incarnations: set[tuple[str, int]]) -> None:
+        """Forget the pools of processes that are gone once nothing uses them."""
+        for incarnation in [i for i in self._pools if i not in incarnations]:
+            if not self._pools[incarnation].size:
+                del self._pools[incarnation]
+
+    def close_idle(self, now: float) -> None:
+        """Close the connections that their peers may give up soon."""
+        for pool in self._pools.values():
+            pool.close_idle(now)
+
+
+@dataclass
+class GatewayState:
+    """What the parts of one gateway host share.
+
+    :param started_ms: The Unix time of the process's start.
+    :param host_count: How many hosts live, this one included.
+    """
+
+    settings: GatewaySettings
+    adapter: Adapter
+    metrics: Metrics
+    log: DecisionLog
+    started_ms: int
+    rng: random.Random = field(default_factory=random.Random)
+    fleet: Fleet = field(default_factory=Fleet)
+    loads: LoadBook = field(default_factory=LoadBook)
+    pools: ServerPools = field(default_factory=ServerPools)
+    demand: OwnDemand = field(default_factory=OwnDemand)
+    waiting: WaitingRoom = field(default_factory=WaitingRoom)
+    quarantine: Quarantine = field(
+        default_factory=lambda: Quarantine(CRASHES_TO_QUARANTINE)
+    )
+    configuration: GatewayConfiguration | None = None
+    routes: RouteTable | None = None
+    host_count: int = 1
+    is_draining: bool = False
+    wants_order: asyncio.Event = field(default_factory=asyncio.Event)
+    _retries: dict[str, RetryWindow] = field(default_factory=dict)
+
+    def retries(self, service: str) -> RetryWindow:
+        """Return the retry budget of a service."""
+        window = self._retries.get(service)
+        if window is None:
+            bounds = self.settings.bounds
+            window = self._retries[service] = RetryWindow(
+                bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_s
+            )
+        return window
+
+    def set_configuration(self, configuration: GatewayConfiguration) -> bool:
+        """Put a configuration in force unless one as new already is."""
+        known = self.configuration
+        if known is not None and known.version >= configuration.version:
+            return False
+        self.configuration = configuration
+        self.routes = RouteTable(configuration)
+        return True
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the host can serve callers."""
+        return (
+            self.configuration is not None
+            and bool(self.fleet.entries)
+            and not self.is_draining
+        )
--- /dev/null
+++ b/sequoiapoint/node/store_watch.py
@@ -0,0 +1,248 @@
+"""Follows the configuration and the servers' entries in the platform's store.
+
+Each topic is read by long polls from the offset after the last record; a host that the
+store does not answer takes newer states from its peers.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from sequoiapoint.node.gateway_state import GatewayState
+from sequoiapoint.protocol.errors import Failure
+from sequoiapoint.protocol.gateway import StoreRecord, Unreadable
+from sequoiapoint.state.keyed_topic import KeyedTopic, TopicChange
+from sequoiapoint.transport.clock import monotonic_s
+from sequoiapoint.transport.store_client import StoreClient
+
+CONFIGURATION_WAIT_S = 2.5
+"""Longest wait of a read for a configuration: below the time after which a connection
+that fell silent counts as a disturbance."""
+SERVER_WAIT_S = 2.0
+"""The same for the servers' entries, which change all the time."""
+SERVER_PAUSE_S = 0.6
+"""Pause between reads of the servers' entries: each call has its price, and a leaving
+server has two seconds."""
+FIRST_BACKOFF_S = 0.1
+"""Pause after the first failed call; doubles with each further one."""
+MAX_BACKOFF_S = 0.8
+"""Longest pause after failed calls; a store that is back is seen within it."""
+REAPPEAR_S = 2.3
+"""How long an entry that lapsed while the store was away may take to come back: two
+seconds, and the time of a read."""
+STEADY_S = 3.0
+"""How long the store must have answered for a removal to be taken at its word."""
+
+
+class TopicWatch:
+    """One topic of the store.
+
+    :param on_change: Called with each change, whether from the store or a peer.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        store: StoreClient,
+        topic: str,
+        wait_s: float,
+        pause_s: float,
+        on_change: Callable[[TopicChange], None],
+    ) -> None:
+        self._state = state
+        self._store = store
+        self._topic = topic
+        self._wait_s = wait_s
+        self._pause_s = pause_s
+        self._on_change = on_change
+        self._is_lost = False
+        self.content = KeyedTopic()
+
+    @property
+    def topic(self) -> str:
+        """Return the topic's name."""
+        return self._topic
+
+    async def run(self) -> None:
+        """Follow the topic for as long as the process runs."""
+        needs_state = True
+        backoff_s = FIRST_BACKOFF_S
+        while True:
+            failure = await (self._load() if needs_state else self._read())
+            if failure is None:
+                needs_state = False
+                backoff_s = FIRST_BACKOFF_S
+                self._note_regained()
+                await asyncio.sleep(self._pause_s)
+                continue
+            if failure.reason == "expired":
+                needs_state = True
+                continue
+            self._note_lost(failure)
+            await asyncio.sleep(backoff_s * self._state.rng.uniform(0.7, 1.3))
+            backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+
+    def take_peer_state(self, records: list[StoreRecord], end: int) -> None:
+        """Take in a newer state from a peer."""
+        if end > self.content.end:
+            self._on_change(self.content.replace(records, end))
+
+    async def _load(self) -> Failure | None:
+        answer = await self._store.newest(self._topic)
+        if isinstance(answer, Failure):
+            return answer
+        self._on_change(self.content.replace(*answer))
+        return None
+
+    async def _read(self) -> Failure | None:
+        answer = await self._store.read(self._topic, self.content.end, self._wait_s)
+        if isinstance(answer, Failure):
+            return answer
+        self._on_change(self.content.apply(answer))
+        return None
+
+    def _note_lost(self, failure: Failure) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            self._state.log.event(
+                "dependency_lost",
+                "store",
+                topic=self._topic,
+                step=failure.step,
+                peer=failure.peer,
+                reason=failure.reason,
+            )
+
+    def _note_regained(self) -> None:
+        if self._is_lost:
+            self._is_lost = False
+            self._state.log.event(
+                "dependency_regained", "store", topic=self._topic, end=self.content.end
+            )
+
+
+class StoreWatch:
+    """The topics that a gateway host follows."""
+
+    def __init__(self, state: GatewayState, store: StoreClient) -> None:
+        self._state = state
+        self._store = store
+        self._codec = store.codec
+        self._reported: set[tuple[str, str]] = set()
+        self.configuration = TopicWatch(
+            state,
+            store,
+            self._codec.configuration_topic(),
+            CONFIGURATION_WAIT_S,
+            0.0,
+            self._on_configuration,
+        )
+        self.servers = TopicWatch(
+            state,
+            store,
+            self._codec.server_topic(),
+            SERVER_WAIT_S,
+            SERVER_PAUSE_S,
+            self._on_servers,
+        )
+
+    async def run(self) -> None:
+        """Follow all topics for as long as the process runs."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.configuration.run())
+            tasks.create_task(self.servers.run())
+            tasks.create_task(self._remove_vanished())
+
+    def topic(self, name: str) -> TopicWatch | None:
+        """Return the watch of a topic."""
+        for watch in (self.configuration, self.servers):
+            if watch.topic == name:
+                return watch
+        return None
+
+    def _on_configuration(self, change: TopicChange) -> None:
+        for record in change.updated:
+            configuration = self._codec.decode_configuration(record)
+            if configuration is None:
+                continue
+            if isinstance(configuration, Unreadable):
+                self._note_unreadable(configuration)
+            elif self._state.set_configuration(configuration):
+                self._state.waiting.notify()
+                self._state.log.event(
+                    "configuration_in_force",
+                    version=configuration.version,
+                    offset=record.offset,
+                    routes=len(configuration.routes),
+                )
+
+    def _on_servers(self, change: TopicChange) -> None:
+        fleet = self._state.fleet
+        for record in change.updated:
+            entry = self._codec.decode_server(record)
+            if isinstance(entry, Unreadable):
+                self._note_unreadable(entry)
+                self._remove(record.key)
+                continue
+            known = fleet.entries.get(entry.server)
+            if not fleet.put(entry):
+                self._state.metrics.event("server_entry_outdated")
+            elif known is None or (known.state, known.incarnation) != (
+                entry.state,
+                entry.incarnation,
+            ):
+                self._state.log.event(
+                    "server_entry",
+                    entry.state.value,
+                    server=entry.server,
+                    service=entry.service,
+                    address=entry.address,
+                    zone=entry.zone,
+                    started_ms=entry.started_ms,
+                    offset=record.offset,
+                )
+        for server in change.dropped:
+            self._remove(server)
+        if change.updated or change.dropped:
+            self._forget_processes()
+            self._state.waiting.notify()
+            self._state.wants_order.set()
+
+    def _remove(self, server: str) -> None:
+        """Drop a server, or wait for its return if the store was away."""
+        if server not in self._state.fleet.entries:
+            return
+        now = monotonic_s()
+        if now - self._store.failed_at < STEADY_S:
+            self._state.fleet.vanish(server, now)
+            outcome = "vanished"
+        else:
+            self._state.fleet.remove(server)
+            outcome = "removed"
+        self._state.log.event("server_entry", outcome, server=server)
+
+    async def _remove_vanished(self) -> None:
+        while True:
+            await asyncio.sleep(REAPPEAR_S / 10)
+            if not self._store.is_reachable:
+                continue
+            returned_at = max(self._store.failed_at, monotonic_s() - REAPPEAR_S)
+            if monotonic_s() - returned_at < REAPPEAR_S:
+                continue
+            for server in self._state.fleet.remove_vanished(
+                monotonic_s() - REAPPEAR_S
+            ):
+                self._state.log.event("server_entry", "removed", server=server)
+                self._forget_processes()
+
+    def _forget_processes(self) -> None:
+        live = {entry.incarnation for entry in self._state.fleet.entries.values()}
+        self._state.loads.keep(live)
+        self._state.pools.keep(live)
+
+    def _note_unreadable(self, record: Unreadable) -> None:
+        self._state.metrics.event("record_unreadable")
+        if (record.key, record.reason) not in self._reported:
+            self._reported.add((record.key, record.reason))
+            self._state.log.event(
+                "record_unreadable", key=record.key, reason=record.reason
+            )
--- /dev/null
+++ b/sequoiapoint/platform/servers.py
@@ -0,0 +1,171 @@
+"""Servers' requests, answers, orders and reports on the platform's wire."""
+
+import json
+from typing import Any
+
+import pydantic
+
+from sequoiapoint.platform import headers as names
+from sequoiapoint.protocol.gateway import (
+    AnswerHead,
+    CallerRequest,
+    EngineReport,
+    HeldModel,
+    LoadReport,
+    Order,
+    OrderAction,
+    OrderResult,
+    ServerEntry,
+    Unreadable,
+)
+from sequoiapoint.protocol.ports import Headers, HttpCall
+
+ORDER_TARGET = "/sequoiapoint/order"
+REPORT_TARGET = "/sequoiapoint/report"
+_JSON = (b"Content-Type", b"application/json")
+_ACTIONS = {OrderAction.LOAD: "load", OrderAction.EVICT: "evict"}
+_ORDER_RESULTS = {
+    200: OrderResult.ALREADY_SO,
+    202: OrderResult.STARTED,
+    400: OrderResult.INVALID,
+    409: OrderResult.CONFLICT,
+    412: OrderResult.FENCED,
+    421: OrderResult.WRONG_SERVER,
+}
+_NOT_PASSED_BACK = names.CONNECTION_ONLY | names.ABOUT_THE_SERVER
+
+
+class ModelStatus(pydantic.BaseModel):
+    """A model that a server lists."""
+
+    name: pydantic.StrictStr
+    adapters: list[pydantic.StrictStr] = []
+
+    def held(self) -> HeldModel:
+        """Return the model in the project's own terms."""
+        return HeldModel(self.name, frozenset(self.adapters))
+
+
+class _Copies(pydantic.BaseModel):
+    in_memory: list[pydantic.StrictStr] = pydantic.Field([], alias="in-memory")
+    on_disk: list[pydantic.StrictStr] = pydantic.Field([], alias="on-disk")
+
+
+class _Report(pydantic.BaseModel):
+    models: list[ModelStatus] = []
+    busy: pydantic.StrictBool
+    # The number of orders accepted; elsewhere "seq" counts something else.
+    seq: pydantic.StrictInt
+    queued: int = 0
+    inflight: int = 0
+    coming: list[str] = []
+    at_hand: _Copies = pydantic.Field(_Copies(), alias="at-hand")
+
+
+def _load(value: bytes | None) -> LoadReport | None:
+    """Decode ``RUNNING,WAITING,SLOTS``."""
+    numbers = (value or b"").split(b",")
+    if len(numbers) != 3 or not all(n.strip().isdigit() for n in numbers):
+        return None
+    running, waiting, slots = (int(n) for n in numbers)
+    return LoadReport(running, waiting, slots)
+
+
+def _coming(name: str) -> tuple[str, str]:
+    """Decode ``MODEL/ADAPTER@VERSION``."""
+    model, _, rest = name.partition("/")
+    return model, rest.partition("@")[0]
+
+
+class PlatformServerCodec:
+    """Encodes what servers are sent and decodes what they answer."""
+
+    def request_head(
+        self,
+        request: CallerRequest,
+        entry: ServerEntry,
+        remaining_s: float,
+        priority: int | None,
+        last_event_id: str,
+    ) -> bytes:
+        """Encode the head of a request to a server.
+
+        :param remaining_s: What is left of the time that the caller waits, in seconds.
+        :param priority: Its rank at an engine from 0, the first, to 9; None for none.
+        :param last_event_id: Where a stream goes on, "" from its start.
+        """
+        lines = [f"{request.method} {request.target} HTTP/1.1".encode("latin-1")]
+        lines += [name + b": " + value for name, value in request.headers]
+        lines.append(b"deadline-ms: %d" % max(1, int(remaining_s * 1000)))
+        lines.append(b"expect-worker: " + entry.server.encode("latin-1"))
+        if priority is not None:
+            lines.append(b"request-prio: %d" % priority)
+        if last_event_id:
+            lines.append(b"last-event-id: " + last_event_id.encode("latin-1"))
+        if request.body or request.method not in ("GET", "HEAD", "DELETE"):
+            lines.append(b"content-length: %d" % len(request.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+    def decode_head(self, status: int, headers: Headers) -> AnswerHead:
+        """Decode the head of an answer.
+
+        :param headers: Headers with names in lower case.
+        """
+        return AnswerHead(
+            status=status,
+            request_id=(names.first(headers, names.REQUEST_ID) or b"").decode("latin-1"),
+            was_not_run=status == 421
+            or names.first(headers, names.NOT_RUN) is not None,
+            is_sealed=names.first(headers, names.SEAL) is not None,
+            is_encoded=names.first(headers, names.CONTENT_ENCODING)
+            not in (None, b"identity"),
+            is_wrong_server=status == 421,
+            load=_load(names.first(headers, names.SERVER_LOAD)),
+            headers=tuple((n, v) for n, v in headers if n not in _NOT_PASSED_BACK),
+        )
+
+    def order_call(self, entry: ServerEntry, order: Order) -> HttpCall:
+        """Encode an order to an engine."""
+        body: dict[str, Any] = {"op": _ACTIONS[order.action], "model": order.model}
+        if order.adapter:
+            body["adapter"] = order.adapter
+        # "expect" holds the number of orders accepted before this one.
+        body |= {
+            "expect": order.expected_count,
+            "holder": order.holder,
+            "fence": order.fence,
+        }
+        headers = [_JSON, (b"Expect-Worker", entry.server.encode("latin-1"))]
+        return HttpCall("POST", ORDER_TARGET, headers, json.dumps(body).encode())
+
+    def order_result(self, status: int) -> OrderResult:
+        """Decode an engine's answer to an order."""
+        return _ORDER_RESULTS.get(status, OrderResult.UNANSWERED)
+
+    def report_call(self, entry: ServerEntry) -> HttpCall:
+        """Encode a question for an engine's report."""
+        headers = [(b"Expect-Worker", entry.server.encode("latin-1"))]
+        return HttpCall("GET", REPORT_TARGET, headers)
+
+    def decode_report(self, body: bytes) -> EngineReport | Unreadable:
+        """Decode an engine's report."""
+        try:
+            report = _Report.model_validate_json(body)
+        except pydantic.ValidationError as error:
+            return Unreadable("", str(error.errors()[0]["msg"]))
+        return EngineReport(
+            models=tuple(model.held() for model in report.models),
+            order_count=report.seq,
+            is_busy=report.busy,
+            running=report.inflight,
+            waiting=report.queued,
+            coming=tuple(_coming(name) for name in report.coming),
+            in_host_memory=frozenset(report.at_hand.in_memory),
+            on_disk=frozenset(report.at_hand.on_disk),
+        )
+
+    def event_id(self, line: bytes) -> str | None:
+        """Return the id that a line of an event stream sets, if it sets one."""
+        if line.startswith(b"id:"):
+            return line[3:].strip().decode("latin-1")
+        return None
--- /dev/null
+++ b/sequoiapoint/platform/store.py
@@ -0,0 +1,337 @@
+"""Calls to the platform's store, and the records that operators and servers write."""
+
+import base64
+import json
+import struct
+from collections.abc import Iterator
+from typing import Annotated, Any, Literal
+from urllib.parse import urlencode
+
+import pydantic
+
+from sequoiapoint.platform.servers import ModelStatus
+from sequoiapoint.protocol.gateway import (
+    CallerLimits,
+    EngineSpec,
+    GatewayConfiguration,
+    GroupMembership,
+    ModelSpec,
+    Repeatability,
+    Route,
+    ServerEntry,
+    ServerState,
+    ServiceSpec,
+    StoreRecord,
+    Unreadable,
+)
+from sequoiapoint.protocol.ports import HttpCall
+
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+SERVER_TOPIC = "keyed.servers"
+_CALLS = "/sequoiapoint/log-"
+_JSON = [(b"Content-Type", b"application/json")]
+_READ_HEADER = struct.Struct(">QQ")
+_LENGTH = struct.Struct(">I")
+
+PositiveInt = Annotated[pydantic.StrictInt, pydantic.Field(gt=0)]
+Address = Annotated[
+    pydantic.StrictStr, pydantic.Field(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")
+]
+
+
+class _Wire(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(
+        alias_generator=lambda name: name.replace("_", "-"), populate_by_name=True
+    )
+
+
+class _Split(_Wire):
+    service: str
+    weight: float
+
+
+class _Route(_Wire):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    goal_ms: float
+    attempts: int = 1
+    priority: int = 0
+    can_resume: bool = False
+    gap_aim_ms: float = 0.0
+    service: str = ""
+    split: list[_Split] = []
+
+    def route(self) -> Route:
+        """Return the route in the project's own terms."""
+        is_stream = self.kind == "stream"
+        may_repeat = self.kind == "idempotent" or (is_stream and self.can_resume)
+        targets = tuple((s.service, s.weight) for s in self.split)
+        return Route(
+            name=self.name,
+            host=self.host.lower(),
+            prefix=self.prefix,
+            targets=targets or ((self.service, 1.0),),
+            repeatability=Repeatability.IDEMPOTENT
+            if may_repeat
+            else Repeatability.AT_MOST_ONCE,
+            is_stream=is_stream,
+            is_resumable=is_stream and self.can_resume,
+            timeout_s=self.timeout_ms / 1000.0,
+            goal_s=self.goal_ms / 1000.0,
+            event_gap_s=self.gap_aim_ms / 1000.0,
+            attempts=max(1, self.attempts),
+            priority=self.priority,
+        )
+
+
+class _Model(_Wire):
+    name: str
+    mb: float
+    load_s: float
+    warm_s: float = 0.0
+    disk_s: float = 0.0
+    # A number here; in the servers' entries, names.
+    adapters: int = 0
+    adapter_mb: float = 0.0
+
+    def spec(self) -> ModelSpec:
+        """Return the model in the project's own terms."""
+        return ModelSpec(
+            name=self.name,
+            size_mb=self.mb,
+            load_s=self.load_s,
+            host_load_s=self.warm_s or self.load_s,
+            disk_load_s=self.disk_s or self.load_s,
+            adapter_count=self.adapters,
+            adapter_mb=self.adapter_mb,
+        )
+
+
+class _Engine(_Wire):
+    slots: int
+    kv_cap: int
+    mb: float = 0.0
+    adapter_slots: int = 0
+    loads_per_s: float = 1.0
+    models: list[_Model] = []
+
+    def spec(self) -> EngineSpec:
+        """Return the engines' limits in the project's own terms."""
+        return EngineSpec(
+            slots=self.slots,
+            cache_tokens=self.kv_cap,
+            memory_mb=self.mb,
+            adapter_places=self.adapter_slots,
+            store_loads_per_s=self.loads_per_s,
+            models={model.name: model.spec() for model in self.models},
+        )
+
+
+class _Service(_Wire):
+    name: str
+    max_conns: int = 64
+    engine: _Engine | None = None
+
+
+class _Limits(_Wire):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Configuration(_Wire):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+
+    def configuration(self) -> GatewayConfiguration:
+        """Return the configuration in the project's own terms."""
+        return GatewayConfiguration(
+            version=self.version,
+            routes=tuple(route.route() for route in self.routes),
+            services={
+                service.name: ServiceSpec(
+                    service.name,
+                    service.max_conns,
+                    service.engine.spec() if service.engine else None,
+                )
+                for service in self.services
+            },
+            limits=CallerLimits(
+                max_header_bytes=self.limits.max_header_bytes,
+                max_body_bytes=self.limits.max_body_bytes,
+                header_timeout_s=self.limits.header_timeout_ms / 1000.0,
+                idle_timeout_s=self.limits.idle_timeout_ms / 1000.0,
+            ),
+        )
+
+
+class _Entry(_Wire):
+    service: pydantic.StrictStr
+    addr: Address
+    zone: pydantic.StrictStr
+    state: Literal["ready", "draining"]
+    slots: PositiveInt
+    version: pydantic.StrictStr
+    # Reports written since the start; elsewhere "seq" counts orders.
+    seq: pydantic.StrictInt
+    # The Unix millisecond of the process's start.
+    born: pydantic.StrictInt = 0
+    models: list[ModelStatus] | None = None
+    # How long the server stays, where it is taken away at short notice.
+    remaining_ms: pydantic.StrictInt | pydantic.StrictFloat | None = None
+
+    def entry(self, server: str) -> ServerEntry:
+        """Return the entry in the project's own terms."""
+        held = None if self.models is None else tuple(m.held() for m in self.models)
+        return ServerEntry(
+            server=server,
+            service=self.service,
+            address=self.addr,
+            zone=self.zone,
+            state=ServerState(self.state),
+            started_ms=self.born,
+            slots=self.slots,
+            models=held,
+            leaves_in_s=None
+            if self.remaining_ms is None
+            else self.remaining_ms / 1000.0,
+        )
+
+
+def _get(call: str, **query: object) -> HttpCall:
+    return HttpCall("GET", f"{_CALLS}{call}?{urlencode(query)}")
+
+
+def _post(call: str, body: dict[str, Any]) -> HttpCall:
+    return HttpCall("POST", f"{_CALLS}{call}", _JSON, json.dumps(body).encode())
+
+
+def _keyed_record(key: str, value: bytes) -> bytes:
+    name = key.encode()
+    content = bytes([len(name)]) + name + value
+    return _LENGTH.pack(len(content)) + content
+
+
+def _split_records(body: bytes) -> Iterator[bytes]:
+    position = _READ_HEADER.size
+    while position + _LENGTH.size <= len(body):
+        (length,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        yield body[position : position + length]
+        position += length
+
+
+class PlatformStoreCodec:
+    """Encodes the calls to the store and decodes its answers."""
+
+    def configuration_topic(self) -> str:
+        """Return the topic with the operators' configuration."""
+        return CONFIGURATION_TOPIC
+
+    def server_topic(self) -> str:
+        """Return the topic with the servers' entries."""
+        return SERVER_TOPIC
+
+    def newest_call(self, topic: str, after: str | None) -> HttpCall:
+        """Encode a question for the newest record of each key of a topic."""
+        query = {"topic": topic, "part": 0} | ({"after": after} if after else {})
+        return _get("newest", **query)
+
+    def decode_newest(self, body: bytes) -> tuple[list[StoreRecord], int, bool]:
+        """Return the records, the topic's end and whether more pages follow.
+
+        :raises ValueError: The answer cannot be read.
+        """
+        answer = json.loads(body)
+        records = [
+            StoreRecord(
+                item["offset"], item["key"], base64.b64decode(item["value"]) or None
+            )
+            for item in answer["items"]
+        ]
+        return records, answer["end"], bool(answer.get("has-more"))
+
+    def read_call(self, topic: str, offset: int, wait_s: float) -> HttpCall:
+        """Encode a read that waits for records for a time, in seconds."""
+        query = {"topic": topic, "part": 0, "from": offset}
+        return _get("read", **query, **{"wait-ms": int(wait_s * 1000)})
+
+    def decode_read(self, topic: str, offset: int, body: bytes) -> list[StoreRecord]:
+        """Return the records that a read brought.
+
+        :raises ValueError: The answer cannot be read.
+        """
+        if len(body) < _READ_HEADER.size:
+            raise ValueError(f"read of {topic} has {len(body)} bytes")
+        records = []
+        for position, content in enumerate(_split_records(body)):
+            key_length = content[0] if content else 0
+            key = content[1 : 1 + key_length].decode("utf-8", "replace")
+            value = content[1 + key_length :]
+            records.append(StoreRecord(offset + position, key, value or None))
+        return records
+
+    def put_call(self, topic: str, key: str, value: bytes) -> HttpCall:
+        """Encode the write of one keyed record."""
+        query = urlencode({"topic": topic, "part": 0})
+        return HttpCall(
+            "POST", f"{_CALLS}append?{query}", [], _keyed_record(key, value)
+        )
+
+    def join_call(
+        self, group: str, topic: str, member: str, lease_s: float, generation: int
+    ) -> HttpCall:
+        """Encode joining a group, or staying in it, for a lease in seconds."""
+        body = {
+            "group": group,
+            "member": member,
+            "topics": [topic],
+            "ttl-ms": int(lease_s * 1000),
+            "generation": generation,
+        }
+        return _post("join", body)
+
+    def decode_join(self, body: bytes) -> GroupMembership:
+        """Decode the answer to joining.
+
+        :raises ValueError: The answer cannot be read.
+        """
+        answer = json.loads(body)
+        # Each row holds topic, partition and committed offset.
+        held = frozenset(row[1] for row in answer["parts"])
+        return GroupMembership(answer["generation"], held)
+
+    def leave_call(self, group: str, member: str) -> HttpCall:
+        """Encode leaving a group."""
+        return _post("leave", {"group": group, "member": member})
+
+    def decode_configuration(
+        self, record: StoreRecord
+    ) -> GatewayConfiguration | Unreadable | None:
+        """Decode a configuration; None where the record is about something else."""
+        if record.key != CONFIGURATION_KEY:
+            return None
+        try:
+            wire = _Configuration.model_validate_json(record.value or b"")
+        except pydantic.ValidationError as error:
+            return Unreadable(record.key, _reason(error))
+        return wire.configuration()
+
+    def decode_server(self, record: StoreRecord) -> ServerEntry | Unreadable:
+        """Decode a server's entry."""
+        try:
+            return _Entry.model_validate_json(record.value or b"").entry(record.key)
+        except pydantic.ValidationError as error:
+            return Unreadable(record.key, _reason(error))
+
+
+def _reason(error: pydantic.ValidationError) -> str:
+    first = error.errors()[0]
+    return f"{'.'.join(str(part) for part in first['loc'])}: {first['msg']}"
--- /dev/null
+++ b/sequoiapoint/state/demand.py
@@ -0,0 +1,67 @@
+"""Demand for models and adapters, from this host and from all hosts.
+
+Each host counts its own requests; the host that gives orders adds up what it hears.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from sequoiapoint.protocol.gateway import ModelDemand
+
+REPORT_AGE_S = 2.5
+"""Age up to which a host's demand counts: a few digests lost in a row."""
+
+
+class OwnDemand:
+    """Counts this host's requests for models."""
+
+    def __init__(self) -> None:
+        self._in_work: Counter[tuple[str, str, str]] = Counter()
+        self._waiting: Counter[tuple[str, str, str]] = Counter()
+        self._touched: set[tuple[str, str, str]] = set()
+
+    def change(
+        self, key: tuple[str, str, str], in_work: int = 0, waiting: int = 0
+    ) -> None:
+        """Add to the counts of a service, model and adapter."""
+        self._in_work[key] += in_work
+        self._waiting[key] += waiting
+        self._touched.add(key)
+
+    def report(self) -> list[ModelDemand]:
+        """Return the demand now, and all that was touched since the last report."""
+        keys = self._touched | {k for k, n in self._in_work.items() if n}
+        keys |= {k for k, n in self._waiting.items() if n}
+        self._touched = set()
+        return [ModelDemand(*key, self._in_work[key], self._waiting[key]) for key in keys]
+
+    def waiting(self) -> Mapping[tuple[str, str, str], int]:
+        """Return the requests that wait, by service, model and adapter."""
+        return {key: n for key, n in self._waiting.items() if n}
+
+
+@dataclass
+class FleetDemand:
+    """The newest demand that each host reported."""
+
+    _reports: dict[str, tuple[float, tuple[ModelDemand, ...]]] = field(
+        default_factory=dict
+    )
+
+    def take(self, host: str, report: Iterable[ModelDemand], now: float) -> None:
+        """Take in a host's report."""
+        self._reports[host] = (now, tuple(report))
+
+    def total(self, now: float) -> list[ModelDemand]:
+        """Return the sums over all hosts that reported lately."""
+        in_work: Counter[tuple[str, str, str]] = Counter()
+        waiting: Counter[tuple[str, str, str]] = Counter()
+        for at, report in self._reports.values():
+            if now - at > REPORT_AGE_S:
+                continue
+            for demand in report:
+                key = (demand.service, demand.model, demand.adapter)
+                in_work[key] += demand.in_work
+                waiting[key] += demand.waiting
+        return [ModelDemand(*key, in_work[key], waiting[key]) for key in in_work]
--- /dev/null
+++ b/sequoiapoint/state/engine_ledger.py
@@ -0,0 +1,95 @@
+"""What the giver of orders knows of each engine.
+
+The count of accepted orders makes each order conditional, so that one which arrives late
+changes nothing.  An engine whose count is in doubt gets no order until its report has
+settled it.
+"""
+
+from dataclasses import dataclass, field
+
+from sequoiapoint.protocol.gateway import EngineReport, EngineSpec, ServerEntry
+
+REPORT_LAG_S = 0.4
+"""Age of what a report may say; twice the usual lag of engines' reports."""
+
+
+@dataclass
+class EngineRecord:
+    """One process of an engine.
+
+    :param order_count: Orders that it has accepted; None while in doubt.
+    :param held: Models with their adapters, those on their way included.
+    :param coming: The model that is being loaded, "" for none.
+    :param leaving_model: The model that is being evicted, "" for none.
+    :param busy_until: When the order in progress should be done.
+    :param ask_after: When a report is worth asking for.
+    :param adapter_used: When each adapter was last asked for.
+    """
+
+    entry: ServerEntry
+    order_count: int | None = None
+    held: dict[str, set[str]] = field(default_factory=dict)
+    coming: str = ""
+    leaving_model: str = ""
+    busy_until: float = 0.0
+    ask_after: float = 0.0
+    in_host_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
+    adapter_used: dict[tuple[str, str], float] = field(default_factory=dict)
+    has_order_in_flight: bool = False
+
+    @property
+    def is_in_doubt(self) -> bool:
+        """Tell whether a report is needed before the next order."""
+        return self.order_count is None
+
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether an order about a model is in progress."""
+        return bool(self.coming or self.leaving_model)
+
+    @property
+    def adapter_count(self) -> int:
+        """Return how many adapter places are taken."""
+        return sum(len(adapters) for adapters in self.held.values())
+
+    def used_mb(self, spec: EngineSpec) -> float:
+        """Return the memory taken by models and adapters, in MB."""
+        total = 0.0
+        for name, adapters in self.held.items():
+            model = spec.models.get(name)
+            if model is not None:
+                total += model.size_mb + len(adapters) * model.adapter_mb
+        return total
+
+    def usable(self) -> dict[str, frozenset[str]]:
+        """Return what requests can be sent for."""
+        return {
+            model: frozenset(adapters)
+            for model, adapters in self.held.items()
+            if model not in (self.coming, self.leaving_model)
+        }
+
+    def doubt(self, now: float) -> None:
+        """Note that an order may or may not have been accepted."""
+        self.order_count = None
+        self.ask_after = now + REPORT_LAG_S
+
+    def take_report(self, report: EngineReport, now: float) -> None:
+        """Take in a report that is newer than the last order."""
+        self.order_count = report.order_count
+        self.in_host_memory = report.in_host_memory
+        self.on_disk = report.on_disk
+        held = {model.name: set(model.adapters) for model in report.models}
+        for model, adapter in report.coming:
+            held.setdefault(model, set()).add(adapter)
+        if report.is_busy:
+            # Either a load or an eviction goes on, perhaps one of an earlier holder.
+            if self.coming:
+                held.setdefault(self.coming, set())
+            self.busy_until = now + REPORT_LAG_S
+            self.ask_after = self.busy_until
+            self.order_count = None
+        else:
+            self.coming = self.leaving_model = ""
+        self.held = held
--- /dev/null
+++ b/sequoiapoint/state/server_load.py
@@ -0,0 +1,135 @@
+"""What is believed of each server's load and health, from what this host has seen.
+
+A server's own count comes with its answers and is old when it comes; other hosts' counts
+come a few times a second.  Both are added to this host's own requests, which are known.
+"""
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from sequoiapoint.protocol.gateway import LoadReport
+
+REPORT_HALF_LIFE_S = 0.5
+"""Age at which half of a reported load is believed to be still there."""
+PEER_COUNT_AGE_S = 1.5
+"""Age up to which another host's count is used: three of its digests."""
+SILENCE_S = 0.8
+"""Silence with requests in work that makes a server suspect: twice a slow first event
+at a full engine."""
+CONNECT_BACKOFF_S = 0.5
+"""Pause after the first failure to connect; doubles with each further one."""
+MAX_CONNECT_BACKOFF_S = 4.0
+"""Longest pause after failures to connect, of the order of a server's restart."""
+OUTCOME_WEIGHT = 0.15
+"""Weight of the newest outcome in the failure rate: about the last dozen count."""
+
+
+@dataclass
+class ServerLoad:
+    """One process of a server, as seen from this host.
+
+    :param started: When each request in work here was sent, by its number.
+    :param failure_rate: Share of the last outcomes that were failures.
+    """
+
+    own_running: int = 0
+    started: dict[int, float] = field(default_factory=dict)
+    report: LoadReport | None = None
+    reported_at: float = 0.0
+    own_at_report: int = 0
+    heard_at: float = 0.0
+    connect_failures: int = 0
+    avoid_until: float = 0.0
+    failure_rate: float = 0.0
+    peer_counts: dict[str, tuple[int, float]] = field(default_factory=dict)
+
+    def send(self, number: int, now: float) -> None:
+        """Note a request that is sent."""
+        self.own_running += 1
+        self.started[number] = now
+
+    def finish(self, number: int) -> None:
+        """Note the end of a request."""
+        if self.started.pop(number, None) is not None:
+            self.own_running -= 1
+
+    def hear(self, now: float) -> None:
+        """Note that bytes came from the server."""
+        self.heard_at = now
+        self.connect_failures = 0
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Take in the server's own count."""
+        self.report = report
+        self.reported_at = now
+        self.own_at_report = self.own_running
+
+    def take_peer_count(self, peer: str, count: int, now: float) -> None:
+        """Take in another host's count of its requests at the server."""
+        self.peer_counts[peer] = (count, now)
+
+    def note_connect_failure(self, now: float) -> None:
+        """Avoid the server for a while, longer each time."""
+        pause = min(
+            MAX_CONNECT_BACKOFF_S, CONNECT_BACKOFF_S * 2.0**self.connect_failures
+        )
+        self.connect_failures += 1
+        self.avoid_until = now + pause
+
+    def note_outcome(self, is_failure: bool) -> None:
+        """Take in whether a request that was sent came to a good end."""
+        self.failure_rate += OUTCOME_WEIGHT * (float(is_failure) - self.failure_rate)
+
+    def is_silent(self, now: float) -> bool:
+        """Tell whether requests are in work and nothing has come for too long."""
+        if not self.started:
+            return False
+        since = max(self.heard_at, min(self.started.values()))
+        return now - since > SILENCE_S
+
+    def is_avoided(self, now: float) -> bool:
+        """Tell whether other servers go first."""
+        return now < self.avoid_until or self.is_silent(now)
+
+    def others_running(self, now: float) -> float:
+        """Estimate the requests that other hosts have at the server."""
+        fresh = [n for n, at in self.peer_counts.values() if now - at < PEER_COUNT_AGE_S]
+        if fresh:
+            return float(sum(fresh))
+        if self.report is None:
+            return 0.0
+        reported = self.report.running + self.report.waiting
+        age = now - self.reported_at
+        left = math.exp2(-age / REPORT_HALF_LIFE_S)
+        return max(0.0, reported - self.own_at_report) * left
+
+    def running(self, now: float) -> float:
+        """Estimate all requests at the server, in work and in its queue."""
+        return self.own_running + self.others_running(now)
+
+
+class LoadBook:
+    """The loads by process of a server."""
+
+    def __init__(self) -> None:
+        self._loads: dict[tuple[str, int], ServerLoad] = {}
+
+    def of(self, incarnation: tuple[str, int]) -> ServerLoad:
+        """Return the load of a process, which starts empty."""
+        load = self._loads.get(incarnation)
+        if load is None:
+            load = self._loads[incarnation] = ServerLoad()
+        return load
+
+    def keep(self, incarnations: set[tuple[str, int]]) -> None:
+        """Forget all other processes, unless requests are still in work there."""
+        self._loads = {
+            i: load
+            for i, load in self._loads.items()
+            if i in incarnations or load.own_running
+        }
+
+    def own_counts(self) -> Mapping[tuple[str, int], int]:
+        """Return this host's requests at each process where there are some."""
+        return {i: load.own_running for i, load in self._loads.items()}
--- a/sequoiapoint/transport/clock.py
+++ b/sequoiapoint/transport/clock.py
@@ -8,6 +8,11 @@
     return time.monotonic()
 
 
+def since_boot_s() -> float:
+    """Return a time that never goes back and counts suspension, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def wall_ms() -> int:
     """Return the time since 1970, in milliseconds."""
     return time.time_ns() // 1_000_000
--- a/sequoiapoint/transport/logs.py
+++ b/sequoiapoint/transport/logs.py
@@ -16,7 +16,8 @@
     return text
 
 
-def _format(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
+def format_record(record: logbook.LogRecord, _handler: object = None) -> str:
+    """Return the line of a record."""
     fields = {
         "time": record.time.isoformat(timespec="milliseconds"),
         "level": record.level_name.lower(),
@@ -36,7 +37,7 @@
 
     def format_line(record: logbook.LogRecord, handler: logbook.Handler) -> str:
         head = " ".join(f"{key}={_value(value)}" for key, value in common.items())
-        line = _format(record, handler)
+        line = format_record(record, handler)
         return f"{line} {head}" if head else line
 
     handler.formatter = format_line
