--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -13,27 +13,45 @@
 from sequoiapoint.protocol.gateway import EngineSpec, OrderAction
 from sequoiapoint.state.engine_ledger import EngineRecord
 
-COPY_FILL = 0.3
+COPY_FILL = 0.1
 """Share of an engine's places that one model's requests fill before it gets another
-copy: a third leaves room for a burst of three times the load."""
-IDLE_BEFORE_EVICTION_S = 3.0
-"""How long a model's only copy must have been unused before it yields."""
-ADAPTER_PLACES_AT_ONCE = 4
-"""Adapters that may be on their way to an engine."""
+copy; first events come late long before the places are full, as prompts are read
+between the tokens of all requests."""
+YIELD_FILL = 0.05
+"""Share of its remaining copies' places that a model's requests may fill after it has
+given up a copy: half of what would bring the copy back."""
+RECENT_S = 8.0
+"""Time after its last request for which a model counts as asked for."""
+IDLE_S = 3.0
+"""Time after its last request from which a model's only copy may yield to one that
+requests wait for."""
+LEAST_STAY_S = 4.0
+"""Time for which a new copy stays, so that models do not take turns at a place."""
+ADAPTER_COPIES_SHARE = 1.0
+"""Part of an engine's adapter places that one model's adapters are planned to take."""
+EVICTION_COST_S = 1.0
+"""What an eviction costs besides the load, as time: runs have to finish first."""
 
 
 @dataclass(frozen=True)
 class Wish:
-    """Demand for one model or adapter.
+    """Demand for one model.
 
     :param in_work: Requests at servers, smoothed.
     :param waiting: Requests that wait for a server.
     :param idle_s: How long ago it was last asked for.
+    :param adapters: How many of its adapters were asked for lately.
     """
 
     in_work: float
     waiting: int
     idle_s: float
+    adapters: int = 0
+
+    @property
+    def requests(self) -> float:
+        """Return all requests, at servers and waiting."""
+        return self.in_work + self.waiting
 
 
 NO_WISH = Wish(0.0, 0, math.inf)
@@ -66,77 +84,133 @@
     :param wishes: Demand by model.
     :param store_loads_left: Loads that the weight store's rate still allows.
     """
-    copies = _copies(records, spec)
-    targets = {name: _target(wishes.get(name, NO_WISH), spec) for name in spec.models}
-    free = [r for r in records if not r.is_busy and not r.has_order_in_flight]
+    planner = _Planner(records, spec, wishes)
     orders: list[PlannedOrder] = []
-    for name in _by_urgency(copies, targets, wishes):
-        if any(r.leaving_model for r in records) and copies[name] > 0:
-            # Room is being made already; see what it brings first.
-            continue
-        order = _place(name, free, spec, wishes, copies, targets)
+    for name in planner.wanted():
+        order = planner.place(name)
         if order is None or (order.is_store_load and store_loads_left <= 0):
             continue
         store_loads_left -= order.is_store_load
-        free.remove(order.record)
+        planner.free.remove(order.record)
         orders.append(order)
     return orders
 
 
-def _copies(records: Sequence[EngineRecord], spec: EngineSpec) -> dict[str, int]:
-    counts = dict.fromkeys(spec.models, 0)
-    for record in records:
-        for name in record.held:
-            if name != record.leaving_model and name in counts:
-                counts[name] += 1
-    return counts
-
-
-def _target(wish: Wish, spec: EngineSpec) -> int:
-    return max(1, math.ceil((wish.in_work + wish.waiting) / (COPY_FILL * spec.slots)))
-
-
-def _by_urgency(
-    copies: Mapping[str, int], targets: Mapping[str, int], wishes: Mapping[str, Wish]
-) -> list[str]:
-    """Return the models that lack copies, those that requests wait for first."""
-
-    def rank(name: str) -> tuple[bool, bool, float]:
-        wish = wishes.get(name, NO_WISH)
-        pressure = (wish.in_work + wish.waiting) / max(1, copies[name])
-        return (copies[name] > 0, wish.waiting == 0, -pressure)
-
-    return sorted((n for n in copies if copies[n] < targets[n]), key=rank)
+class _Planner:
+    """One look at the placement.
 
+    :ivar free: Engines that can take an order about a model.
+    """
 
-def _place(
-    name: str,
-    free: Sequence[EngineRecord],
-    spec: EngineSpec,
-    wishes: Mapping[str, Wish],
-    copies: Mapping[str, int],
-    targets: Mapping[str, int],
-) -> PlannedOrder | None:
-    """Return the load of a model, or the eviction that makes room for it."""
-    size = spec.models[name].size_mb
-    best: tuple[float, PlannedOrder] | None = None
-    for record in free:
-        if name in record.held:
-            continue
-        cost = load_seconds(record, spec, name)
-        room = spec.memory_mb - record.used_mb(spec)
-        if room >= size:
+    def __init__(
+        self,
+        records: Sequence[EngineRecord],
+        spec: EngineSpec,
+        wishes: Mapping[str, Wish],
+    ) -> None:
+        self._spec = spec
+        self._wishes = wishes
+        self._is_making_room = any(record.leaving_model for record in records)
+        self.free = [r for r in records if not r.is_busy and not r.has_order_in_flight]
+        self._copies = dict.fromkeys(spec.models, 0)
+        for record in records:
+            for name in record.held:
+                if name != record.leaving_model and name in self._copies:
+                    self._copies[name] += 1
+
+    def _wish(self, name: str) -> Wish:
+        return self._wishes.get(name, NO_WISH)
+
+    def _target(self, name: str) -> int:
+        """Return how many copies a model should have."""
+        wish = self._wish(name)
+        by_load = math.ceil(wish.requests / (COPY_FILL * self._spec.slots))
+        places = max(1.0, ADAPTER_COPIES_SHARE * self._spec.adapter_places)
+        by_adapters = math.ceil(wish.adapters / places)
+        return max(1, by_load, by_adapters)
+
+    def _fill(self, name: str, copies: int) -> float:
+        """Return the share of its copies' places that a model's requests fill."""
+        if copies <= 0:
+            return math.inf if self._wish(name).requests else 0.0
+        return self._wish(name).requests / (copies * self._spec.slots)
+
+    def wanted(self) -> list[str]:
+        """Return the models that lack copies, those that requests wait for first."""
+
+        def rank(name: str) -> tuple[bool, bool, float]:
+            has_copy = self._copies[name] > 0
+            has_no_waiting = self._wish(name).waiting == 0
+            return (has_copy, has_no_waiting, -self._fill(name, self._copies[name]))
+
+        lacking = [n for n in self._copies if self._copies[n] < self._target(n)]
+        return sorted(lacking, key=rank)
+
+    def place(self, name: str) -> PlannedOrder | None:
+        """Return the load of a model, or the eviction that makes room for it."""
+        best: tuple[float, PlannedOrder] | None = None
+        for record in self.free:
+            if name in record.held:
+                continue
+            option = self._option(name, record)
+            if option is not None and (best is None or option[0] < best[0]):
+                best = option
+        return best[1] if best else None
+
+    def _option(
+        self, name: str, record: EngineRecord
+    ) -> tuple[float, PlannedOrder] | None:
+        """Return the cost in seconds of a copy on an engine, and the order for it."""
+        cost = load_seconds(record, self._spec, name)
+        room = self._spec.memory_mb - record.used_mb(self._spec)
+        if room >= self._spec.models[name].size_mb:
             is_store_load = name not in record.in_host_memory | record.on_disk
             order = PlannedOrder(record, OrderAction.LOAD, name, "", is_store_load)
-        else:
-            victim = _victim(record, name, spec, wishes, copies, targets)
-            if victim is None:
-                continue
-            cost += 1.0 + _value(victim, wishes, copies)
-            order = PlannedOrder(record, OrderAction.EVICT, victim)
-        if best is None or cost < best[0]:
-            best = (cost, order)
-    return best[1] if best else None
+            return cost, order
+        if self._is_making_room and self._copies[name] > 0:
+            return None
+        ranked = [
+            (rank, self._value(other), other)
+            for other in record.held
+            if (rank := self._yield_rank(other, name, record)) is not None
+        ]
+        if not ranked:
+            return None
+        rank, value, victim = min(ranked)
+        order = PlannedOrder(record, OrderAction.EVICT, victim)
+        return cost + EVICTION_COST_S * (1 + rank) + value, order
+
+    def _value(self, name: str) -> float:
+        """Return what a copy of a model is worth: its requests, then how lately."""
+        wish = self._wish(name)
+        requests = wish.requests / max(1, self._copies[name])
+        return requests + 1.0 / (1.0 + min(wish.idle_s, 1e6))
+
+    def _yield_rank(self, name: str, wanted: str, record: EngineRecord) -> int | None:
+        """Return how readily a copy of one model goes for a copy of another.
+
+        :return: 0 for the readiest, None for a copy that stays.
+        """
+        if name not in self._spec.models or name == record.coming:
+            return None
+        wish, wanted_wish = self._wish(name), self._wish(wanted)
+        is_first = self._copies[wanted] == 0
+        if is_first and wanted_wish.idle_s > RECENT_S:
+            # Nobody asks for it: it is worth free room, but no eviction.
+            return None
+        left = self._copies[name] - 1
+        if wish.idle_s > RECENT_S and wish.requests < 0.5:
+            return 0
+        if name in record.new_models:
+            return None
+        if left >= self._target(name) and self._fill(name, left) <= YIELD_FILL:
+            return 1
+        if not is_first or wanted_wish.waiting == 0:
+            return None
+        if left >= 1 and self._fill(name, left) <= COPY_FILL:
+            return 2
+        is_idle = wish.idle_s > max(IDLE_S, wanted_wish.idle_s) and wish.requests < 0.5
+        return 3 if is_idle else None
 
 
 def load_seconds(record: EngineRecord, spec: EngineSpec, name: str) -> float:
@@ -149,41 +223,6 @@
     return model.load_s
 
 
-def _value(name: str, wishes: Mapping[str, Wish], copies: Mapping[str, int]) -> float:
-    """Return the requests that a copy of a model carries."""
-    wish = wishes.get(name, NO_WISH)
-    return (wish.in_work + wish.waiting) / max(1, copies[name])
-
-
-def _victim(
-    record: EngineRecord,
-    wanted: str,
-    spec: EngineSpec,
-    wishes: Mapping[str, Wish],
-    copies: Mapping[str, int],
-    targets: Mapping[str, int],
-) -> str | None:
-    """Return the copy that yields to a wanted model, or None where none should."""
-    is_first_copy = copies[wanted] == 0
-    wanted_wish = wishes.get(wanted, NO_WISH)
-    allowed = []
-    for name in record.held:
-        if name not in spec.models or name == record.coming:
-            continue
-        wish = wishes.get(name, NO_WISH)
-        has_excess = copies[name] > targets[name]
-        is_spare = copies[name] > 1 and is_first_copy
-        is_unused = (
-            is_first_copy
-            and wanted_wish.waiting > 0
-            and wish.in_work + wish.waiting < 1
-            and wish.idle_s > IDLE_BEFORE_EVICTION_S
-        )
-        if has_excess or is_spare or is_unused:
-            allowed.append(name)
-    return min(allowed, key=lambda n: _value(n, wishes, copies), default=None)
-
-
 def plan_adapters(
     records: Sequence[EngineRecord],
     spec: EngineSpec,
--- a/sequoiapoint/coordination/waiting.py
+++ b/sequoiapoint/coordination/waiting.py
@@ -11,6 +11,10 @@
 
 WAIT_SHARE = 0.4
 """Part of the time left that a request may wait; the rest is for running it."""
+LEAST_PATIENCE_S = 2.0
+"""Silence after which the least patient callers abandon a stream."""
+FIRST_EVENT_SHARE = 0.6
+"""Part of that silence that a stream may wait before it is sent."""
 ENGINE_FILL = 1.25
 """Requests at an engine, against its places, from which a host sends no more; the ones
 beyond the places keep its batch full until the hosts' next look."""
@@ -28,7 +32,15 @@
 
     :param remaining_s: What is left of the time that its caller waits.
     """
-    return min(remaining_s, max(route.goal_s, WAIT_SHARE * remaining_s))
+    limit_s = WAIT_SHARE * remaining_s
+    if route.is_stream:
+        limit_s = min(limit_s, FIRST_EVENT_SHARE * patience_s(route))
+    return min(remaining_s, max(route.goal_s, limit_s))
+
+
+def patience_s(route: Route) -> float:
+    """Return how long callers wait for an event of a stream, in seconds."""
+    return max(LEAST_PATIENCE_S, 4 * route.goal_s, 8 * route.event_gap_s)
 
 
 def retry_after_s(has_servers: bool, rng: random.Random) -> float:
--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -3,6 +3,8 @@
 import asyncio
 import http
 import signal
+import traceback
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from sequoiapoint.node.gateway_state import GatewayState
@@ -30,6 +32,10 @@
 each second, and two misses in a row count."""
 STOP_MARGIN_S = 0.6
 """Part of the time to stop that is kept for the last bytes."""
+PART_RESTART_S = 1.0
+"""Pause before a part that failed starts again."""
+TRACE_LINES = 4
+"""Lines of a failed part's trace that are logged."""
 STOP_POLL_S = 0.05
 """Time between looks at whether the last request has ended."""
 
@@ -81,18 +87,14 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        tasks = [
-            loop.create_task(work)
-            for work in (
-                watch.run(),
-                exchange.run(),
-                orders.run(),
-                self._keep_house(),
-                self._watch_settings(),
-            )
-        ]
-        for task in tasks:
-            task.add_done_callback(self._end_on_error)
+        parts = (
+            watch.run,
+            exchange.run,
+            orders.run,
+            self._keep_house,
+            self._watch_settings,
+        )
+        tasks = [loop.create_task(self._keep_running(part)) for part in parts]
         await self._stop.wait()
         await self._drain(orders)
         for task in tasks:
@@ -102,11 +104,19 @@
             await server.stop()
         log.event("host_stop", dropped_lines=log.dropped)
 
-    def _end_on_error(self, task: asyncio.Task) -> None:
-        """Stop the host when one of its parts has failed."""
-        if not task.cancelled() and task.exception() is not None:
-            self._state.log.event("part_failed", error=repr(task.exception()))
-            self._stop.set()
+    async def _keep_running(self, part: Callable[[], Awaitable[None]]) -> None:
+        """Run a part; one that fails starts again, and requests go on meanwhile."""
+        while True:
+            try:
+                await part()
+                return
+            except Exception as error:
+                self._state.metrics.event("part_failed")
+                trace = "".join(traceback.format_exception(error)[-TRACE_LINES:])
+                self._state.log.event(
+                    "part_failed", part.__qualname__, error=repr(error), trace=trace
+                )
+            await asyncio.sleep(PART_RESTART_S)
 
     async def _drain(self, orders: OrderGiver) -> None:
         """Finish the requests in work while the balancer turns to other hosts."""
--- a/sequoiapoint/node/order_giver.py
+++ b/sequoiapoint/node/order_giver.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections import deque
+from collections import Counter, deque
 
 from sequoiapoint.coordination import model_placement
 from sequoiapoint.coordination.model_placement import PlannedOrder, Wish
@@ -41,6 +41,8 @@
 """Time after a load's due end before it is believed done."""
 SMOOTHING_S = 1.0
 """Time constant of the demand that copies follow: a shift of demand shows within it."""
+ADAPTER_RECENT_S = 5.0
+"""Time after its last request for which an adapter counts as asked for."""
 EVICTION_NOTICE_S = 0.08
 """How long before an eviction the other hosts are told to send no more."""
 STORE_LOAD_SHARE = 0.8
@@ -60,6 +62,7 @@
         self._records: dict[tuple[str, int], EngineRecord] = {}
         self._in_work: dict[tuple[str, str], float] = {}
         self._asked_at: dict[tuple[str, str], float] = {}
+        self._adapter_asked_at: dict[tuple[str, str, str], float] = {}
         self._planned_at = 0.0
         self._store_loads: deque[float] = deque()
         self._tasks: set[asyncio.Task] = set()
@@ -153,6 +156,7 @@
 
     def _note_adapter(self, demand: object, now: float) -> None:
         pair = (demand.model, demand.adapter)
+        self._adapter_asked_at[(demand.service, *pair)] = now
         if demand.waiting:
             self._adapters_waiting.setdefault(demand.service, {})[pair] = demand.waiting
         for record in self._records.values():
@@ -162,11 +166,17 @@
     def _plan_service(self, service: str, spec: EngineSpec, now: float) -> None:
         records = self._follow_engines(service, now)
         settled = [r for r in records if not r.is_in_doubt]
+        adapters_asked = Counter(
+            model
+            for (name, model, _), at in self._adapter_asked_at.items()
+            if name == service and now - at < ADAPTER_RECENT_S
+        )
         wishes = {
             model: Wish(
                 self._in_work.get((service, model), 0.0),
                 self._waiting.get((service, model), 0),
                 now - self._asked_at.get((service, model), -math.inf),
+                adapters_asked[model],
             )
             for model in spec.models
         }
@@ -212,6 +222,7 @@
         if record.is_busy and now >= record.busy_until and not record.is_in_doubt:
             if record.coming:
                 self._log_change(record, "loaded", record.coming)
+                self._keep_for_a_while(record, record.coming)
                 record.coming = ""
                 self._publish(record)
             record.doubt(now)
@@ -219,6 +230,13 @@
             record.has_order_in_flight = True
             self._spawn(self._ask(record))
 
+    def _keep_for_a_while(self, record: EngineRecord, model: str) -> None:
+        """Let a new copy stay long enough to be of use."""
+        record.new_models.add(model)
+        asyncio.get_running_loop().call_later(
+            model_placement.LEAST_STAY_S, record.new_models.discard, model
+        )
+
     def _store_loads_left(self, spec: EngineSpec, now: float) -> int:
         window_s = self._state.settings.bounds.store_load_window_s
         while self._store_loads and now - self._store_loads[0] > window_s:
--- a/sequoiapoint/state/engine_ledger.py
+++ b/sequoiapoint/state/engine_ledger.py
@@ -23,6 +23,7 @@
     :param leaving_model: The model that is being evicted, "" for none.
     :param busy_until: When the order in progress should be done.
     :param ask_after: When a report is worth asking for.
+    :param new_models: Models that were loaded a short time ago.
     :param adapter_used: When each adapter was last asked for.
     """
 
@@ -37,6 +38,7 @@
     on_disk: frozenset[str] = frozenset()
     adapter_used: dict[tuple[str, str], float] = field(default_factory=dict)
     has_order_in_flight: bool = False
+    new_models: set[str] = field(default_factory=set)
 
     @property
     def is_in_doubt(self) -> bool:
