--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -129,7 +129,11 @@
         while monotonic_s() - began < limit_s:
             await asyncio.sleep(STOP_POLL_S)
             waited_s = monotonic_s() - began
-            if waited_s >= ROTATION_S and not self._callers.busy_count:
+            if waited_s < ROTATION_S:
+                continue
+            if not self._callers.is_closed:
+                self._callers.close_to_new_work()
+            if not self._callers.busy_count:
                 break
         leaving.cancel()
 
--- a/sequoiapoint/node/store_watch.py
+++ b/sequoiapoint/node/store_watch.py
@@ -26,9 +26,12 @@
 """Pause after the first failed call; doubles with each further one."""
 MAX_BACKOFF_S = 0.8
 """Longest pause after failed calls; a store that is back is seen within it."""
-REAPPEAR_S = 2.3
-"""How long an entry that lapsed while the store was away may take to come back: two
-seconds, and the time of a read."""
+HOLD_SHARE = 0.6
+"""Part of the time within which a leaving server must get no new work for which an entry
+that went around an outage of the store is still used: entries that lapsed meanwhile come
+back, and the rest of that time has passed before the removal was read."""
+HOLD_CHECK_S = 0.1
+"""Time between looks at entries that did not come back."""
 STEADY_S = 3.0
 """How long the store must have answered for a removal to be taken at its word."""
 
@@ -222,15 +225,9 @@
 
     async def _remove_vanished(self) -> None:
         while True:
-            await asyncio.sleep(REAPPEAR_S / 10)
-            if not self._store.is_reachable:
-                continue
-            returned_at = max(self._store.failed_at, monotonic_s() - REAPPEAR_S)
-            if monotonic_s() - returned_at < REAPPEAR_S:
-                continue
-            for server in self._state.fleet.remove_vanished(
-                monotonic_s() - REAPPEAR_S
-            ):
+            await asyncio.sleep(HOLD_CHECK_S)
+            hold_s = HOLD_SHARE * self._state.settings.bounds.server_drain_s
+            for server in self._state.fleet.remove_vanished(monotonic_s() - hold_s):
                 self._state.log.event("server_entry", "removed", server=server)
                 self._forget_processes()
 
--- a/sequoiapoint/transport/loop_server.py
+++ b/sequoiapoint/transport/loop_server.py
@@ -172,7 +172,7 @@
         self._progress_s = monotonic_s()
         if self._transport is None:
             return
-        if not may_keep:
+        if not may_keep or self._server.is_closed:
             self._linger()
         elif self._queue:
             self._start_next()
@@ -198,6 +198,8 @@
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         set_liveness_options(transport.get_extra_info("socket"))
         self._server.connections.add(self)
+        if self._server.is_closed:
+            transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the work for a caller that has left."""
@@ -378,6 +380,7 @@
         self.connections: set[ServerConnection] = set()
         self.limits = CallerLimits()
         self.is_draining = False
+        self.is_closed = False
         self._listener: asyncio.Server | None = None
         self._sweeper: asyncio.Task | None = None
 
@@ -410,8 +413,11 @@
         """Return how many connections have a request in work."""
         return sum(not connection.is_idle for connection in self.connections)
 
-    def close_idle(self) -> None:
-        """Close the connections on which nothing is being read or answered."""
+    def close_to_new_work(self) -> None:
+        """Take no new request; those in work are finished."""
+        self.is_closed = True
+        if self._listener is not None:
+            self._listener.close()
         for connection in list(self.connections):
             if connection.is_idle:
                 connection.abort()
