--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping, Sequence, Set
 from dataclasses import dataclass
 
 from sequoiapoint.protocol.gateway import EngineSpec, OrderAction
@@ -29,6 +29,16 @@
 """Time for which a new copy stays, so that models do not take turns at a place."""
 ADAPTER_COPIES_SHARE = 1.0
 """Part of an engine's adapter places that one model's adapters are planned to take."""
+ADAPTERS_AT_ONCE = 4
+"""Adapters that may be on their way to an engine at once, by the engines' protocol."""
+ADAPTER_PREFIX = "a"
+"""Adapters of a model are named by this and their number from one."""
+BUSY_SHARE = 0.4
+"""Part of the engines that may load or evict models at once while there is demand: they
+take no orders about adapters meanwhile."""
+ADAPTER_DISTURBANCE_S = 2.0
+"""What an order about a model costs besides, as time, at an engine that serves adapters
+of a model in demand."""
 EVICTION_COST_S = 1.0
 """What an eviction costs besides the load, as time: runs have to finish first."""
 
@@ -111,6 +121,11 @@
         self._spec = spec
         self._wishes = wishes
         self._is_making_room = any(record.leaving_model for record in records)
+        busy = sum(record.is_busy for record in records)
+        has_demand = any(wish.requests >= 1 for wish in wishes.values())
+        self._orders_left = (
+            max(1, int(BUSY_SHARE * len(records))) - busy if has_demand else len(records)
+        )
         self.free = [r for r in records if not r.is_busy and not r.has_order_in_flight]
         self._copies = dict.fromkeys(spec.models, 0)
         for record in records:
@@ -148,6 +163,8 @@
 
     def place(self, name: str) -> PlannedOrder | None:
         """Return the load of a model, or the eviction that makes room for it."""
+        if self._orders_left <= 0:
+            return None
         best: tuple[float, PlannedOrder] | None = None
         for record in self.free:
             if name in record.held:
@@ -155,13 +172,18 @@
             option = self._option(name, record)
             if option is not None and (best is None or option[0] < best[0]):
                 best = option
-        return best[1] if best else None
+        if best is None:
+            return None
+        self._orders_left -= 1
+        return best[1]
 
     def _option(
         self, name: str, record: EngineRecord
     ) -> tuple[float, PlannedOrder] | None:
         """Return the cost in seconds of a copy on an engine, and the order for it."""
         cost = load_seconds(record, self._spec, name)
+        if any(self._wish(held).adapters for held in record.held):
+            cost += ADAPTER_DISTURBANCE_S
         room = self._spec.memory_mb - record.used_mb(self._spec)
         if room >= self._spec.models[name].size_mb:
             is_store_load = name not in record.in_host_memory | record.on_disk
@@ -227,55 +249,101 @@
     records: Sequence[EngineRecord],
     spec: EngineSpec,
     waiting: Mapping[tuple[str, str], int],
+    in_use: Set[tuple[str, str]],
     loads: Mapping[str, float],
 ) -> list[PlannedOrder]:
     """Plan an order for each adapter that requests wait for, one for each engine.
 
+    An engine that loads or evicts a model takes no order about adapters meanwhile.
+
     :param waiting: Requests that wait, by model and adapter.
+    :param in_use: Adapters with requests at servers; they yield last, as their place is
+        only free once those have ended.
     :param loads: Load by server, to choose among engines that hold the model.
     """
     free = [r for r in records if not r.is_busy and not r.has_order_in_flight]
     orders = []
     for (model, adapter), _ in sorted(waiting.items(), key=lambda item: -item[1]):
-        hosts = [r for r in free if model in r.held and adapter not in r.held[model]]
-        if not hosts or any(adapter in r.usable().get(model, ()) for r in records):
+        if any(adapter in r.held.get(model, ()) for r in records):
             continue
-        record = min(hosts, key=lambda r: _adapter_cost(r, spec, loads, waiting))
-        order = _adapter_order(record, spec, model, adapter, waiting)
+        hosts = [r for r in free if model in r.held]
+        if not hosts:
+            continue
+        record = min(hosts, key=lambda r: _adapter_cost(r, spec, loads))
+        order = _adapter_order(record, spec, (model, adapter), waiting.keys(), in_use)
         if order is not None:
             free.remove(record)
             orders.append(order)
     return orders
 
 
+def plan_spare_places(
+    records: Sequence[EngineRecord], spec: EngineSpec, wishes: Mapping[str, Wish]
+) -> list[PlannedOrder]:
+    """Plan adapters of the models in demand for places that nothing else needs.
+
+    Answers a model whose adapters are asked for one after the other: those that fit are
+    there before their first request.
+    """
+    free = [r for r in records if not r.is_busy and not r.has_order_in_flight]
+    orders = []
+    wanted = sorted(
+        (name for name, wish in wishes.items() if wish.adapters and name in spec.models),
+        key=lambda name: -wishes[name].requests,
+    )
+    for model in wanted:
+        held = {a for r in records for a in r.held.get(model, ())}
+        numbers = range(1, spec.models[model].adapter_count + 1)
+        missing = [f"{ADAPTER_PREFIX}{n}" for n in numbers]
+        missing = [name for name in missing if name not in held]
+        for record in list(free):
+            has_place = _has_adapter_place(record, spec, model)
+            if not missing or model not in record.held or not has_place:
+                continue
+            orders.append(
+                PlannedOrder(record, OrderAction.LOAD, model, missing.pop(0))
+            )
+            free.remove(record)
+    return orders
+
+
 def _adapter_cost(
-    record: EngineRecord,
-    spec: EngineSpec,
-    loads: Mapping[str, float],
-    waiting: Mapping[tuple[str, str], int],
+    record: EngineRecord, spec: EngineSpec, loads: Mapping[str, float]
 ) -> tuple[bool, float]:
     has_place = record.adapter_count < spec.adapter_places
     return (not has_place, loads.get(record.entry.server, 0.0) / spec.slots)
 
 
+def _has_adapter_place(record: EngineRecord, spec: EngineSpec, model: str) -> bool:
+    has_room = (
+        record.used_mb(spec) + spec.models[model].adapter_mb <= spec.memory_mb
+    )
+    return has_room and record.adapter_count < spec.adapter_places
+
+
 def _adapter_order(
     record: EngineRecord,
     spec: EngineSpec,
-    model: str,
-    adapter: str,
-    waiting: Mapping[tuple[str, str], int],
+    wanted: tuple[str, str],
+    waiting: Set[tuple[str, str]],
+    in_use: Set[tuple[str, str]],
 ) -> PlannedOrder | None:
-    adapter_mb = spec.models[model].adapter_mb if model in spec.models else 0.0
-    has_room = record.used_mb(spec) + adapter_mb <= spec.memory_mb
-    if record.adapter_count < spec.adapter_places and has_room:
-        return PlannedOrder(record, OrderAction.LOAD, model, adapter)
+    if len(record.coming_adapters) >= ADAPTERS_AT_ONCE:
+        return None
+    if _has_adapter_place(record, spec, wanted[0]):
+        return PlannedOrder(record, OrderAction.LOAD, *wanted)
+    if record.leaving_adapters:
+        return None
     held = [
-        (name, other)
-        for name, adapters in record.held.items()
-        for other in adapters
-        if (name, other) not in waiting
+        (model, adapter)
+        for model, adapters in record.held.items()
+        for adapter in adapters
+        if (model, adapter) not in waiting
+        and (model, adapter) not in record.coming_adapters
     ]
     if not held:
         return None
-    oldest = min(held, key=lambda pair: record.adapter_used.get(pair, 0.0))
-    return PlannedOrder(record, OrderAction.EVICT, *oldest)
+    victim = min(
+        held, key=lambda pair: (pair in in_use, record.adapter_used.get(pair, 0.0))
+    )
+    return PlannedOrder(record, OrderAction.EVICT, *victim)
--- a/sequoiapoint/node/order_giver.py
+++ b/sequoiapoint/node/order_giver.py
@@ -35,8 +35,13 @@
 """Least time between looks: several requests that wait are then seen in one."""
 ORDER_TIMEOUT_S = 0.8
 """Time for an engine's answer; it comes within milliseconds or not at all."""
+ADAPTER_EVICTION_S = 1.0
+"""Time after which an engine is asked whether an adapter in use has left its place; of
+the order of a short stream."""
 ADAPTER_LOAD_S = 0.016
 """How long an adapter takes to load, at the upper end of what engines need."""
+UNUSED_EVICTION_S = 0.06
+"""How long the eviction of a model takes that no request uses: some round trips."""
 LOAD_MARGIN_S = 0.1
 """Time after a load's due end before it is believed done."""
 SMOOTHING_S = 1.0
@@ -142,6 +147,7 @@
         in_work: dict[tuple[str, str], int] = {}
         self._waiting: dict[tuple[str, str], int] = {}
         self._adapters_waiting: dict[str, dict[tuple[str, str], int]] = {}
+        self._adapters_in_use: dict[str, set[tuple[str, str]]] = {}
         total = self._exchange.fleet_demand.total(now)
         for demand in total:
             key = (demand.service, demand.model)
@@ -159,6 +165,8 @@
         self._adapter_asked_at[(demand.service, *pair)] = now
         if demand.waiting:
             self._adapters_waiting.setdefault(demand.service, {})[pair] = demand.waiting
+        if demand.in_work:
+            self._adapters_in_use.setdefault(demand.service, set()).add(pair)
         for record in self._records.values():
             if demand.adapter in record.held.get(demand.model, ()):
                 record.adapter_used[pair] = now
@@ -180,17 +188,20 @@
             )
             for model in spec.models
         }
-        orders = model_placement.plan_models(
-            settled, spec, wishes, self._store_loads_left(spec, now)
-        )
-        for order in orders:
-            self._start(order, spec, now)
         loads = {
             r.entry.server: self._state.loads.of(r.entry.incarnation).running(now)
             for r in settled
         }
         adapters = self._adapters_waiting.get(service, {})
-        for order in model_placement.plan_adapters(settled, spec, adapters, loads):
+        # Each plan leaves out the engines to which one before it gives an order.
+        for order in model_placement.plan_adapters(
+            settled, spec, adapters, self._adapters_in_use.get(service, set()), loads
+        ):
+            self._start(order, spec, now)
+        left = self._store_loads_left(spec, now)
+        for order in model_placement.plan_models(settled, spec, wishes, left):
+            self._start(order, spec, now)
+        for order in model_placement.plan_spare_places(settled, spec, wishes):
             self._start(order, spec, now)
 
     def _follow_engines(self, service: str, now: float) -> list[EngineRecord]:
@@ -225,8 +236,15 @@
                 self._keep_for_a_while(record, record.coming)
                 record.coming = ""
                 self._publish(record)
+            elif record.is_eviction_quick:
+                # If requests are left after all, the next order is refused as early.
+                record.held.pop(record.leaving_model, None)
+                record.leaving_model = ""
+                record.is_eviction_quick = False
+                return
             record.doubt(now)
-        if record.is_in_doubt and now >= record.ask_after:
+        needs_report = record.is_in_doubt or bool(record.leaving_adapters)
+        if needs_report and now >= record.ask_after:
             record.has_order_in_flight = True
             self._spawn(self._ask(record))
 
@@ -276,7 +294,7 @@
                 self._lease.fence,
             )
             result = await self._give(record, order)
-            await self._take_result(record, planned, spec, order, result)
+            self._take_result(record, planned, spec, order, result)
         finally:
             record.has_order_in_flight = False
             self._state.wants_order.set()
@@ -313,7 +331,7 @@
         )
         return result
 
-    async def _take_result(
+    def _take_result(
         self,
         record: EngineRecord,
         planned: PlannedOrder,
@@ -330,25 +348,38 @@
             return
         record.order_count = order.expected_count + 1
         if planned.adapter:
-            await self._take_adapter_result(record, planned)
+            self._take_adapter_result(record, planned, result)
         elif planned.action is OrderAction.LOAD:
             record.held[planned.model] = set()
             load_s = model_placement.load_seconds(record, spec, planned.model)
             record.coming = planned.model
             record.busy_until = now + load_s + LOAD_MARGIN_S
         else:
-            record.busy_until = now + REPORT_LAG_S
+            is_unused = self._in_work.get((record.entry.service, planned.model), 0.0) < 1
+            record.busy_until = now + (UNUSED_EVICTION_S if is_unused else REPORT_LAG_S)
+            record.is_eviction_quick = is_unused
         if result is OrderResult.ALREADY_SO and not planned.adapter:
             record.doubt(now)
 
-    async def _take_adapter_result(
-        self, record: EngineRecord, planned: PlannedOrder
+    def _take_adapter_result(
+        self, record: EngineRecord, planned: PlannedOrder, result: OrderResult
     ) -> None:
+        pair = (planned.model, planned.adapter)
         if planned.action is OrderAction.EVICT:
+            if result is OrderResult.STARTED:
+                # Its requests end first; a report tells when its place is free.
+                record.leaving_adapters.add(pair)
+                record.ask_after = monotonic_s() + ADAPTER_EVICTION_S
             return
-        await asyncio.sleep(ADAPTER_LOAD_S)
         record.held.setdefault(planned.model, set()).add(planned.adapter)
-        record.adapter_used[(planned.model, planned.adapter)] = monotonic_s()
+        record.adapter_used.setdefault(pair, monotonic_s())
+        record.coming_adapters.add(pair)
+        asyncio.get_running_loop().call_later(
+            ADAPTER_LOAD_S, self._finish_adapter, record, pair
+        )
+
+    def _finish_adapter(self, record: EngineRecord, pair: tuple[str, str]) -> None:
+        record.coming_adapters.discard(pair)
         self._publish(record)
 
     async def _ask(self, record: EngineRecord) -> None:
--- a/sequoiapoint/state/engine_ledger.py
+++ b/sequoiapoint/state/engine_ledger.py
@@ -23,7 +23,11 @@
     :param leaving_model: The model that is being evicted, "" for none.
     :param busy_until: When the order in progress should be done.
     :param ask_after: When a report is worth asking for.
+    :param is_eviction_quick: Whether the eviction in progress has no requests to wait
+        for.
     :param new_models: Models that were loaded a short time ago.
+    :param coming_adapters: Adapters on their way, as pairs of model and adapter.
+    :param leaving_adapters: Adapters that keep their place until their requests end.
     :param adapter_used: When each adapter was last asked for.
     """
 
@@ -38,7 +42,10 @@
     on_disk: frozenset[str] = frozenset()
     adapter_used: dict[tuple[str, str], float] = field(default_factory=dict)
     has_order_in_flight: bool = False
+    is_eviction_quick: bool = False
     new_models: set[str] = field(default_factory=set)
+    coming_adapters: set[tuple[str, str]] = field(default_factory=set)
+    leaving_adapters: set[tuple[str, str]] = field(default_factory=set)
 
     @property
     def is_in_doubt(self) -> bool:
@@ -53,7 +60,8 @@
     @property
     def adapter_count(self) -> int:
         """Return how many adapter places are taken."""
-        return sum(len(adapters) for adapters in self.held.values())
+        held = sum(len(adapters) for adapters in self.held.values())
+        return held + len(self.leaving_adapters)
 
     def used_mb(self, spec: EngineSpec) -> float:
         """Return the memory taken by models and adapters, in MB."""
@@ -67,8 +75,8 @@
     def usable(self) -> dict[str, frozenset[str]]:
         """Return what requests can be sent for."""
         return {
-            model: frozenset(adapters)
-            for model, adapters in self.held.items()
+            model: frozenset(a for a in names if (model, a) not in self.coming_adapters)
+            for model, names in self.held.items()
             if model not in (self.coming, self.leaving_model)
         }
 
@@ -80,6 +88,7 @@
     def take_report(self, report: EngineReport, now: float) -> None:
         """Take in a report that is newer than the last order."""
         self.order_count = report.order_count
+        self.leaving_adapters.clear()
         self.in_host_memory = report.in_host_memory
         self.on_disk = report.on_disk
         held = {model.name: set(model.adapters) for model in report.models}
