Let models of patient requests yield first and models nobody has asked for yet last

Cause: first copies of rarely asked models, whose requests have seconds, pushed out the copies that the next model in demand would have needed at once.

--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -25,6 +25,11 @@
 IDLE_S = 3.0
 """Time after its last request from which a model's only copy may yield to one that
 requests wait for."""
+PATIENT_GOAL_S = 2.0
+"""Goal from which requests can wait for a load: an eviction and a load from disk, with
+some room."""
+UNUSED_REQUESTS = 0.5
+"""Smoothed requests below which a model counts as unused."""
 LEAST_STAY_S = 4.0
 """Time for which a new copy stays, so that models do not take turns at a place."""
 ADAPTER_COPIES_SHARE = 1.0
@@ -51,12 +56,19 @@
     :param waiting: Requests that wait for a server.
     :param idle_s: How long ago it was last asked for.
     :param adapters: How many of its adapters were asked for lately.
+    :param goal_s: The shortest goal of its requests, None where none has been seen.
     """
 
     in_work: float
     waiting: int
     idle_s: float
     adapters: int = 0
+    goal_s: float | None = 0.0
+
+    @property
+    def is_patient(self) -> bool:
+        """Tell whether its requests can wait for a load and still be on time."""
+        return self.goal_s is not None and self.goal_s >= PATIENT_GOAL_S
 
     @property
     def requests(self) -> float:
@@ -64,7 +76,7 @@
         return self.in_work + self.waiting
 
 
-NO_WISH = Wish(0.0, 0, math.inf)
+NO_WISH = Wish(0.0, 0, math.inf, goal_s=None)
 
 
 @dataclass(frozen=True)
@@ -217,22 +229,24 @@
             return None
         wish, wanted_wish = self._wish(name), self._wish(wanted)
         is_first = self._copies[wanted] == 0
-        if is_first and wanted_wish.idle_s > RECENT_S:
+        if is_first and (wanted_wish.goal_s is None or wanted_wish.idle_s > RECENT_S):
             # Nobody asks for it: it is worth free room, but no eviction.
             return None
-        left = self._copies[name] - 1
-        if wish.idle_s > RECENT_S and wish.requests < 0.5:
-            return 0
         if name in record.new_models:
             return None
+        left = self._copies[name] - 1
+        is_unused = wish.requests < UNUSED_REQUESTS
         if left >= self._target(name) and self._fill(name, left) <= YIELD_FILL:
-            return 1
+            return 0
+        if wish.is_patient and is_unused and wish.idle_s > wanted_wish.idle_s:
+            return 1 if wish.idle_s > IDLE_S else 2
         if not is_first or wanted_wish.waiting == 0:
             return None
         if left >= 1 and self._fill(name, left) <= COPY_FILL:
-            return 2
-        is_idle = wish.idle_s > max(IDLE_S, wanted_wish.idle_s) and wish.requests < 0.5
-        return 3 if is_idle else None
+            return 3
+        if wanted_wish.is_patient:
+            return None
+        return 4 if is_unused and wish.idle_s > IDLE_S else None
 
 
 def load_seconds(record: EngineRecord, spec: EngineSpec, name: str) -> float:
--- a/sequoiapoint/coordination/order_lease.py
+++ b/sequoiapoint/coordination/order_lease.py
@@ -1,8 +1,9 @@
 """The lease of the host that gives orders to engines.
 
 The platform's store says who holds a group's only partition.  A holder trusts that for
-less than the lease, counted on a clock that runs through suspension; a successor waits
-out a whole lease before its first order, so that two holders never take turns.
+less than the store's lease, counted on a clock that runs through suspension.  A successor
+waits until no other holder can have given an order for the time within which two must not
+take turns.
 """
 
 from sequoiapoint.protocol.gateway import GroupMembership
@@ -11,20 +12,29 @@
 """The partition whose owner gives orders."""
 TRUST_SHARE = 0.75
 """Part of a lease for which a holder trusts it; the rest covers clocks and delays."""
+SETTLE_S = 0.3
+"""Least wait of a successor: a digest of a holder that still lives comes within it, or
+has come before."""
 
 
 class OrderLease:
     """Whether this host may give orders, and under which number.
 
-    :param lease_s: Length of the lease in seconds.
+    :param lease_s: For how long the store keeps a silent holder, in seconds.
+    :param turn_s: Time within which two holders must not take turns, in seconds.
+    :param is_fence_checked: Whether engines refuse a lower number after a higher one;
+        a successor then only waits for holders that it still hears of.
     """
 
-    def __init__(self, lease_s: float) -> None:
+    def __init__(self, lease_s: float, turn_s: float, is_fence_checked: bool) -> None:
         self._lease_s = lease_s
+        self._turn_s = turn_s
+        self._is_fence_checked = is_fence_checked
         self._membership = GroupMembership(0)
         self._asked_at = -lease_s
         self._held_since: float | None = None
         self._refused_fence = -1
+        self._other_holder_at = -turn_s
 
     @property
     def generation(self) -> int:
@@ -55,6 +65,10 @@
         """Note that an engine has seen a higher number."""
         self._refused_fence = max(self._refused_fence, fence)
 
+    def note_other_holder(self, now: float) -> None:
+        """Note that another host says that it gives orders."""
+        self._other_holder_at = now
+
     def release(self) -> None:
         """Stop giving orders."""
         self._held_since = None
@@ -69,8 +83,11 @@
 
         :param now: Seconds on the clock that runs through suspension.
         """
+        if not self.is_held(now) or self.fence <= self._refused_fence:
+            return False
+        if not self._is_fence_checked:
+            return now >= self._held_since + self._turn_s
         return (
-            self.is_held(now)
-            and now >= self._held_since + self._lease_s
-            and self.fence > self._refused_fence
+            now >= self._held_since + SETTLE_S
+            and now >= self._other_holder_at + self._turn_s
         )
--- a/sequoiapoint/node/order_giver.py
+++ b/sequoiapoint/node/order_giver.py
@@ -4,6 +4,8 @@
 import math
 from collections import Counter, deque
 
+import xxhash
+
 from sequoiapoint.coordination import model_placement
 from sequoiapoint.coordination.model_placement import PlannedOrder, Wish
 from sequoiapoint.coordination.order_lease import OrderLease
@@ -25,10 +27,17 @@
 
 GROUP = "engine-orders"
 GROUP_TOPIC = "engine-orders"
-HOLDER_RENEWAL_S = 0.7
-"""Time between renewals by the holder: four in a lease."""
-CANDIDATE_RENEWAL_S = 1.0
-"""The same for hosts that would follow it."""
+LEASE_S = 1.8
+"""For how long the store keeps a silent holder; a gap in orders costs callers more than
+renewals, of which ten have the price of a call."""
+HOLDER_RENEWAL_S = 0.45
+"""Time between renewals by the holder: four in a lease, three while it is trusted."""
+CANDIDATE_RENEWAL_S = 0.8
+"""The same for hosts that would follow it: two in a lease."""
+CANDIDATES = 3
+"""Hosts that are in the group; the others join when one of these falls silent."""
+OUTSIDER_CHECK_S = 0.5
+"""Time between looks at whether this host should be in the group."""
 PLAN_INTERVAL_S = 0.2
 """Time between looks at the placement when nothing asks for one."""
 LEAST_PLAN_INTERVAL_S = 0.01
@@ -63,10 +72,13 @@
         self._state = state
         self._store = store
         self._exchange = exchange
-        self._lease = OrderLease(state.settings.bounds.order_lease_s)
+        bounds = state.settings.bounds
+        self._lease = OrderLease(LEASE_S, bounds.order_lease_s, bounds.is_fence_checked)
+        self._held_at = 0.0
         self._records: dict[tuple[str, int], EngineRecord] = {}
         self._in_work: dict[tuple[str, str], float] = {}
         self._asked_at: dict[tuple[str, str], float] = {}
+        self._goals: dict[tuple[str, str], float] = {}
         self._adapter_asked_at: dict[tuple[str, str, str], float] = {}
         self._planned_at = 0.0
         self._store_loads: deque[float] = deque()
@@ -87,26 +99,52 @@
     # Lease
 
     async def _renew(self) -> None:
-        settings = self._state.settings
-        lease_s = settings.bounds.order_lease_s
         was_held = False
         while not self._state.is_draining:
-            asked_at = since_boot_s()
-            answer = await self._store.join(
-                GROUP, GROUP_TOPIC, settings.host, lease_s, self._lease.generation
-            )
-            if not isinstance(answer, Failure) and not self._state.is_draining:
-                self._lease.renew(answer, asked_at)
             is_held = self._lease.is_held(since_boot_s())
+            if is_held or self._is_candidate():
+                await self._join()
+                is_held = self._lease.is_held(since_boot_s())
+                pause_s = HOLDER_RENEWAL_S if is_held else CANDIDATE_RENEWAL_S
+            else:
+                pause_s = OUTSIDER_CHECK_S
             if is_held != was_held:
                 was_held = is_held
-                self._records.clear()
-                self._state.log.event(
-                    "order_lease",
-                    "held" if is_held else "lost",
-                    fence=self._lease.fence,
-                )
-            await asyncio.sleep(HOLDER_RENEWAL_S if is_held else CANDIDATE_RENEWAL_S)
+                self._note_turn(is_held)
+            await asyncio.sleep(pause_s)
+
+    def _is_candidate(self) -> bool:
+        """Tell whether this host is among those that may hold the lease.
+
+        All hosts rank the hosts that they hear of alike; views that differ for a while
+        only make the group larger.
+        """
+        own = self._state.settings.host
+        hosts = [own, *(p.host for p in self._exchange.peers.live(monotonic_s()))]
+        hosts.sort(key=lambda host: xxhash.xxh64_intdigest(host.encode()))
+        return own in hosts[:CANDIDATES]
+
+    async def _join(self) -> None:
+        asked_at = since_boot_s()
+        answer = await self._store.join(
+            GROUP,
+            GROUP_TOPIC,
+            self._state.settings.host,
+            LEASE_S,
+            self._lease.generation,
+        )
+        if not isinstance(answer, Failure) and not self._state.is_draining:
+            self._lease.renew(answer, asked_at)
+
+    def _note_turn(self, is_held: bool) -> None:
+        """Start with no belief of one's own when the lease comes or goes."""
+        self._records.clear()
+        self._held_at = monotonic_s()
+        self._exchange.fence = self._lease.fence if is_held else 0
+        self._exchange.send_soon()
+        self._state.log.event(
+            "order_lease", "held" if is_held else "lost", fence=self._lease.fence
+        )
 
     def _may_order(self) -> bool:
         return not self._state.is_draining and self._lease.may_order(since_boot_s())
@@ -122,7 +160,7 @@
             except TimeoutError:
                 pass
             wants.clear()
-            if self._may_order():
+            if self._lease.is_held(since_boot_s()):
                 self._exchange.fence = self._lease.fence
                 self._plan()
             else:
@@ -136,6 +174,8 @@
         if configuration is None:
             return
         now = monotonic_s()
+        if self._exchange.hears_other_holder(now):
+            self._lease.note_other_holder(since_boot_s())
         self._follow_demand(now)
         for service in configuration.services.values():
             if service.engine is not None:
@@ -154,6 +194,7 @@
             in_work[key] = in_work.get(key, 0) + demand.in_work
             self._waiting[key] = self._waiting.get(key, 0) + demand.waiting
             self._asked_at[key] = now
+            self._goals[key] = min(demand.goal_s, self._goals.get(key, demand.goal_s))
             if demand.adapter:
                 self._note_adapter(demand, now)
         for key in self._in_work.keys() | in_work.keys():
@@ -173,6 +214,8 @@
 
     def _plan_service(self, service: str, spec: EngineSpec, now: float) -> None:
         records = self._follow_engines(service, now)
+        if not self._may_order():
+            return
         settled = [r for r in records if not r.is_in_doubt]
         adapters_asked = Counter(
             model
@@ -183,8 +226,9 @@
             model: Wish(
                 self._in_work.get((service, model), 0.0),
                 self._waiting.get((service, model), 0),
-                now - self._asked_at.get((service, model), -math.inf),
+                now - self._asked_at.get((service, model), self._held_at),
                 adapters_asked[model],
+                self._goals.get((service, model)),
             )
             for model in spec.models
         }
--- a/sequoiapoint/node/relay.py
+++ b/sequoiapoint/node/relay.py
@@ -155,6 +155,7 @@
         self._last_reason = ""
         self._waited_s = 0.0
         self._has_unknown = False
+        self._first_event_s: float | None = None
 
     @property
     def _is_engine(self) -> bool:
@@ -179,6 +180,8 @@
         if self._is_engine and self._request.model not in self._spec.engine.models:
             self._refuse_not_run("unknown_model")
             return
+        if self._is_engine:
+            state.demand.ask(self._demand_key, self._route.goal_s)
         while True:
             entry = await self._wait_for_server()
             if entry is None:
@@ -344,7 +347,7 @@
             connection.close()
             return _Step.UNKNOWN, "not_the_servers_answer"
         if is_good and self._route.is_stream:
-            return await self._follow_stream(head, connection, exchange)
+            return await self._follow_stream(head, connection, exchange, entry)
         return await self._follow_whole(head, exchange, entry)
 
     async def _follow_whole(
@@ -367,7 +370,11 @@
         return _Step.DELIVERED, "server_error" if is_error else ""
 
     async def _follow_stream(
-        self, head: AnswerHead, connection: ClientConnection, exchange: Exchange
+        self,
+        head: AnswerHead,
+        connection: ClientConnection,
+        exchange: Exchange,
+        entry: ServerEntry,
     ) -> tuple[_Step, str]:
         responder, splitter = self._responder, self._splitter
         heard = asyncio.Event()
@@ -379,8 +386,9 @@
                 return
             if not responder.is_started:
                 responder.start_stream(head.status, list(head.headers))
+                self._first_event_s = monotonic_s() - self._arrived_s
                 self._state.metrics.first_token(
-                    self._route.repeatability.value, monotonic_s() - self._arrived_s
+                    self._route.repeatability.value, self._first_event_s
                 )
             responder.send(events)
 
@@ -394,7 +402,12 @@
             if not responder.is_started:
                 responder.start_stream(head.status, list(head.headers))
             responder.end_stream()
-            self.log_end("answered", status=head.status, events=splitter.events)
+            self.log_end(
+                "answered",
+                status=head.status,
+                events=splitter.events,
+                server=entry.server,
+            )
             return _Step.DELIVERED, ""
         splitter.drop_partial()
         reason = end.value if end is not End.COMPLETE else "partial_event"
@@ -565,6 +578,11 @@
         self._state.metrics.request(
             outcome, self._route.repeatability.value, elapsed_s
         )
+        if self._first_event_s is not None:
+            fields["first_ms"] = round(self._first_event_s * 1000)
+        if self._request.model:
+            fields["model"] = self._request.model
+            fields["adapter"] = self._request.adapter
         self._state.log.event(
             "request_ended",
             outcome,
--- a/sequoiapoint/protocol/digest.capnp
+++ b/sequoiapoint/protocol/digest.capnp
@@ -13,6 +13,7 @@
   adapter @2 :Text;
   inWork @3 :UInt32;
   waiting @4 :UInt32;
+  goalMs @5 :UInt32;
 }
 
 struct HeldModel {
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -68,6 +68,7 @@
                 "adapter": demand.adapter,
                 "inWork": demand.in_work,
                 "waiting": demand.waiting,
+                "goalMs": round(demand.goal_s * 1000),
             }
             for demand in digest.demands
         ],
@@ -110,7 +111,9 @@
             fence=message.fence,
             counts=tuple(((c.server, c.startedMs), c.running) for c in message.counts),
             demands=tuple(
-                ModelDemand(d.service, d.model, d.adapter, d.inWork, d.waiting)
+                ModelDemand(
+                    d.service, d.model, d.adapter, d.inWork, d.waiting, d.goalMs / 1000
+                )
                 for d in message.demands
             ),
             holdings=tuple(
--- a/sequoiapoint/protocol/gateway.py
+++ b/sequoiapoint/protocol/gateway.py
@@ -339,6 +339,7 @@
 
     :param in_work: Requests at servers.
     :param waiting: Requests that wait at hosts for a server.
+    :param goal_s: The shortest goal of the routes that they came by, in seconds.
     """
 
     service: str
@@ -346,3 +347,4 @@
     adapter: str
     in_work: int
     waiting: int
+    goal_s: float = 0.0
--- a/sequoiapoint/protocol/gateway_settings.py
+++ b/sequoiapoint/protocol/gateway_settings.py
@@ -27,6 +27,8 @@
     """Time after a disturbance until bounds hold again."""
     order_lease_s: float = pydantic.Field(default=3.0, gt=0)
     """Time within which two hosts must not take turns at giving orders."""
+    is_fence_checked: bool = True
+    """Whether engines refuse an order under a lower number after a higher one."""
     retry_ratio: float = pydantic.Field(default=0.2, ge=0)
     """Resends for each request to a service."""
     retry_allowance: float = pydantic.Field(default=50.0, ge=0)
--- a/sequoiapoint/state/demand.py
+++ b/sequoiapoint/state/demand.py
@@ -19,8 +19,14 @@
     def __init__(self) -> None:
         self._in_work: Counter[tuple[str, str, str]] = Counter()
         self._waiting: Counter[tuple[str, str, str]] = Counter()
+        self._goals: dict[tuple[str, str, str], float] = {}
         self._touched: set[tuple[str, str, str]] = set()
 
+    def ask(self, key: tuple[str, str, str], goal_s: float) -> None:
+        """Note a request for a service, model and adapter, by its route's goal."""
+        self._goals[key] = min(goal_s, self._goals.get(key, goal_s))
+        self._touched.add(key)
+
     def change(
         self, key: tuple[str, str, str], in_work: int = 0, waiting: int = 0
     ) -> None:
@@ -34,7 +40,12 @@
         keys = self._touched | {k for k, n in self._in_work.items() if n}
         keys |= {k for k, n in self._waiting.items() if n}
         self._touched = set()
-        return [ModelDemand(*key, self._in_work[key], self._waiting[key]) for key in keys]
+        return [
+            ModelDemand(
+                *key, self._in_work[key], self._waiting[key], self._goals.get(key, 0.0)
+            )
+            for key in keys
+        ]
 
     def waiting(self) -> Mapping[tuple[str, str, str], int]:
         """Return the requests that wait, by service, model and adapter."""
@@ -57,6 +68,7 @@
         """Return the sums over all hosts that reported lately."""
         in_work: Counter[tuple[str, str, str]] = Counter()
         waiting: Counter[tuple[str, str, str]] = Counter()
+        goals: dict[tuple[str, str, str], float] = {}
         for at, report in self._reports.values():
             if now - at > REPORT_AGE_S:
                 continue
@@ -64,4 +76,7 @@
                 key = (demand.service, demand.model, demand.adapter)
                 in_work[key] += demand.in_work
                 waiting[key] += demand.waiting
-        return [ModelDemand(*key, in_work[key], waiting[key]) for key in in_work]
+                goals[key] = min(demand.goal_s, goals.get(key, demand.goal_s))
+        return [
+            ModelDemand(*key, in_work[key], waiting[key], goals[key]) for key in in_work
+        ]
