--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -30,6 +30,11 @@
 some room."""
 UNUSED_REQUESTS = 0.5
 """Smoothed requests below which a model counts as unused."""
+OUTWEIGHED_SHARE = 0.1
+"""A model of patient requests yields to one in demand that has ten times as many."""
+FIRST_COPY_WEIGHT = 8.0
+"""What a waiting request for a model without a copy counts, against one more request at
+the copies of a model in demand."""
 LEAST_STAY_S = 4.0
 """Time for which a new copy stays, so that models do not take turns at a place."""
 ADAPTER_COPIES_SHARE = 1.0
@@ -113,7 +118,7 @@
         if order is None or (order.is_store_load and store_loads_left <= 0):
             continue
         store_loads_left -= order.is_store_load
-        planner.free.remove(order.record)
+        planner.take(name, order)
         orders.append(order)
     return orders
 
@@ -133,11 +138,11 @@
         self._spec = spec
         self._wishes = wishes
         self._is_making_room = any(record.leaving_model for record in records)
-        busy = sum(record.is_busy for record in records)
         has_demand = any(wish.requests >= 1 for wish in wishes.values())
-        self._orders_left = (
-            max(1, int(BUSY_SHARE * len(records))) - busy if has_demand else len(records)
-        )
+        most = max(1, int(BUSY_SHARE * len(records))) if has_demand else len(records)
+        self._orders_left = most - sum(record.is_busy for record in records)
+        self._further_copies_left = math.ceil(most / 2)
+        self._coming = {record.coming for record in records if record.coming}
         self.free = [r for r in records if not r.is_busy and not r.has_order_in_flight]
         self._copies = dict.fromkeys(spec.models, 0)
         for record in records:
@@ -163,19 +168,32 @@
         return self._wish(name).requests / (copies * self._spec.slots)
 
     def wanted(self) -> list[str]:
-        """Return the models that lack copies, those that requests wait for first."""
-
-        def rank(name: str) -> tuple[bool, bool, float]:
-            has_copy = self._copies[name] > 0
-            has_no_waiting = self._wish(name).waiting == 0
-            return (has_copy, has_no_waiting, -self._fill(name, self._copies[name]))
+        """Return the models that lack copies, those that gain most first.
 
+        A first copy goes before any further one that gains as much.
+        """
         lacking = [n for n in self._copies if self._copies[n] < self._target(n)]
-        return sorted(lacking, key=rank)
+        return sorted(lacking, key=self._gain, reverse=True)
+
+    def _gain(self, name: str) -> float:
+        """Return the requests that a copy would help, weighted."""
+        wish, copies = self._wish(name), self._copies[name]
+        if copies == 0:
+            return wish.waiting * (1.0 if wish.is_patient else FIRST_COPY_WEIGHT)
+        carried = copies * COPY_FILL * self._spec.slots
+        return max(0.0, wish.requests - carried) / (1.0 + copies)
+
+    def take(self, name: str, order: PlannedOrder) -> None:
+        """Reckon with an order that is given."""
+        self.free.remove(order.record)
+        self._orders_left -= 1
+        if self._copies[name] > 0:
+            self._further_copies_left -= 1
 
     def place(self, name: str) -> PlannedOrder | None:
         """Return the load of a model, or the eviction that makes room for it."""
-        if self._orders_left <= 0:
+        is_further = self._copies[name] > 0
+        if self._orders_left <= 0 or (is_further and self._further_copies_left <= 0):
             return None
         best: tuple[float, PlannedOrder] | None = None
         for record in self.free:
@@ -184,10 +202,7 @@
             option = self._option(name, record)
             if option is not None and (best is None or option[0] < best[0]):
                 best = option
-        if best is None:
-            return None
-        self._orders_left -= 1
-        return best[1]
+        return best[1] if best else None
 
     def _option(
         self, name: str, record: EngineRecord
@@ -240,13 +255,16 @@
             return 0
         if wish.is_patient and is_unused and wish.idle_s > wanted_wish.idle_s:
             return 1 if wish.idle_s > IDLE_S else 2
-        if not is_first or wanted_wish.waiting == 0:
+        if is_first and wanted_wish.waiting == 0:
             return None
-        if left >= 1 and self._fill(name, left) <= COPY_FILL:
+        wanted_fill = self._fill(wanted, self._copies[wanted])
+        if left >= 1 and self._fill(name, left) <= min(COPY_FILL, wanted_fill / 2):
             return 3
         if wanted_wish.is_patient:
             return None
-        return 4 if is_unused and wish.idle_s > IDLE_S else None
+        if wish.is_patient and wish.requests < OUTWEIGHED_SHARE * wanted_wish.requests:
+            return 4 if wanted_fill > COPY_FILL else None
+        return 5 if is_first and is_unused and wish.idle_s > IDLE_S else None
 
 
 def load_seconds(record: EngineRecord, spec: EngineSpec, name: str) -> float:
--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -30,6 +30,9 @@
 ROTATION_S = 3.0
 """Time after the order to stop until the balancer sends no new connections: it asks
 each second, and two misses in a row count."""
+LAST_WAIT_S = 2.0
+"""Time after the order to stop until requests that still wait for a server are refused,
+so that they can come back to another host."""
 STOP_MARGIN_S = 0.6
 """Part of the time to stop that is kept for the last bytes."""
 PART_RESTART_S = 1.0
@@ -123,6 +126,7 @@
         began = monotonic_s()
         limit_s = self._settings.bounds.drain_timeout_s - STOP_MARGIN_S
         self._state.is_draining = True
+        self._state.waits_end_at = began + LAST_WAIT_S
         self._callers.is_draining = True
         self._state.log.event("host_draining", busy=self._callers.busy_count)
         leaving = asyncio.get_running_loop().create_task(orders.release())
--- a/sequoiapoint/node/gateway_state.py
+++ b/sequoiapoint/node/gateway_state.py
@@ -3,6 +3,7 @@
 import asyncio
 import heapq
 import itertools
+import math
 import random
 from dataclasses import dataclass, field
 
@@ -88,6 +89,7 @@
 
     :param started_ms: The Unix time of the process's start.
     :param host_count: How many hosts live, this one included.
+    :param waits_end_at: When requests wait no longer for a server, as the host stops.
     """
 
     settings: GatewaySettings
@@ -108,6 +110,7 @@
     routes: RouteTable | None = None
     host_count: int = 1
     is_draining: bool = False
+    waits_end_at: float = math.inf
     wants_order: asyncio.Event = field(default_factory=asyncio.Event)
     _retries: dict[str, RetryWindow] = field(default_factory=dict)
 
--- a/sequoiapoint/node/relay.py
+++ b/sequoiapoint/node/relay.py
@@ -228,7 +228,7 @@
                 entry = self._choose(now)
                 if entry is not None:
                     return entry
-                if now - began > limit_s:
+                if now - began > limit_s or now > state.waits_end_at:
                     return None
                 if not is_waiting:
                     is_waiting = True
