--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -62,6 +62,8 @@
     :param idle_s: How long ago it was last asked for.
     :param adapters: How many of its adapters were asked for lately.
     :param goal_s: The shortest goal of its requests, None where none has been seen.
+    :param is_least_urgent: Whether no kind of request of the service is less urgent
+        than its requests.
     """
 
     in_work: float
@@ -69,6 +71,7 @@
     idle_s: float
     adapters: int = 0
     goal_s: float | None = 0.0
+    is_least_urgent: bool = False
 
     @property
     def is_patient(self) -> bool:
@@ -179,7 +182,8 @@
         """Return the requests that a copy would help, weighted."""
         wish, copies = self._wish(name), self._copies[name]
         if copies == 0:
-            return wish.waiting * (1.0 if wish.is_patient else FIRST_COPY_WEIGHT)
+            may_come_last = wish.is_patient and wish.is_least_urgent
+            return wish.waiting * (1.0 if may_come_last else FIRST_COPY_WEIGHT)
         carried = copies * COPY_FILL * self._spec.slots
         return max(0.0, wish.requests - carried) / (1.0 + copies)
 
@@ -260,11 +264,13 @@
         wanted_fill = self._fill(wanted, self._copies[wanted])
         if left >= 1 and self._fill(name, left) <= min(COPY_FILL, wanted_fill / 2):
             return 3
-        if wanted_wish.is_patient:
+        if wanted_wish.is_patient and wanted_wish.is_least_urgent:
             return None
+        if is_first and left >= 1:
+            return 4
         if wish.is_patient and wish.requests < OUTWEIGHED_SHARE * wanted_wish.requests:
-            return 4 if wanted_fill > COPY_FILL else None
-        return 5 if is_first and is_unused and wish.idle_s > IDLE_S else None
+            return 5 if wanted_fill > COPY_FILL else None
+        return 6 if is_first and is_unused and wish.idle_s > IDLE_S else None
 
 
 def load_seconds(record: EngineRecord, spec: EngineSpec, name: str) -> float:
--- a/sequoiapoint/node/order_giver.py
+++ b/sequoiapoint/node/order_giver.py
@@ -79,6 +79,7 @@
         self._in_work: dict[tuple[str, str], float] = {}
         self._asked_at: dict[tuple[str, str], float] = {}
         self._goals: dict[tuple[str, str], float] = {}
+        self._priorities: dict[tuple[str, str], int] = {}
         self._adapter_asked_at: dict[tuple[str, str, str], float] = {}
         self._planned_at = 0.0
         self._store_loads: deque[float] = deque()
@@ -195,6 +196,9 @@
             self._waiting[key] = self._waiting.get(key, 0) + demand.waiting
             self._asked_at[key] = now
             self._goals[key] = min(demand.goal_s, self._goals.get(key, demand.goal_s))
+            self._priorities[key] = min(
+                demand.priority, self._priorities.get(key, demand.priority)
+            )
             if demand.adapter:
                 self._note_adapter(demand, now)
         for key in self._in_work.keys() | in_work.keys():
@@ -222,6 +226,14 @@
             for (name, model, _), at in self._adapter_asked_at.items()
             if name == service and now - at < ADAPTER_RECENT_S
         )
+        least_urgent = max(
+            (
+                route.priority
+                for route in self._state.configuration.routes
+                if any(target == service for target, _ in route.targets)
+            ),
+            default=0,
+        )
         wishes = {
             model: Wish(
                 self._in_work.get((service, model), 0.0),
@@ -229,6 +241,7 @@
                 now - self._asked_at.get((service, model), self._held_at),
                 adapters_asked[model],
                 self._goals.get((service, model)),
+                self._priorities.get((service, model), 0) == least_urgent,
             )
             for model in spec.models
         }
--- a/sequoiapoint/node/relay.py
+++ b/sequoiapoint/node/relay.py
@@ -181,7 +181,9 @@
             self._refuse_not_run("unknown_model")
             return
         if self._is_engine:
-            state.demand.ask(self._demand_key, self._route.goal_s)
+            state.demand.ask(
+                self._demand_key, self._route.goal_s, self._route.priority
+            )
         while True:
             entry = await self._wait_for_server()
             if entry is None:
--- a/sequoiapoint/protocol/digest.capnp
+++ b/sequoiapoint/protocol/digest.capnp
@@ -14,6 +14,7 @@
   inWork @3 :UInt32;
   waiting @4 :UInt32;
   goalMs @5 :UInt32;
+  priority @6 :UInt8;
 }
 
 struct HeldModel {
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -69,6 +69,7 @@
                 "inWork": demand.in_work,
                 "waiting": demand.waiting,
                 "goalMs": round(demand.goal_s * 1000),
+                "priority": min(demand.priority, MAX_PRIORITY),
             }
             for demand in digest.demands
         ],
@@ -112,7 +113,13 @@
             counts=tuple(((c.server, c.startedMs), c.running) for c in message.counts),
             demands=tuple(
                 ModelDemand(
-                    d.service, d.model, d.adapter, d.inWork, d.waiting, d.goalMs / 1000
+                    d.service,
+                    d.model,
+                    d.adapter,
+                    d.inWork,
+                    d.waiting,
+                    d.goalMs / 1000,
+                    d.priority,
                 )
                 for d in message.demands
             ),
@@ -158,5 +165,7 @@
         raise ValueError(f"not a topic's state: {error}") from error
 
 
+MAX_PRIORITY = 255
+"""The least urgent rank that a digest can carry."""
 TRAVERSAL_LIMIT_WORDS = 8 * 1024 * 1024
 """64 MB, far above the configuration of the target."""
--- a/sequoiapoint/protocol/gateway.py
+++ b/sequoiapoint/protocol/gateway.py
@@ -340,6 +340,7 @@
     :param in_work: Requests at servers.
     :param waiting: Requests that wait at hosts for a server.
     :param goal_s: The shortest goal of the routes that they came by, in seconds.
+    :param priority: The most urgent rank of those routes; 0 is the first.
     """
 
     service: str
@@ -348,3 +349,4 @@
     in_work: int
     waiting: int
     goal_s: float = 0.0
+    priority: int = 0
--- a/sequoiapoint/state/demand.py
+++ b/sequoiapoint/state/demand.py
@@ -19,12 +19,15 @@
     def __init__(self) -> None:
         self._in_work: Counter[tuple[str, str, str]] = Counter()
         self._waiting: Counter[tuple[str, str, str]] = Counter()
-        self._goals: dict[tuple[str, str, str], float] = {}
+        self._urgency: dict[tuple[str, str, str], tuple[float, int]] = {}
         self._touched: set[tuple[str, str, str]] = set()
 
-    def ask(self, key: tuple[str, str, str], goal_s: float) -> None:
-        """Note a request for a service, model and adapter, by its route's goal."""
-        self._goals[key] = min(goal_s, self._goals.get(key, goal_s))
+    def ask(
+        self, key: tuple[str, str, str], goal_s: float, priority: int
+    ) -> None:
+        """Note a request for a service, model and adapter, by its route."""
+        known_goal_s, known_priority = self._urgency.get(key, (goal_s, priority))
+        self._urgency[key] = (min(goal_s, known_goal_s), min(priority, known_priority))
         self._touched.add(key)
 
     def change(
@@ -42,7 +45,10 @@
         self._touched = set()
         return [
             ModelDemand(
-                *key, self._in_work[key], self._waiting[key], self._goals.get(key, 0.0)
+                *key,
+                self._in_work[key],
+                self._waiting[key],
+                *self._urgency.get(key, (0.0, 0)),
             )
             for key in keys
         ]
@@ -68,7 +74,7 @@
         """Return the sums over all hosts that reported lately."""
         in_work: Counter[tuple[str, str, str]] = Counter()
         waiting: Counter[tuple[str, str, str]] = Counter()
-        goals: dict[tuple[str, str, str], float] = {}
+        urgency: dict[tuple[str, str, str], tuple[float, int]] = {}
         for at, report in self._reports.values():
             if now - at > REPORT_AGE_S:
                 continue
@@ -76,7 +82,12 @@
                 key = (demand.service, demand.model, demand.adapter)
                 in_work[key] += demand.in_work
                 waiting[key] += demand.waiting
-                goals[key] = min(demand.goal_s, goals.get(key, demand.goal_s))
+                goal_s, priority = urgency.get(key, (demand.goal_s, demand.priority))
+                urgency[key] = (
+                    min(goal_s, demand.goal_s),
+                    min(priority, demand.priority),
+                )
         return [
-            ModelDemand(*key, in_work[key], waiting[key], goals[key]) for key in in_work
+            ModelDemand(*key, in_work[key], waiting[key], *urgency[key])
+            for key in in_work
         ]
