--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -1,9 +1,10 @@
 """Which engine loads or evicts what.
 
-Answers demand that moves by a place in a list within seconds, rare models that are asked
-for at once, and a start with many models: a model's first copy comes before any second,
-a copy is only given up for one that is asked for more, and loads from the weight store
-stay below its rate.  Adapters load in milliseconds and follow the requests that wait.
+Answers demand that moves by a place in a list within seconds, rare models that are
+asked for at once, and a start with many models: a model's first copy comes before any
+second that helps as much, a copy is only given up for one that is asked for more, and
+loads from the weight store stay below its rate.  Adapters load in milliseconds and
+follow the requests that wait.
 """
 
 import math
@@ -326,7 +327,11 @@
     free = [r for r in records if not r.is_busy and not r.has_order_in_flight]
     orders = []
     wanted = sorted(
-        (name for name, wish in wishes.items() if wish.adapters and name in spec.models),
+        (
+            name
+            for name, wish in wishes.items()
+            if wish.adapters and name in spec.models
+        ),
         key=lambda name: -wishes[name].requests,
     )
     for model in wanted:
@@ -338,9 +343,7 @@
             has_place = _has_adapter_place(record, spec, model)
             if not missing or model not in record.held or not has_place:
                 continue
-            orders.append(
-                PlannedOrder(record, OrderAction.LOAD, model, missing.pop(0))
-            )
+            orders.append(PlannedOrder(record, OrderAction.LOAD, model, missing.pop(0)))
             free.remove(record)
     return orders
 
@@ -353,9 +356,7 @@
 
 
 def _has_adapter_place(record: EngineRecord, spec: EngineSpec, model: str) -> bool:
-    has_room = (
-        record.used_mb(spec) + spec.models[model].adapter_mb <= spec.memory_mb
-    )
+    has_room = record.used_mb(spec) + spec.models[model].adapter_mb <= spec.memory_mb
     return has_room and record.adapter_count < spec.adapter_places
 
 
--- a/sequoiapoint/coordination/order_lease.py
+++ b/sequoiapoint/coordination/order_lease.py
@@ -1,9 +1,9 @@
 """The lease of the host that gives orders to engines.
 
-The platform's store says who holds a group's only partition.  A holder trusts that for
-less than the store's lease, counted on a clock that runs through suspension.  A successor
-waits until no other holder can have given an order for the time within which two must not
-take turns.
+The platform's store says who holds a group's only partition.  A holder trusts that
+for less than the store's lease, counted on a clock that runs through suspension.  A
+successor waits until no other holder can have given an order for the time within which
+two must not take turns.
 """
 
 from sequoiapoint.protocol.gateway import GroupMembership
--- a/sequoiapoint/coordination/retry_window.py
+++ b/sequoiapoint/coordination/retry_window.py
@@ -8,7 +8,7 @@
 from collections import deque
 
 MARGIN = 0.7
-"""Part of the budget that is used; the rest covers hosts that count each other wrong."""
+"""Part of the budget that is used; the rest covers hosts that miscount each other."""
 
 
 class RetryWindow:
--- a/sequoiapoint/coordination/server_choice.py
+++ b/sequoiapoint/coordination/server_choice.py
@@ -6,8 +6,7 @@
 peers or one in another zone counts as more loaded than it is.
 """
 
-import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from sequoiapoint.protocol.gateway import ServerEntry
@@ -38,20 +37,22 @@
 
 
 def choose(
-    candidates: Sequence[Candidate], own_zone: str, rng: random.Random
+    candidates: Sequence[Candidate], own_zone: str, chance: Callable[[], float]
 ) -> Candidate | None:
     """Return the server to send to, or None where there is no candidate.
 
-    :param rng: Source of chance, seeded by tests.
+    :param chance: Returns random numbers from 0 to 1.
     """
     usable = [c for c in candidates if not c.is_avoided] or list(candidates)
     if not usable:
         return None
     if len(usable) > FEW_CANDIDATES:
-        usable = rng.sample(usable, 2)
+        first = int(chance() * len(usable))
+        other = (first + 1 + int(chance() * (len(usable) - 1))) % len(usable)
+        usable = [usable[first], usable[other]]
     rates = sorted(c.failure_rate for c in candidates)
     median = rates[(len(rates) - 1) // 2]
-    return min(usable, key=lambda c: (_cost(c, own_zone, median), rng.random()))
+    return min(usable, key=lambda c: (_cost(c, own_zone, median), chance()))
 
 
 def _cost(candidate: Candidate, own_zone: str, median_failure_rate: float) -> float:
--- a/sequoiapoint/coordination/waiting.py
+++ b/sequoiapoint/coordination/waiting.py
@@ -5,8 +5,6 @@
 the same queue, but a wait that eats up its time leaves it without a second chance.
 """
 
-import random
-
 from sequoiapoint.protocol.gateway import Route
 
 WAIT_SHARE = 0.4
@@ -43,16 +41,17 @@
     return max(LEAST_PATIENCE_S, 4 * route.goal_s, 8 * route.event_gap_s)
 
 
-def retry_after_s(has_servers: bool, rng: random.Random) -> float:
+def retry_after_s(has_servers: bool, chance: float) -> float:
     """Return when a refused caller should come back, in seconds.
 
     The returns are spread so that callers who were refused together do not come back
     together.
 
     :param has_servers: Whether any server could run the request were it not full.
+    :param chance: A random number from 0 to 1.
     """
     middle = RETURN_AFTER_S if has_servers else LONG_RETURN_AFTER_S
-    return middle * rng.uniform(0.5, 1.5)
+    return middle * (0.5 + chance)
 
 
 def is_full(load: float, slots: int, is_engine: bool) -> bool:
--- a/sequoiapoint/node/order_giver.py
+++ b/sequoiapoint/node/order_giver.py
@@ -264,7 +264,9 @@
     def _follow_engines(self, service: str, now: float) -> list[EngineRecord]:
         """Return the records of the engines that take orders."""
         fleet = self._state.fleet
-        live = {e.incarnation: e for e in fleet.entries.values() if e.service == service}
+        live = {
+            e.incarnation: e for e in fleet.entries.values() if e.service == service
+        }
         gone = [
             i
             for i, record in self._records.items()
@@ -412,7 +414,9 @@
             record.coming = planned.model
             record.busy_until = now + load_s + LOAD_MARGIN_S
         else:
-            is_unused = self._in_work.get((record.entry.service, planned.model), 0.0) < 1
+            is_unused = (
+                self._in_work.get((record.entry.service, planned.model), 0.0) < 1
+            )
             record.busy_until = now + (UNUSED_EVICTION_S if is_unused else REPORT_LAG_S)
             record.is_eviction_quick = is_unused
         if result is OrderResult.ALREADY_SO and not planned.adapter:
--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -268,7 +268,8 @@
             if self._end_at(peer, watch) > watch.content.end
         ]
         is_own_business = self._store.is_reachable and (
-            watch is self._watch.servers or now - self._store.answered_at < FETCH_DELAY_S
+            watch is self._watch.servers
+            or now - self._store.answered_at < FETCH_DELAY_S
         )
         if not ahead or is_own_business:
             self._lagging_since.pop(watch.topic, None)
--- a/sequoiapoint/node/relay.py
+++ b/sequoiapoint/node/relay.py
@@ -82,13 +82,17 @@
                 request.request_id,
                 "no_configuration",
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
-                waiting.retry_after_s(False, state.rng),
+                waiting.retry_after_s(False, state.rng.random()),
             )
             return
         route = state.routes.find(request.host, request.path)
         if route is None:
             _refuse(
-                state, responder, request.request_id, "no_route", http.HTTPStatus.NOT_FOUND
+                state,
+                responder,
+                request.request_id,
+                "no_route",
+                http.HTTPStatus.NOT_FOUND,
             )
             return
         run = _Run(state, request, route, inbound.arrived_s, responder)
@@ -155,6 +159,7 @@
         self._last_reason = ""
         self._waited_s = 0.0
         self._has_unknown = False
+        self._has_resend = False
         self._first_event_s: float | None = None
 
     @property
@@ -181,9 +186,7 @@
             self._refuse_not_run("unknown_model")
             return
         if self._is_engine:
-            state.demand.ask(
-                self._demand_key, self._route.goal_s, self._route.priority
-            )
+            state.demand.ask(self._demand_key, self._route.goal_s, self._route.priority)
         while True:
             entry = await self._wait_for_server()
             if entry is None:
@@ -273,7 +276,7 @@
                     entry, running, load.failure_rate, load.is_avoided(now)
                 )
             )
-        chosen = server_choice.choose(candidates, state.settings.zone, state.rng)
+        chosen = server_choice.choose(candidates, state.settings.zone, state.rng.random)
         return chosen.entry if chosen else None
 
     def _is_out_of_connections(self, entry: ServerEntry) -> bool:
@@ -359,10 +362,11 @@
         if end is not End.COMPLETE:
             return _Step.UNKNOWN, end.value
         is_error = head.status >= 500
-        if is_error and self._route.may_repeat and self._has_sends_left():
-            if self._remaining_s() > LEAST_SEND_S and self._take_resend():
-                self._retaken = True
-                return _Step.UNKNOWN, f"server_error_{head.status}"
+        may_repeat = self._route.may_repeat and self._has_sends_left()
+        has_time = self._remaining_s() > LEAST_SEND_S
+        if is_error and may_repeat and has_time and self._take_resend():
+            self._has_resend = True
+            return _Step.UNKNOWN, f"server_error_{head.status}"
         if self._responder.is_started:
             return _Step.UNKNOWN, f"server_error_{head.status}"
         self._responder.send_whole(
@@ -448,7 +452,7 @@
     ) -> object:
         """Wait for a future, at most until the deadline.
 
-        A first answer that is late is waited for on as long as its server speaks at all.
+        A late first answer is waited for as long as its server speaks at all.
         """
         while True:
             await asyncio.wait([future], timeout=max(0.0, timeout_s))
@@ -460,12 +464,12 @@
                 return End.TIMED_OUT
             if load.is_silent(now) or not self._route.is_stream:
                 return End.TIMED_OUT
-            timeout_s = min(STREAM_SILENCE_S, self._deadline + SERVER_ANSWER_GRACE_S - now)
+            timeout_s = min(
+                STREAM_SILENCE_S, self._deadline + SERVER_ANSWER_GRACE_S - now
+            )
 
     # What follows
 
-    _retaken = False
-
     def _has_sends_left(self) -> bool:
         return self._sends < self._route.attempts
 
@@ -482,8 +486,8 @@
             self._has_unknown = True
         if not self._has_sends_left() or self._remaining_s() < LEAST_SEND_S:
             return False
-        if self._retaken:
-            self._retaken = False
+        if self._has_resend:
+            self._has_resend = False
         elif not self._take_resend():
             self._state.metrics.refusal("retry_budget")
             return False
@@ -514,12 +518,14 @@
         self._refuse(
             reason,
             http.HTTPStatus.SERVICE_UNAVAILABLE,
-            waiting.retry_after_s(has_servers, self._state.rng),
+            waiting.retry_after_s(has_servers, self._state.rng.random()),
         )
 
     def _fail(self) -> None:
         is_late = self._remaining_s() < LEAST_SEND_S
-        status = http.HTTPStatus.GATEWAY_TIMEOUT if is_late else http.HTTPStatus.BAD_GATEWAY
+        status = (
+            http.HTTPStatus.GATEWAY_TIMEOUT if is_late else http.HTTPStatus.BAD_GATEWAY
+        )
         self._refuse(self._last_reason or "outcome_unknown", status, None)
 
     def _refuse(self, reason: str, status: int, retry_after_s: float | None) -> None:
@@ -577,9 +583,7 @@
     def log_end(self, outcome: str, **fields: object) -> None:
         """Log and count the end of the request."""
         elapsed_s = monotonic_s() - self._arrived_s
-        self._state.metrics.request(
-            outcome, self._route.repeatability.value, elapsed_s
-        )
+        self._state.metrics.request(outcome, self._route.repeatability.value, elapsed_s)
         if self._first_event_s is not None:
             fields["first_ms"] = round(self._first_event_s * 1000)
         if self._request.model:
--- a/sequoiapoint/node/store_watch.py
+++ b/sequoiapoint/node/store_watch.py
@@ -27,9 +27,10 @@
 MAX_BACKOFF_S = 0.8
 """Longest pause after failed calls; a store that is back is seen within it."""
 HOLD_SHARE = 0.6
-"""Part of the time within which a leaving server must get no new work for which an entry
-that went around an outage of the store is still used: entries that lapsed meanwhile come
-back, and the rest of that time has passed before the removal was read."""
+"""Part of the time within which a leaving server must get no new work for which an
+entry that went around an outage of the store is still used: entries that lapsed
+meanwhile come back, and the rest of that time may have passed before the removal was
+read."""
 HOLD_CHECK_S = 0.1
 """Time between looks at entries that did not come back."""
 STEADY_S = 3.0
--- /dev/null
+++ b/sequoiapoint/platform/callers_test.py
@@ -0,0 +1,101 @@
+import pytest
+
+from sequoiapoint.platform.callers import PlatformCallerCodec
+
+CODEC = PlatformCallerCodec()
+HEAD = [
+    (b"host", b"Trees.example:80"),
+    (b"request-id", b"r1"),
+    (b"deadline-ms", b"1500"),
+    (b"model", b"oak/a3"),
+    (b"token-count", b"120,40"),
+    (b"prompt-prefix", b"aa:100,bb:20"),
+    (b"last-event-id", b"7"),
+    (b"length-hint", b"30"),
+]
+
+
+def decode(headers, body=b""):
+    return CODEC.decode_request("POST", "/a/b?c=d", headers, body)
+
+
+def test_a_request_is_decoded_into_what_its_headers_say():
+    request = decode(HEAD, b"body")
+    assert (request.request_id, request.host, request.path) == (
+        "r1",
+        "trees.example",
+        "/a/b",
+    )
+    assert request.budget_s == 1.5
+    assert (request.model, request.adapter) == ("oak", "a3")
+    assert (request.prompt_tokens, request.output_tokens) == (120, 40)
+    assert request.prompt_parts == (("aa", 100), ("bb", 20))
+    assert request.last_event_id == "7"
+    assert request.body == b"body"
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        b"expect-worker",
+        b"request-prio",
+        b"expect-version",
+        b"hold",
+        b"pin-ms",
+        b"kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"deadline-ms",
+        b"last-event-id",
+        b"connection",
+        b"transfer-encoding",
+        b"content-length",
+        b"keep-alive",
+        b"te",
+        b"upgrade",
+    ],
+)
+def test_headers_of_the_gateway_or_of_one_connection_are_not_passed_on(name):
+    request = decode([*HEAD, (name, b"x")])
+    assert name not in [key for key, _ in request.headers]
+
+
+def test_other_headers_pass_unchanged():
+    request = decode([*HEAD, (b"x-colour", b"green")])
+    for pair in (
+        (b"x-colour", b"green"),
+        (b"model", b"oak/a3"),
+        (b"length-hint", b"30"),
+    ):
+        assert pair in request.headers
+
+
+@pytest.mark.parametrize("missing", [b"request-id", b"host"])
+def test_a_request_without_id_or_host_is_not_decoded(missing):
+    assert decode([pair for pair in HEAD if pair[0] != missing]) is None
+
+
+@pytest.mark.parametrize(
+    ("name", "value", "field", "expected"),
+    [
+        (b"deadline-ms", b"soon", "budget_s", None),
+        (b"deadline-ms", b"-5", "budget_s", None),
+        (b"token-count", b"many", "prompt_tokens", 0),
+        (b"token-count", b"12", "output_tokens", 0),
+        (b"prompt-prefix", b"aa:1,bb", "prompt_parts", (("aa", 1),)),
+        (b"prompt-prefix", b":3", "prompt_parts", ()),
+        (b"model", b"oak", "adapter", ""),
+    ],
+)
+def test_values_that_cannot_be_read_count_as_not_sent(name, value, field, expected):
+    headers = [(key, value if key == name else known) for key, known in HEAD]
+    assert getattr(decode(headers), field) == expected
+
+
+@pytest.mark.parametrize(
+    ("retry_after_s", "expected"), [(None, None), (0.25, b"0.25"), (2.0, b"2.00")]
+)
+def test_a_refusal_says_when_to_come_back(retry_after_s, expected):
+    headers = dict(CODEC.refusal_headers("r1", retry_after_s))
+    assert headers[b"Request-Id"] == b"r1"
+    assert headers.get(b"Retry-After") == expected
--- a/sequoiapoint/platform/servers.py
+++ b/sequoiapoint/platform/servers.py
@@ -113,7 +113,9 @@
         """
         return AnswerHead(
             status=status,
-            request_id=(names.first(headers, names.REQUEST_ID) or b"").decode("latin-1"),
+            request_id=(names.first(headers, names.REQUEST_ID) or b"").decode(
+                "latin-1"
+            ),
             was_not_run=status == 421
             or names.first(headers, names.NOT_RUN) is not None,
             is_sealed=names.first(headers, names.SEAL) is not None,
--- /dev/null
+++ b/sequoiapoint/platform/servers_test.py
@@ -0,0 +1,179 @@
+import json
+
+import pytest
+
+from sequoiapoint.platform.callers import PlatformCallerCodec
+from sequoiapoint.platform.servers import PlatformServerCodec
+from sequoiapoint.protocol.gateway import (
+    LoadReport,
+    Order,
+    OrderAction,
+    OrderResult,
+    ServerEntry,
+    ServerState,
+    Unreadable,
+)
+
+CODEC = PlatformServerCodec()
+ENTRY = ServerEntry("s-1", "lm", "10.0.0.1:80", "north", ServerState.READY, 5, 8)
+REQUEST = PlatformCallerCodec().decode_request(
+    "POST",
+    "/a",
+    [(b"host", b"h"), (b"request-id", b"r1"), (b"deadline-ms", b"9000")],
+    b"xyz",
+)
+
+
+def lines(head):
+    return head.decode().split("\r\n")
+
+
+def test_a_request_names_its_server_and_the_time_left():
+    head = lines(CODEC.request_head(REQUEST, ENTRY, 1.25, 3, "12"))
+    assert head[0] == "POST /a HTTP/1.1"
+    for line in (
+        "request-id: r1",
+        "host: h",
+        "deadline-ms: 1250",
+        "expect-worker: s-1",
+        "request-prio: 3",
+        "last-event-id: 12",
+        "content-length: 3",
+    ):
+        assert head.count(line) == 1
+    assert head[-2:] == ["", ""]
+
+
+@pytest.mark.parametrize(
+    ("priority", "last_event_id", "absent"),
+    [(None, "1", "request-prio"), (1, "", "last-event-id")],
+)
+def test_what_does_not_apply_is_not_sent(priority, last_event_id, absent):
+    head = CODEC.request_head(REQUEST, ENTRY, 1.0, priority, last_event_id)
+    assert absent not in head.decode()
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run", "wrong_server"),
+    [
+        (200, [], False, False),
+        (503, [(b"not-run", b"1")], True, False),
+        (503, [], False, False),
+        (421, [], True, True),
+        (500, [], False, False),
+    ],
+)
+def test_only_the_servers_own_word_says_that_it_did_not_run(
+    status, headers, not_run, wrong_server
+):
+    head = CODEC.decode_head(status, headers)
+    assert (head.was_not_run, head.is_wrong_server) == (not_run, wrong_server)
+
+
+def test_an_answers_head_keeps_what_is_the_callers():
+    head = CODEC.decode_head(
+        200,
+        [
+            (b"request-id", b"r1"),
+            (b"server-seal", b"zz"),
+            (b"worker-load", b"3,1,8"),
+            (b"content-length", b"5"),
+            (b"connection", b"close"),
+            (b"weight-versions", b"2"),
+        ],
+    )
+    assert head.is_sealed
+    assert head.request_id == "r1"
+    assert head.load == LoadReport(3, 1, 8)
+    assert [name for name, _ in head.headers] == [
+        b"request-id",
+        b"server-seal",
+        b"weight-versions",
+    ]
+
+
+@pytest.mark.parametrize("value", [b"", b"1,2", b"a,b,c", b"1,2,3,4", b"-1,0,0"])
+def test_a_load_that_cannot_be_read_is_none(value):
+    assert CODEC.decode_head(200, [(b"worker-load", value)]).load is None
+
+
+@pytest.mark.parametrize(
+    ("value", "encoded"), [(b"gzip", True), (b"identity", False), (None, False)]
+)
+def test_an_encoded_body_is_told(value, encoded):
+    headers = [] if value is None else [(b"content-encoding", value)]
+    assert CODEC.decode_head(200, headers).is_encoded is encoded
+
+
+@pytest.mark.parametrize(
+    ("action", "adapter", "expected"),
+    [
+        (OrderAction.LOAD, "", {"op": "load", "model": "oak"}),
+        (OrderAction.LOAD, "a1", {"op": "load", "model": "oak", "adapter": "a1"}),
+        (OrderAction.EVICT, "", {"op": "evict", "model": "oak"}),
+    ],
+)
+def test_an_order_names_its_server_its_holder_and_what_it_expects(
+    action, adapter, expected
+):
+    call = CODEC.order_call(ENTRY, Order(action, "oak", adapter, 7, "host-1", 41))
+    assert (call.method, call.target) == ("POST", "/sequoiapoint/order")
+    assert (b"Expect-Worker", b"s-1") in call.headers
+    assert json.loads(call.body) == expected | {
+        "expect": 7,
+        "holder": "host-1",
+        "fence": 41,
+    }
+
+
+@pytest.mark.parametrize(
+    ("status", "result"),
+    [
+        (200, OrderResult.ALREADY_SO),
+        (202, OrderResult.STARTED),
+        (400, OrderResult.INVALID),
+        (409, OrderResult.CONFLICT),
+        (412, OrderResult.FENCED),
+        (421, OrderResult.WRONG_SERVER),
+        (500, OrderResult.UNANSWERED),
+    ],
+)
+def test_an_engines_answer_to_an_order(status, result):
+    assert CODEC.order_result(status) is result
+
+
+def test_a_report_is_decoded():
+    report = CODEC.decode_report(
+        json.dumps(
+            {
+                "models": [{"name": "oak", "version": 1, "adapters": ["a1"]}],
+                "busy": True,
+                "seq": 4,
+                "queued": 2,
+                "inflight": 9,
+                "coming": ["oak/a2@1"],
+                "at-hand": {"in-memory": ["elm"], "on-disk": ["ash"]},
+            }
+        ).encode()
+    )
+    assert report.order_count == 4
+    assert report.is_busy
+    assert (report.running, report.waiting) == (9, 2)
+    assert report.models[0].adapters == {"a1"}
+    assert report.coming == (("oak", "a2"),)
+    assert (report.in_host_memory, report.on_disk) == ({"elm"}, {"ash"})
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"[]", b"{}", b'{"busy":1,"seq":2}', b'{"busy":true,"seq":"2"}', b"\xff"],
+)
+def test_a_report_that_cannot_be_read_says_so(body):
+    assert isinstance(CODEC.decode_report(body), Unreadable)
+
+
+@pytest.mark.parametrize(
+    ("line", "expected"), [(b"id: 3", "3"), (b"id:4", "4"), (b"data: id:5", None)]
+)
+def test_an_events_id(line, expected):
+    assert CODEC.event_id(line) == expected
--- a/sequoiapoint/platform/store.py
+++ b/sequoiapoint/platform/store.py
@@ -36,7 +36,8 @@
 
 PositiveInt = Annotated[pydantic.StrictInt, pydantic.Field(gt=0)]
 Address = Annotated[
-    pydantic.StrictStr, pydantic.Field(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")
+    pydantic.StrictStr,
+    pydantic.Field(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"),
 ]
 
 
--- /dev/null
+++ b/sequoiapoint/platform/store_test.py
@@ -0,0 +1,287 @@
+import base64
+import json
+import struct
+
+import pytest
+
+from sequoiapoint.platform.store import PlatformStoreCodec
+from sequoiapoint.protocol.gateway import (
+    GroupMembership,
+    Repeatability,
+    ServerState,
+    StoreRecord,
+    Unreadable,
+)
+
+CODEC = PlatformStoreCodec()
+ENTRY = {
+    "service": "lm",
+    "addr": "10.0.0.1:8080",
+    "zone": "north",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold-ms": 0,
+    "seq": 3,
+    "born": 1_700_000_000_000,
+    "models": [{"name": "oak", "version": 1, "adapters": ["a1"]}],
+}
+CONFIGURATION = {
+    "version": 4,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "Trees.example",
+            "prefix": "/a/",
+            "kind": "stream",
+            "timeout-ms": 12_000,
+            "goal-ms": 300,
+            "priority": 1,
+            "service": "lm",
+            "attempts": 2,
+            "sticky": True,
+            "can-resume": True,
+            "gap-aim-ms": 150,
+        },
+        {
+            "name": "r-2",
+            "host": "trees.example",
+            "prefix": "/b/",
+            "kind": "mutating",
+            "timeout-ms": 800,
+            "goal-ms": 200,
+            "priority": 2,
+            "split": [
+                {"service": "web", "weight": 90},
+                {"service": "web2", "weight": 10},
+            ],
+            "attempts": 1,
+        },
+    ],
+    "services": [
+        {
+            "name": "lm",
+            "health-path": "/healthz",
+            "max-conns": 360,
+            "engine": {
+                "slots": 64,
+                "kv-cap": 1000,
+                "mb": 200.0,
+                "adapter-slots": 8,
+                "loads-per-s": 1.6,
+                "models": [
+                    {
+                        "name": "oak",
+                        "mb": 42.0,
+                        "load-s": 2.6,
+                        "warm-s": 0.4,
+                        "disk-s": 0.5,
+                        "adapters": 3,
+                        "adapter-mb": 1.0,
+                    }
+                ],
+            },
+        },
+        {"name": "web", "health-path": "/healthz", "max-conns": 96},
+    ],
+    "limits": {
+        "max-header-bytes": 16_384,
+        "max-body-bytes": 1_000_000,
+        "header-timeout-ms": 3_000,
+        "idle-timeout-ms": 15_000,
+    },
+}
+
+
+def record(value, key="s-1"):
+    body = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return StoreRecord(9, key, body)
+
+
+def configuration(changes=()):
+    return CODEC.decode_configuration(
+        record(CONFIGURATION | dict(changes), key="config")
+    )
+
+
+def test_an_entry_is_decoded():
+    entry = CODEC.decode_server(record(ENTRY))
+    assert (entry.server, entry.service, entry.address) == (
+        "s-1",
+        "lm",
+        "10.0.0.1:8080",
+    )
+    assert entry.state is ServerState.READY
+    assert entry.incarnation == ("s-1", 1_700_000_000_000)
+    assert entry.models[0].adapters == {"a1"}
+    assert entry.leaves_in_s is None
+
+
+def test_an_entry_says_when_its_server_is_taken_away():
+    entry = CODEC.decode_server(
+        record(ENTRY | {"state": "draining", "remaining-ms": 1500})
+    )
+    assert entry.state is ServerState.DRAINING
+    assert entry.leaves_in_s == 1.5
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[1]",
+        b"{",
+        *({k: v for k, v in ENTRY.items() if k != name} for name in ENTRY if name
+          not in ("born", "models", "cold-ms")),
+        ENTRY | {"service": 7},
+        ENTRY | {"addr": "host:80"},
+        ENTRY | {"addr": "10.0.0.1"},
+        ENTRY | {"slots": "8"},
+        ENTRY | {"slots": 0},
+        ENTRY | {"state": "resting"},
+        ENTRY | {"born": "yesterday"},
+        ENTRY | {"born": 1.5},
+        ENTRY | {"models": [{"adapters": []}]},
+        ENTRY | {"models": "oak"},
+    ],
+)  # fmt: skip
+def test_an_entry_that_cannot_be_read_names_no_server(value):
+    unreadable = CODEC.decode_server(record(value))
+    assert isinstance(unreadable, Unreadable)
+    assert unreadable.key == "s-1"
+    assert unreadable.reason
+
+
+def test_a_configuration_is_decoded():
+    decoded = configuration()
+    stream, plain = decoded.routes
+    assert decoded.version == 4
+    assert stream.host == "trees.example"
+    assert stream.is_stream
+    assert stream.is_resumable
+    assert stream.repeatability is Repeatability.IDEMPOTENT
+    assert (stream.timeout_s, stream.goal_s, stream.event_gap_s) == (12.0, 0.3, 0.15)
+    assert plain.repeatability is Repeatability.AT_MOST_ONCE
+    assert plain.targets == (("web", 90.0), ("web2", 10.0))
+    engine = decoded.services["lm"].engine
+    assert engine.adapter_places == 8
+    assert engine.models["oak"].host_load_s == 0.4
+    assert decoded.services["web"].engine is None
+    assert decoded.limits.idle_timeout_s == 15.0
+
+
+@pytest.mark.parametrize(
+    ("kind", "can_resume", "may_repeat"),
+    [
+        ("idempotent", False, True),
+        ("mutating", False, False),
+        ("keyed", False, False),
+        ("stream", False, False),
+        ("stream", True, True),
+    ],
+)
+def test_what_may_be_repeated_follows_from_the_kind(kind, can_resume, may_repeat):
+    route = CONFIGURATION["routes"][0] | {"kind": kind, "can-resume": can_resume}
+    assert configuration({"routes": [route]}).routes[0].may_repeat is may_repeat
+
+
+@pytest.mark.parametrize(
+    "changes", [{"version": "x"}, {"routes": None}, {"limits": {}}, {"services": 3}]
+)
+def test_a_configuration_that_cannot_be_read_says_so(changes):
+    assert isinstance(configuration(changes), Unreadable)
+
+
+def test_other_records_of_the_operators_are_passed_over():
+    assert CODEC.decode_configuration(record({}, key="notes")) is None
+
+
+def packed(key, value):
+    content = bytes([len(key)]) + key + value
+    return struct.pack(">I", len(content)) + content
+
+
+def test_a_read_numbers_its_records_from_the_offset_asked_for():
+    body = struct.pack(">QQ", 12, 0) + packed(b"s-1", b"{}") + packed(b"s-2", b"")
+    assert CODEC.decode_read("t", 10, body) == [
+        StoreRecord(10, "s-1", b"{}"),
+        StoreRecord(11, "s-2", None),
+    ]
+
+
+@pytest.mark.parametrize("body", [b"", b"short"])
+def test_a_read_that_is_too_short_is_an_error(body):
+    with pytest.raises(ValueError, match="read of t"):
+        CODEC.decode_read("t", 0, body)
+
+
+def test_the_newest_records_come_in_pages():
+    body = json.dumps(
+        {
+            "items": [
+                {
+                    "key": "s-1",
+                    "value": base64.b64encode(b"{}").decode(),
+                    "offset": 4,
+                }
+            ],
+            "has-more": True,
+            "end": 6,
+        }
+    )
+    assert CODEC.decode_newest(body.encode()) == (
+        [StoreRecord(4, "s-1", b"{}")],
+        6,
+        True,
+    )
+
+
+@pytest.mark.parametrize(
+    ("call", "method", "target"),
+    [
+        (
+            CODEC.newest_call("t", None),
+            "GET",
+            "/sequoiapoint/log-newest?topic=t&part=0",
+        ),
+        (
+            CODEC.newest_call("t", "k"),
+            "GET",
+            "/sequoiapoint/log-newest?topic=t&part=0&after=k",
+        ),
+        (
+            CODEC.read_call("t", 5, 2.5),
+            "GET",
+            "/sequoiapoint/log-read?topic=t&part=0&from=5&wait-ms=2500",
+        ),
+        (
+            CODEC.put_call("t", "k", b"v"),
+            "POST",
+            "/sequoiapoint/log-append?topic=t&part=0",
+        ),
+    ],
+)
+def test_calls_are_spelled_as_the_store_expects(call, method, target):
+    assert (call.method, call.target) == (method, target)
+
+
+def test_a_written_record_reads_back():
+    call = CODEC.put_call("t", "k", b"v")
+    body = struct.pack(">QQ", 1, 0) + call.body
+    assert CODEC.decode_read("t", 0, body) == [StoreRecord(0, "k", b"v")]
+
+
+def test_a_group_is_joined_and_left():
+    call = CODEC.join_call("g", "t", "host-1", 1.8, 6)
+    assert json.loads(call.body) == {
+        "group": "g",
+        "member": "host-1",
+        "topics": ["t"],
+        "ttl-ms": 1800,
+        "generation": 6,
+    }
+    assert CODEC.decode_join(b'{"generation":7,"parts":[["t",0,3]]}') == (
+        GroupMembership(7, frozenset({0}))
+    )
+    assert json.loads(CODEC.leave_call("g", "host-1").body)["member"] == "host-1"
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -159,7 +159,9 @@
         message = _SCHEMA.TopicState.from_bytes_packed(
             data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
         )
-        records = [StoreRecord(r.offset, r.key, bytes(r.value)) for r in message.records]
+        records = [
+            StoreRecord(r.offset, r.key, bytes(r.value)) for r in message.records
+        ]
         return records, message.end
     except capnp.KjException as error:
         raise ValueError(f"not a topic's state: {error}") from error
--- a/sequoiapoint/protocol/ports.py
+++ b/sequoiapoint/protocol/ports.py
@@ -29,7 +29,11 @@
     __slots__ = ("body", "headers", "method", "target")
 
     def __init__(
-        self, method: str, target: str, headers: Headers | None = None, body: bytes = b""
+        self,
+        method: str,
+        target: str,
+        headers: Headers | None = None,
+        body: bytes = b"",
     ) -> None:
         self.method = method
         self.target = target
@@ -48,9 +52,7 @@
     ) -> CallerRequest | None:
         """Decode a request; None where it bears no request id."""
 
-    def refusal_headers(
-        self, request_id: str, retry_after_s: float | None
-    ) -> Headers:
+    def refusal_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
         """Return the headers of an answer of the gateway's own."""
 
 
--- a/sequoiapoint/state/engine_ledger.py
+++ b/sequoiapoint/state/engine_ledger.py
@@ -1,8 +1,8 @@
 """What the giver of orders knows of each engine.
 
-The count of accepted orders makes each order conditional, so that one which arrives late
-changes nothing.  An engine whose count is in doubt gets no order until its report has
-settled it.
+The count of accepted orders makes each order conditional, so that one which arrives
+late changes nothing.  An engine whose count is in doubt gets no order until its report
+has settled it.
 """
 
 from dataclasses import dataclass, field
--- a/sequoiapoint/state/peers.py
+++ b/sequoiapoint/state/peers.py
@@ -7,8 +7,8 @@
 LIVE_S = 2.5
 """Age of the last digest up to which a host counts as living."""
 FORGET_S = 60.0
-"""Age of the last digest after which a host is not written to any more; longer than cuts
-between zones usually last."""
+"""Age of the last digest after which a host is not written to any more; longer than
+cuts between zones usually last."""
 
 
 @dataclass
@@ -40,9 +40,8 @@
     def take(self, digest: Digest, now: float) -> bool:
         """Take in a digest; tell whether the host, or its process, is new."""
         known = self._peers.get(digest.host)
-        if known is not None and known.digest is not None:
-            if known.digest.started_ms > digest.started_ms:
-                return False
+        if known and known.digest and known.digest.started_ms > digest.started_ms:
+            return False
         is_new = (
             known is None
             or known.digest is None
--- a/sequoiapoint/state/server_load.py
+++ b/sequoiapoint/state/server_load.py
@@ -1,7 +1,8 @@
 """What is believed of each server's load and health, from what this host has seen.
 
-A server's own count comes with its answers and is old when it comes; other hosts' counts
-come a few times a second.  Both are added to this host's own requests, which are known.
+A server's own count comes with its answers and is old when it comes; other hosts'
+counts come a few times a second.  Both are added to this host's own requests, which
+are known.
 """
 
 import math
@@ -94,7 +95,9 @@
 
     def others_running(self, now: float) -> float:
         """Estimate the requests that other hosts have at the server."""
-        fresh = [n for n, at in self.peer_counts.values() if now - at < PEER_COUNT_AGE_S]
+        fresh = [
+            n for n, at in self.peer_counts.values() if now - at < PEER_COUNT_AGE_S
+        ]
         if fresh:
             return float(sum(fresh))
         if self.report is None:
--- a/sequoiapoint/transport/loop_server.py
+++ b/sequoiapoint/transport/loop_server.py
@@ -267,22 +267,22 @@
         self.is_http_11 = self._parser.get_http_version() == "1.1"
         names = [name for name, _ in self._headers]
         if names.count(b"host") != 1 and self.is_http_11:
-            raise _Refusal(http.HTTPStatus.BAD_REQUEST)
+            raise _RefusalError(http.HTTPStatus.BAD_REQUEST)
         if names.count(b"transfer-encoding") and names.count(b"content-length"):
-            raise _Refusal(http.HTTPStatus.BAD_REQUEST)
+            raise _RefusalError(http.HTTPStatus.BAD_REQUEST)
         if names.count(b"content-length") > 1:
-            raise _Refusal(http.HTTPStatus.BAD_REQUEST)
+            raise _RefusalError(http.HTTPStatus.BAD_REQUEST)
         for name, value in self._headers:
             if name == b"content-length" and (
                 not value.isdigit() or int(value) > self._server.limits.max_body_bytes
             ):
-                raise _Refusal(
+                raise _RefusalError(
                     http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
                     if value.isdigit()
                     else http.HTTPStatus.BAD_REQUEST
                 )
             if name == b"transfer-encoding" and value.strip().lower() != b"chunked":
-                raise _Refusal(http.HTTPStatus.BAD_REQUEST)
+                raise _RefusalError(http.HTTPStatus.BAD_REQUEST)
             if name == b"expect" and self._active is None:
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -290,7 +290,7 @@
         """Collect a part of the body."""
         self._body_bytes += len(data)
         if self._body_bytes > self._server.limits.max_body_bytes:
-            raise _Refusal(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            raise _RefusalError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         self._body.append(data)
 
     def on_message_complete(self) -> None:
@@ -316,7 +316,7 @@
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self._server.limits.max_header_bytes:
-            raise _Refusal(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            raise _RefusalError(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _start_next(self) -> None:
         request, may_keep = self._queue.popleft()
@@ -351,7 +351,7 @@
         asyncio.get_running_loop().call_later(LINGER_S, transport.close)
 
 
-class _Refusal(Exception):
+class _RefusalError(Exception):
     """Raised inside the parser for a request that is refused with a status."""
 
     def __init__(self, status: http.HTTPStatus) -> None:
@@ -361,7 +361,7 @@
 
 def _refusal_status(error: httptools.HttpParserError) -> http.HTTPStatus:
     cause = error.__context__
-    if isinstance(cause, _Refusal):
+    if isinstance(cause, _RefusalError):
         return cause.status
     return http.HTTPStatus.BAD_REQUEST
 
--- a/tests/layers_test.py
+++ b/tests/layers_test.py
@@ -1,6 +1,7 @@
 """The direction of imports: each layer knows only those below it."""
 
 import ast
+import re
 from pathlib import Path
 
 import pytest
@@ -12,11 +13,18 @@
     "coordination": {"protocol", "state"},
     "transport": {"protocol"},
     "node": {"protocol", "state", "coordination", "transport"},
-    "cli": {"protocol", "transport", "node"},
+    "platform": {"protocol"},
+    "cli": {"protocol", "transport", "node", "platform"},
 }
 PURE = ("protocol", "state", "coordination")
 IO_MODULES = {"socket", "threading", "time", "pycurl", "cheroot", "random", "select"}
 ALLOWED_IO = {("coordination/routing.py", "random")}
+PLATFORM_WORDS = re.compile(
+    r"server-seal|expect-worker|not-run|worker-load|worker-id|prompt-prefix|token-count"
+    r"|request-prio|(?<!x-)deadline-ms|keyed\.(op|servers|status)|log-(append|read|newest|join)"
+    r"|/sequoiapoint/|cold-ms|kv-(cap|used|total)|at-hand|max-conns|adapter-slots",
+    re.IGNORECASE,
+)
 FORBIDDEN = {"subprocess", "multiprocessing", "mmap"}
 
 
@@ -57,3 +65,19 @@
         relative = f"{layer}/{path.name}"
         for name in imported_modules(path) & IO_MODULES:
             assert (relative, name) in ALLOWED_IO, f"{relative} imports {name}"
+
+
+@pytest.mark.parametrize(
+    "path",
+    [p for p in product_files() if p.parent.name != "platform"],
+    ids=lambda p: p.name,
+)
+def test_the_platforms_names_stand_in_its_adapter_only(path):
+    assert not PLATFORM_WORDS.search(path.read_text())
+
+
+def test_the_adapter_holds_no_decision():
+    for path in (PACKAGE / "platform").glob("*.py"):
+        imported = imported_modules(path)
+        assert not any("coordination" in name for name in imported), path.name
+        assert not imported & (IO_MODULES | {"asyncio"}), path.name
