--- /dev/null
+++ b/sequoiapoint/coordination/retry_window_test.py
@@ -0,0 +1,41 @@
+import pytest
+
+from sequoiapoint.coordination.retry_window import RetryWindow
+
+
+def resends(window, hosts, tries=1000):
+    return sum(window.take_resend(0.0, hosts) for _ in range(tries))
+
+
+@pytest.mark.parametrize(
+    ("requests", "hosts", "bound"),
+    [(0, 1, 50), (0, 10, 5), (1000, 1, 250), (1000, 10, 205)],
+)
+def test_resends_stay_within_this_hosts_part_of_the_budget(requests, hosts, bound):
+    window = RetryWindow(0.2, 50.0, 10.0)
+    for _ in range(requests):
+        window.note_request(0.0)
+    taken = resends(window, hosts)
+    assert 0.5 * bound < taken <= bound
+
+
+def test_ten_hosts_together_stay_within_the_budget_when_all_requests_fail():
+    """Replays a service all of whose servers fail every request."""
+    hosts = [RetryWindow(0.2, 52.0, 10.0) for _ in range(10)]
+    requests = taken = 0
+    for second in range(30):
+        window_start_taken = 0
+        for host in hosts:
+            for _ in range(10):
+                host.note_request(float(second))
+                requests += 1
+                window_start_taken += host.take_resend(float(second), 10)
+        taken += window_start_taken
+    assert taken <= 0.2 * requests + 3 * 52
+
+
+def test_the_budget_comes_back_with_the_window():
+    window = RetryWindow(0.2, 10.0, 10.0)
+    assert resends(window, 1) == 7
+    assert not window.take_resend(9.9, 1)
+    assert window.take_resend(10.1, 1)
--- /dev/null
+++ b/sequoiapoint/coordination/waiting_test.py
@@ -0,0 +1,65 @@
+import pytest
+
+from sequoiapoint.coordination import waiting
+from sequoiapoint.protocol.gateway import Repeatability, Route
+
+
+def route(goal_s, is_stream, gap_s=0.0):
+    return Route(
+        "r",
+        "h",
+        "/",
+        (("s", 1.0),),
+        Repeatability.IDEMPOTENT,
+        is_stream,
+        is_stream,
+        12.0,
+        goal_s,
+        gap_s,
+        2,
+        0,
+    )
+
+
+@pytest.mark.parametrize(
+    ("goal_s", "is_stream", "remaining_s", "bound"),
+    [
+        (0.3, True, 12.0, 2.0),
+        (0.3, True, 0.2, 0.2),
+        (5.0, True, 20.0, 20.0),
+        (0.2, False, 1.5, 0.75),
+    ],
+)
+def test_a_wait_leaves_its_caller_time_and_patience(
+    goal_s, is_stream, remaining_s, bound
+):
+    limit_s = waiting.wait_limit_s(route(goal_s, is_stream), remaining_s)
+    assert 0 < limit_s <= bound
+
+
+@pytest.mark.parametrize(
+    ("goal_s", "gap_s", "expected"),
+    [(0.3, 0.15, 2.0), (3.0, 0.15, 12.0), (0.3, 0.5, 4.0)],
+)
+def test_how_long_callers_wait_for_an_event(goal_s, gap_s, expected):
+    assert waiting.patience_s(route(goal_s, True, gap_s)) == expected
+
+
+@pytest.mark.parametrize("has_servers", [True, False])
+def test_refused_callers_do_not_come_back_together(has_servers):
+    times = [waiting.retry_after_s(has_servers, n / 10) for n in range(11)]
+    assert len(set(times)) == 11
+    assert max(times) == 3 * min(times) > 0
+
+
+@pytest.mark.parametrize(
+    ("load", "slots", "is_engine", "full"),
+    [
+        (64, 64, True, False),
+        (80, 64, True, True),
+        (11, 6, False, False),
+        (12, 6, False, True),
+    ],
+)
+def test_when_a_server_is_sent_no_more(load, slots, is_engine, full):
+    assert waiting.is_full(load, slots, is_engine) is full
--- /dev/null
+++ b/sequoiapoint/state/fleet_test.py
@@ -0,0 +1,112 @@
+from dataclasses import replace
+
+import pytest
+
+from sequoiapoint.protocol.gateway import HeldModel, ServerEntry, ServerState
+from sequoiapoint.state.fleet import DENIAL_S, Fleet
+
+ENTRY = ServerEntry(
+    "s-1",
+    "lm",
+    "10.0.0.1:80",
+    "north",
+    ServerState.READY,
+    100,
+    8,
+    (HeldModel("oak", frozenset({"a1"})),),
+)
+
+
+def fleet_of(*entries):
+    fleet = Fleet()
+    for entry in entries:
+        fleet.put(entry)
+    return fleet
+
+
+def test_an_entry_of_an_earlier_process_is_not_news():
+    fleet = fleet_of(ENTRY)
+    assert not fleet.put(replace(ENTRY, started_ms=99, state=ServerState.DRAINING))
+    assert fleet.ready_servers("lm") == [ENTRY]
+
+
+def test_a_restart_under_the_same_id_holds_nothing_of_before():
+    fleet = fleet_of(ENTRY)
+    fleet.set_held(ENTRY.incarnation, {"oak": {"a1", "a2"}})
+    restarted = replace(ENTRY, started_ms=200, models=())
+    assert fleet.put(restarted)
+    assert not fleet.holds(restarted, "oak", "", 0.0)
+
+
+def test_a_late_word_about_an_earlier_process_is_dropped():
+    restarted = replace(ENTRY, started_ms=200, models=())
+    fleet = fleet_of(ENTRY, restarted)
+    assert not fleet.set_held(ENTRY.incarnation, {"oak": set()})
+    assert not fleet.holds(restarted, "oak", "", 0.0)
+
+
+@pytest.mark.parametrize(
+    ("state", "leaving_at", "ready"),
+    [
+        (ServerState.READY, None, True),
+        (ServerState.DRAINING, None, False),
+        (ServerState.READY, 100, False),
+        (ServerState.READY, 99, True),
+    ],
+)
+def test_a_leaving_process_takes_no_new_work(state, leaving_at, ready):
+    fleet = fleet_of(replace(ENTRY, state=state))
+    if leaving_at is not None:
+        fleet.mark_leaving("s-1", leaving_at)
+    assert bool(fleet.ready_servers("lm")) is ready
+
+
+def test_a_new_process_is_ready_though_the_one_before_left():
+    fleet = fleet_of(ENTRY)
+    fleet.mark_leaving("s-1", 100)
+    fleet.put(replace(ENTRY, started_ms=200))
+    assert fleet.ready_servers("lm")
+
+
+@pytest.mark.parametrize(
+    ("model", "adapter", "held"),
+    [("oak", "", True), ("oak", "a1", True), ("oak", "a2", False), ("elm", "", False)],
+)
+def test_what_an_engine_holds(model, adapter, held):
+    assert fleet_of(ENTRY).holds(ENTRY, model, adapter, 0.0) is held
+
+
+def test_a_servers_own_word_goes_before_other_sources_for_a_while():
+    fleet = fleet_of(ENTRY)
+    fleet.deny(ENTRY, "oak", "a1", 10.0)
+    assert not fleet.holds(ENTRY, "oak", "a1", 10.0)
+    assert fleet.holds(ENTRY, "oak", "", 10.0)
+    assert fleet.holds(ENTRY, "oak", "a1", 10.1 + DENIAL_S)
+
+
+def test_an_entry_that_vanished_is_used_until_it_is_given_up():
+    fleet = fleet_of(ENTRY)
+    fleet.vanish("s-1", 10.0)
+    assert fleet.ready_servers("lm")
+    assert fleet.remove_vanished(9.0) == []
+    assert fleet.remove_vanished(10.5) == ["s-1"]
+    assert not fleet.ready_servers("lm")
+
+
+def test_an_entry_that_came_back_is_not_given_up():
+    fleet = fleet_of(ENTRY)
+    fleet.vanish("s-1", 10.0)
+    fleet.put(ENTRY)
+    assert fleet.remove_vanished(99.0) == []
+
+
+def test_an_entry_that_names_no_models_leaves_what_is_known():
+    fleet = fleet_of(ENTRY, replace(ENTRY, models=None))
+    assert fleet.holds(ENTRY, "oak", "a1", 0.0)
+
+
+def test_adapters_loaded_since_an_entry_are_kept_as_entries_lag_behind_them():
+    fleet = fleet_of(ENTRY)
+    fleet.set_held(ENTRY.incarnation, {"oak": {"a1", "a2"}})
+    fleet.put(replace(ENTRY, zone="south"))
+    assert fleet.holds(ENTRY, "oak", "a2", 0.0)
--- /dev/null
+++ b/sequoiapoint/state/keyed_topic_test.py
@@ -0,0 +1,81 @@
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from sequoiapoint.protocol.gateway import StoreRecord
+from sequoiapoint.state.keyed_topic import KeyedTopic
+
+
+def records(*values):
+    return [StoreRecord(offset, key, value) for offset, key, value in values]
+
+
+def values(topic):
+    return {key: record.value for key, record in topic.records.items()}
+
+
+def test_the_newest_record_of_a_key_counts():
+    topic = KeyedTopic()
+    change = topic.apply(records((0, "a", b"1"), (1, "b", b"2"), (2, "a", b"3")))
+    assert values(topic) == {"a": b"3", "b": b"2"}
+    assert topic.end == 3
+    assert [record.offset for record in change.updated] == [1, 2]
+
+
+def test_a_record_without_value_drops_its_key():
+    topic = KeyedTopic()
+    topic.apply(records((0, "a", b"1")))
+    change = topic.apply(records((1, "a", None)))
+    assert change.dropped == ("a",)
+    assert not topic.records
+
+
+def test_records_seen_before_change_nothing():
+    topic = KeyedTopic()
+    topic.apply(records((0, "a", b"1"), (1, "a", b"2")))
+    change = topic.apply(records((0, "a", b"1")))
+    assert (change.updated, change.dropped) == ((), ())
+    assert values(topic) == {"a": b"2"}
+
+
+@pytest.mark.parametrize(
+    ("end", "state", "expected"),
+    [
+        (4, [(3, "a", b"new")], {"a": b"new"}),
+        (1, [(0, "a", b"old")], {"a": b"1", "b": b"2"}),
+    ],
+)
+def test_a_whole_state_replaces_the_known_one_unless_it_is_older(end, state, expected):
+    topic = KeyedTopic()
+    topic.apply(records((0, "a", b"1"), (1, "b", b"2")))
+    topic.replace(records(*state), end)
+    assert values(topic) == expected
+
+
+def test_a_whole_state_tells_what_changed():
+    topic = KeyedTopic()
+    topic.apply(records((0, "a", b"1"), (1, "b", b"2"), (2, "c", b"3")))
+    change = topic.replace(records((0, "a", b"1"), (3, "b", b"4")), 4)
+    assert [record.key for record in change.updated] == ["b"]
+    assert change.dropped == ("c",)
+
+
+LOG = st.lists(
+    st.tuples(st.sampled_from("abc"), st.one_of(st.none(), st.binary(min_size=1))),
+    max_size=30,
+)
+
+
+@hypothesis.given(LOG, st.lists(st.tuples(st.integers(0, 30), st.integers(1, 30))))
+def test_any_order_of_reads_and_states_ends_at_the_newest(log, reads):
+    """Reads that repeat, overlap or come from a state that lags change nothing."""
+    whole = [StoreRecord(o, key, value) for o, (key, value) in enumerate(log)]
+    topic, position = KeyedTopic(), 0
+    for start, length in reads:
+        if start <= position:
+            part = whole[start : start + length]
+            topic.apply(part)
+            position = max(position, start + len(part))
+    topic.apply(whole[position:])
+    newest = {record.key: record.value for record in whole}
+    assert values(topic) == {k: v for k, v in newest.items() if v is not None}
--- /dev/null
+++ b/sequoiapoint/state/server_load_test.py
@@ -0,0 +1,89 @@
+import pytest
+
+from sequoiapoint.protocol.gateway import LoadReport
+from sequoiapoint.state.server_load import (
+    CONNECT_BACKOFF_S,
+    MAX_CONNECT_BACKOFF_S,
+    PEER_COUNT_AGE_S,
+    SILENCE_S,
+    LoadBook,
+    ServerLoad,
+)
+
+
+def test_own_requests_count_at_once():
+    load = ServerLoad()
+    load.send(1, 0.0)
+    load.send(2, 0.0)
+    load.finish(1)
+    load.finish(1)
+    assert load.running(0.0) == 1
+
+
+def test_a_report_counts_less_the_older_it_is():
+    load = ServerLoad()
+    load.send(1, 0.0)
+    load.take_report(LoadReport(8, 2, 8), 0.0)
+    assert load.running(0.0) == 10
+    assert load.running(0.5) == pytest.approx(1 + 9 / 2)
+
+
+def test_the_counts_of_other_hosts_go_before_a_report():
+    load = ServerLoad()
+    load.take_report(LoadReport(8, 8, 8), 0.0)
+    load.take_peer_count("h-1", 3, 0.0)
+    load.take_peer_count("h-2", 2, 0.0)
+    load.take_peer_count("h-1", 1, 0.1)
+    assert load.running(0.2) == 3
+    assert load.running(0.05 + PEER_COUNT_AGE_S) == 1
+
+
+@pytest.mark.parametrize(
+    ("heard_at", "now", "silent"),
+    [(None, SILENCE_S / 2, False), (None, 0.1 + SILENCE_S, True), (1.0, 1.5, False)],
+)
+def test_a_server_is_silent_when_nothing_comes_while_requests_run(
+    heard_at, now, silent
+):
+    load = ServerLoad()
+    load.send(1, 0.0)
+    if heard_at is not None:
+        load.hear(heard_at)
+    assert load.is_silent(now) is silent
+    load.finish(1)
+    assert not load.is_silent(now)
+
+
+def test_a_server_that_cannot_be_connected_to_is_avoided_longer_each_time():
+    load = ServerLoad()
+    pauses = []
+    for _ in range(6):
+        load.note_connect_failure(0.0)
+        pauses.append(load.avoid_until)
+    assert pauses[0] == CONNECT_BACKOFF_S
+    assert pauses == sorted(pauses)
+    assert pauses[-1] == MAX_CONNECT_BACKOFF_S
+    load.hear(1.0)
+    load.note_connect_failure(1.0)
+    assert load.avoid_until == 1.0 + CONNECT_BACKOFF_S
+
+
+def test_the_failure_rate_follows_the_last_outcomes():
+    load = ServerLoad()
+    for _ in range(20):
+        load.note_outcome(True)
+    assert load.failure_rate > 0.9
+    for _ in range(40):
+        load.note_outcome(False)
+    assert load.failure_rate < 0.1
+
+
+def test_processes_that_are_gone_are_forgotten_once_nothing_runs_there():
+    book = LoadBook()
+    book.of(("s-1", 1)).send(1, 0.0)
+    book.of(("s-2", 1))
+    book.keep(set())
+    assert set(book.own_counts()) == {("s-1", 1)}
+    book.of(("s-1", 1)).finish(1)
+    book.keep(set())
+    assert not book.own_counts()
