--- /dev/null
+++ b/sequoiapoint/coordination/model_placement_test.py
@@ -0,0 +1,197 @@
+import pytest
+
+from sequoiapoint.coordination import model_placement
+from sequoiapoint.coordination.model_placement import Wish
+from sequoiapoint.protocol.gateway import (
+    EngineSpec,
+    ModelSpec,
+    OrderAction,
+    ServerEntry,
+    ServerState,
+)
+from sequoiapoint.state.engine_ledger import EngineRecord
+
+MODELS = [f"m{n}" for n in range(12)]
+SPEC = EngineSpec(
+    slots=64,
+    cache_tokens=1000,
+    memory_mb=200.0,
+    adapter_places=4,
+    store_loads_per_s=1.0,
+    models={m: ModelSpec(m, 60.0, 4.0, 0.4, 0.8, 6, 1.0) for m in MODELS},
+)
+HOT = Wish(40.0, 0, 0.0, goal_s=0.3)
+WARM = Wish(6.0, 0, 0.0, goal_s=0.3)
+RARE = Wish(0.0, 0, 5.0, goal_s=5.0, is_least_urgent=True)
+RARE_WAITS = Wish(0.0, 1, 0.0, goal_s=5.0, is_least_urgent=True)
+URGENT_WAITS = Wish(0.0, 3, 0.0, goal_s=0.3)
+UNSEEN = model_placement.NO_WISH
+
+
+def engine(server, *models, adapters=(), **fields):
+    entry = ServerEntry(server, "lm", "10.0.0.1:1", "z", ServerState.READY, 1, 64)
+    held = {name: set() for name in models}
+    if adapters:
+        held[models[0]] = set(adapters)
+    return EngineRecord(entry, order_count=0, held=held, **fields)
+
+
+def plan(engines, store_loads_left=10, **wishes):
+    orders = model_placement.plan_models(engines, SPEC, wishes, store_loads_left)
+    return [(o.record.entry.server, o.action.value, o.model) for o in orders]
+
+
+def test_at_the_start_free_room_is_filled_with_first_copies():
+    """Replays a start with many models and no demand yet."""
+    engines = [engine("a", "m0", "m1"), engine("b", "m0", "m2"), engine("c", "m0")]
+    orders = plan(engines)
+    assert len(orders) == 3
+    assert all(action == "load" for _, action, _ in orders)
+    assert not {model for _, _, model in orders} & {"m0", "m1", "m2"}
+
+
+def test_without_demand_nothing_is_evicted():
+    engines = [engine("a", "m0", "m1", "m2"), engine("b", "m0", "m1", "m3")]
+    assert plan(engines) == []
+
+
+def test_a_model_that_requests_wait_for_gets_its_first_copy():
+    """Replays a rare model that is asked for while all places are taken."""
+    engines = [engine("a", "m0", "m1", "m2"), engine("b", "m0", "m3", "m4")]
+    orders = plan(engines, m0=HOT, m1=WARM, m3=WARM, m2=RARE, m4=RARE, m5=RARE_WAITS)
+    assert len(orders) == 1
+    assert orders[0][1] == "evict"
+    assert orders[0][2] in ("m2", "m4")
+
+
+def test_models_of_patient_requests_yield_before_those_nobody_has_asked_for():
+    """Replays a shift of demand: nobody has asked yet for the model that comes next."""
+    engines = [engine("a", "m6", "m1", "m2")]
+    assert plan(engines, m1=WARM, m2=RARE, m5=URGENT_WAITS) == [("a", "evict", "m2")]
+
+
+def test_a_copy_that_carries_load_does_not_yield_to_a_patient_request():
+    engines = [engine("a", "m0", "m1", "m2")]
+    assert plan(engines, m0=HOT, m1=WARM, m2=WARM, m5=RARE_WAITS) == []
+
+
+def test_a_model_in_demand_gets_further_copies_where_there_is_room():
+    """Replays a burst for one model."""
+    engines = [engine("a", "m0", "m1"), engine("b", "m2"), engine("c", "m3")]
+    orders = plan(engines, m0=HOT, m1=RARE, m2=RARE, m3=RARE)
+    assert [(action, model) for _, action, model in orders] == [("load", "m0")]
+
+
+def test_a_burst_for_one_model_does_not_keep_first_copies_from_others():
+    engines = [engine(name, "m0", "m1", "m2") for name in "abc"]
+    engines += [engine(name, "m3") for name in "de"]
+    orders = plan(engines, m0=HOT, m5=URGENT_WAITS)
+    assert "m5" in {model for _, _, model in orders}
+
+
+def test_a_new_copy_stays_for_a_while():
+    """Replays two models that would take turns at one place."""
+    engines = [engine("a", "m0", "m1", "m2", new_models={"m2"})]
+    assert plan(engines, m0=HOT, m1=WARM, m2=RARE, m5=RARE_WAITS) == []
+
+
+def test_few_engines_are_busy_at_once_while_there_is_demand():
+    engines = [engine("a", "m0", coming="m0"), engine("b", "m1", coming="m1")]
+    engines += [engine(name, "m2") for name in "cde"]
+    assert plan(engines, m2=HOT, m5=URGENT_WAITS) == []
+
+
+@pytest.mark.parametrize(
+    ("on_disk", "in_memory", "left", "planned"),
+    [((), (), 0, 0), ((), (), 1, 1), (("m5",), (), 0, 1), ((), ("m5",), 0, 1)],
+)
+def test_loads_from_the_weight_store_keep_to_its_rate(
+    on_disk, in_memory, left, planned
+):
+    record = engine(
+        "a",
+        "m0",
+        on_disk=frozenset(on_disk),
+        in_host_memory=frozenset(in_memory),
+    )
+    orders = plan([record], left, m0=WARM, m5=URGENT_WAITS)
+    assert len(orders) == planned
+
+
+def test_the_engine_with_the_quickest_copy_is_chosen():
+    slow, quick = engine("a", "m0"), engine("b", "m0", on_disk=frozenset({"m5"}))
+    assert plan([slow, quick], m0=WARM, m5=URGENT_WAITS) == [("b", "load", "m5")]
+
+
+@pytest.mark.parametrize("field", ["coming", "leaving_model"])
+def test_an_engine_with_an_order_in_progress_gets_none_about_models(field):
+    record = engine("a", "m0", **{field: "m0"})
+    assert plan([record], m5=URGENT_WAITS) == []
+
+
+@pytest.mark.parametrize("steps", range(1, 40, 6))
+def test_memory_holds_whatever_is_planned(steps):
+    """Replays demand that moves on by one model at a time."""
+    engines = [engine("a", "m0", "m1"), engine("b", "m2"), engine("c")]
+    for step in range(steps):
+        wishes = dict.fromkeys(MODELS, RARE)
+        wishes[MODELS[step % 12]] = HOT
+        wishes[MODELS[(step + 5) % 12]] = URGENT_WAITS
+        for order in model_placement.plan_models(engines, SPEC, wishes, 10):
+            if order.action is OrderAction.LOAD:
+                order.record.held[order.model] = set()
+            else:
+                del order.record.held[order.model]
+    assert all(record.used_mb(SPEC) <= SPEC.memory_mb for record in engines)
+
+
+# Adapters
+
+
+def plan_adapters(engines, waiting, in_use=frozenset()):
+    orders = model_placement.plan_adapters(engines, SPEC, waiting, in_use, {})
+    return [(o.record.entry.server, o.action.value, o.adapter) for o in orders]
+
+
+def test_an_adapter_that_requests_wait_for_is_loaded_where_there_is_a_place():
+    full = engine("a", "m0", adapters=("a1", "a2", "a3", "a4"))
+    assert plan_adapters([full, engine("b", "m0")], {("m0", "a5"): 2}) == [
+        ("b", "load", "a5")
+    ]
+
+
+def test_the_adapter_unused_longest_yields_its_place():
+    record = engine("a", "m0", adapters=("a1", "a2", "a3", "a4"))
+    record.adapter_used = {("m0", f"a{n}"): float(n) for n in (1, 2, 3, 4)}
+    assert plan_adapters([record], {("m0", "a5"): 1}) == [("a", "evict", "a1")]
+    assert plan_adapters([record], {("m0", "a5"): 1}, {("m0", "a1")}) == [
+        ("a", "evict", "a2")
+    ]
+
+
+def test_an_adapter_in_use_keeps_its_place_until_its_requests_end():
+    """Replays the order that would overfill an engine: the place is not free yet."""
+    record = engine("a", "m0", adapters=("a1", "a2", "a3"))
+    record.leaving_adapters = {("m0", "a4")}
+    assert plan_adapters([record], {("m0", "a5"): 1}) == []
+
+
+@pytest.mark.parametrize("field", ["coming", "leaving_model"])
+def test_an_engine_busy_with_a_model_gets_no_order_about_adapters(field):
+    record = engine("a", "m0", **{field: "m1"})
+    assert plan_adapters([record], {("m0", "a5"): 1}) == []
+
+
+def test_an_adapter_on_its_way_is_not_ordered_twice():
+    engines = [engine("a", "m0", adapters=("a5",)), engine("b", "m0")]
+    assert plan_adapters(engines, {("m0", "a5"): 1}) == []
+
+
+def test_spare_places_are_filled_with_adapters_of_models_in_demand():
+    """Replays a model whose adapters are asked for one after the other."""
+    engines = [engine("a", "m0", adapters=("a1", "a2")), engine("b", "m1")]
+    wishes = {"m0": Wish(5.0, 0, 0.0, adapters=2), "m1": Wish(5.0, 0, 0.0)}
+    orders = model_placement.plan_spare_places(engines, SPEC, wishes)
+    assert [(o.record.entry.server, o.model, o.adapter) for o in orders] == [
+        ("a", "m0", "a3")
+    ]
--- /dev/null
+++ b/sequoiapoint/protocol/digests_test.py
@@ -0,0 +1,67 @@
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from sequoiapoint.protocol import digests
+from sequoiapoint.protocol.digests import Digest
+from sequoiapoint.protocol.gateway import ModelDemand, StoreRecord
+
+TEXT = st.text(max_size=8)
+NUMBER = st.integers(0, 2**31)
+INCARNATION = st.tuples(TEXT, NUMBER)
+DIGESTS = st.builds(
+    Digest,
+    host=TEXT,
+    zone=TEXT,
+    address=TEXT,
+    started_ms=NUMBER,
+    is_leaving=st.booleans(),
+    configuration_end=st.integers(-1, 2**31),
+    server_end=st.integers(-1, 2**31),
+    is_store_reachable=st.booleans(),
+    fence=NUMBER,
+    counts=st.lists(st.tuples(INCARNATION, NUMBER), max_size=3).map(tuple),
+    demands=st.lists(
+        st.builds(
+            ModelDemand,
+            TEXT,
+            TEXT,
+            TEXT,
+            NUMBER,
+            NUMBER,
+            st.integers(0, 9000).map(lambda ms: ms / 1000),
+            st.integers(0, 255),
+        ),
+        max_size=3,
+    ).map(tuple),
+    holdings=st.lists(
+        st.tuples(
+            INCARNATION,
+            st.dictionaries(TEXT, st.frozensets(TEXT, max_size=2), max_size=2),
+        ),
+        max_size=2,
+    ).map(tuple),
+    suspicions=st.lists(
+        st.tuples(TEXT, st.frozensets(TEXT, max_size=2)), max_size=2
+    ).map(tuple),
+    leaving=st.lists(INCARNATION, max_size=2).map(tuple),
+)
+
+
+@hypothesis.given(DIGESTS)
+def test_a_digest_reads_back(digest):
+    assert digests.decode_digest(digests.encode_digest(digest)) == digest
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\x00", b"GET / HTTP/1.1\r\n\r\n", b"\xff" * 40]
+)
+def test_bytes_that_are_no_digest_are_an_error(data):
+    with pytest.raises(ValueError, match="not a digest"):
+        digests.decode_digest(data)
+
+
+def test_the_state_of_a_topic_reads_back():
+    records = [StoreRecord(3, "a", b"x" * 100_000), StoreRecord(5, "b", b"y")]
+    data = digests.encode_topic_state(records, 6)
+    assert digests.decode_topic_state(data) == (records, 6)
--- /dev/null
+++ b/sequoiapoint/state/engine_ledger_test.py
@@ -0,0 +1,54 @@
+import pytest
+
+from sequoiapoint.protocol.gateway import (
+    EngineReport,
+    HeldModel,
+    ServerEntry,
+    ServerState,
+)
+from sequoiapoint.state.engine_ledger import REPORT_LAG_S, EngineRecord
+
+ENTRY = ServerEntry("s", "lm", "10.0.0.1:1", "z", ServerState.READY, 1, 64)
+
+
+def report(is_busy=False, coming=(), models=("oak",), count=3):
+    return EngineReport(
+        tuple(HeldModel(m) for m in models), count, is_busy, 0, 0, tuple(coming)
+    )
+
+
+def test_an_order_without_an_answer_leaves_the_count_in_doubt():
+    record = EngineRecord(ENTRY, order_count=3)
+    record.doubt(10.0)
+    assert record.is_in_doubt
+    assert record.ask_after == 10.0 + REPORT_LAG_S
+    record.take_report(report(count=4), 11.0)
+    assert record.order_count == 4
+
+
+def test_a_busy_engine_stays_in_doubt_and_keeps_what_is_coming():
+    record = EngineRecord(ENTRY, order_count=3, coming="elm")
+    record.take_report(report(is_busy=True), 10.0)
+    assert record.is_in_doubt
+    assert set(record.held) == {"oak", "elm"}
+    assert "elm" not in record.usable()
+
+
+def test_adapters_on_their_way_take_a_place():
+    record = EngineRecord(ENTRY)
+    record.take_report(report(coming=[("oak", "a1")]), 10.0)
+    assert record.adapter_count == 1
+
+
+@pytest.mark.parametrize(
+    ("fields", "usable"),
+    [
+        ({}, {"oak": {"a1"}, "elm": set()}),
+        ({"coming": "elm"}, {"oak": {"a1"}}),
+        ({"leaving_model": "oak"}, {"elm": set()}),
+        ({"coming_adapters": {("oak", "a1")}}, {"oak": set(), "elm": set()}),
+    ],
+)
+def test_what_requests_can_be_sent_for(fields, usable):
+    record = EngineRecord(ENTRY, held={"oak": {"a1"}, "elm": set()}, **fields)
+    assert record.usable() == usable
--- /dev/null
+++ b/standins/site/backends.py
@@ -0,0 +1,256 @@
+"""Stand-ins for the users' plain servers and model engines."""
+
+import asyncio
+import json
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+from sequoiapoint.transport.loop_server import InboundRequest, LoopServer, Responder
+from standins.site.store import JSON, Store
+
+EVENT_INTERVAL_S = 0.02
+ADAPTER_LOAD_S = 0.01
+MODEL_LOAD_S = 0.2
+
+
+def header(request: InboundRequest, name: bytes) -> str:
+    """Return a header's value, "" where it is absent."""
+    return next((v.decode() for n, v in request.headers if n == name), "")
+
+
+@dataclass
+class Faults:
+    """How a server misbehaves.
+
+    :param reset_next: Requests that are run and whose connection is then reset.
+    :param fail_next: Requests that are answered with 500.
+    :param cut_stream_after: Events after which a stream is reset; 0 for never.
+    :param poison: A body that kills the process that begins to run it.
+    """
+
+    reset_next: int = 0
+    fail_next: int = 0
+    cut_stream_after: int = 0
+    poison: bytes = b""
+
+
+@dataclass
+class Backend:
+    """A server of a service.
+
+    :param runs: How often each request began to run here, by its id.
+    :param held: What an engine holds, empty for a plain server.
+    :param orders: The orders that it accepted, in order.
+    """
+
+    store: Store
+    server: str
+    service: str
+    zone: str
+    slots: int = 8
+    work_s: float = 0.005
+    adapter_places: int = 3
+    model_places: int = 2
+    held: dict[str, set[str]] = field(default_factory=dict)
+    is_engine: bool = False
+    faults: Faults = field(default_factory=Faults)
+    runs: Counter = field(default_factory=Counter)
+    orders: list[dict] = field(default_factory=list)
+    refused_orders: int = 0
+    violations: list[str] = field(default_factory=list)
+    running: int = 0
+    finished: int = 0
+    cancelled: int = 0
+    arrivals: list[float] = field(default_factory=list)
+
+    async def start(self, port: int) -> None:
+        """Listen and register."""
+        self.address = f"127.0.0.1:{port}"
+        self.state = "ready"
+        self.beats = 0
+        await self.restart()
+
+    async def restart(self) -> None:
+        """Start a process, which knows nothing of the one before."""
+        self.born = time.time_ns() // 1_000_000
+        self.order_count = 0
+        self.fence = 0
+        self.busy = ""
+        self.http = LoopServer(self._handle, lambda status: None)
+        await self.http.start(self.address)
+        self.register()
+
+    async def crash(self, down_s: float) -> None:
+        """Lose the process, and start one under the same id a while later."""
+        await self.http.stop()
+        self.held = {}
+        await asyncio.sleep(down_s)
+        await self.restart()
+
+    def register(self, **changes: object) -> None:
+        """Write the entry to the store."""
+        self.beats += 1
+        entry = {
+            "service": self.service,
+            "addr": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "cold-ms": 0,
+            "seq": self.beats,
+            "born": self.born,
+        }
+        if self.is_engine:
+            entry["models"] = self._models()
+        self.store.write("keyed.servers", self.server, entry | changes)
+
+    def _models(self) -> list[dict]:
+        return [
+            {"name": name, "version": 1, "adapters": sorted(adapters)}
+            for name, adapters in self.held.items()
+        ]
+
+    async def _handle(self, request: InboundRequest, responder: Responder) -> None:
+        expected = header(request, b"expect-worker")
+        if expected and expected != self.server:
+            responder.send_whole(421, [(b"Worker-Id", self.server.encode())])
+        elif request.target == "/sequoiapoint/order":
+            await self._order(request, responder)
+        elif request.target == "/sequoiapoint/report":
+            self._report(responder)
+        else:
+            await self._run(request, responder)
+
+    # Requests
+
+    async def _run(self, request: InboundRequest, responder: Responder) -> None:
+        self.arrivals.append(time.monotonic())
+        model, _, adapter = header(request, b"model").partition("/")
+        if self.is_engine and not self._has(model, adapter):
+            responder.send_whole(421, self._head(request))
+            return
+        if self.running >= self.slots:
+            responder.send_whole(503, [*self._head(request), (b"Not-Run", b"1")])
+            return
+        self.runs[header(request, b"request-id")] += 1
+        self.running += 1
+        try:
+            if self.faults.poison and request.body == self.faults.poison:
+                asyncio.get_running_loop().create_task(self.crash(0.3))
+                await asyncio.sleep(10)
+            await asyncio.sleep(self.work_s)
+            await self._answer(request, responder)
+            self.finished += 1
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        finally:
+            self.running -= 1
+
+    def _has(self, model: str, adapter: str) -> bool:
+        return (
+            model in self.held
+            and self.busy != model
+            and (not adapter or adapter in self.held[model])
+        )
+
+    def _head(self, request: InboundRequest, *more: tuple[bytes, bytes]) -> list:
+        load = f"{self.running},0,{self.slots}".encode()
+        return [
+            (b"Request-Id", header(request, b"request-id").encode()),
+            (b"Worker-Load", load),
+            (b"Keep-Alive", b"timeout=10"),
+            *more,
+        ]
+
+    async def _answer(self, request: InboundRequest, responder: Responder) -> None:
+        seal = (b"Server-Seal", f"{self.server}.seal".encode())
+        if self.faults.reset_next > 0:
+            self.faults.reset_next -= 1
+            responder.abort()
+        elif self.faults.fail_next > 0:
+            self.faults.fail_next -= 1
+            responder.send_whole(500, self._head(request, seal), b"failed")
+        elif self.is_engine:
+            await self._stream(request, responder, seal)
+        else:
+            body = self.server.encode() + b":" + request.body
+            responder.send_whole(200, self._head(request, seal), body)
+
+    async def _stream(
+        self, request: InboundRequest, responder: Responder, seal: tuple[bytes, bytes]
+    ) -> None:
+        first = int(header(request, b"last-event-id") or 0) + 1
+        _, _, events = header(request, b"token-count").partition(",")
+        kind = (b"Content-Type", b"text/event-stream")
+        responder.start_stream(200, self._head(request, seal, kind))
+        for number in range(first, int(events) + 1):
+            responder.send(f"id: {number}\ndata: {self.server}\n\n".encode())
+            if number == self.faults.cut_stream_after:
+                self.faults.cut_stream_after = 0
+                responder.send(b"id: 99\nda")
+                responder.abort()
+                return
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        responder.end_stream()
+
+    # Orders
+
+    async def _order(self, request: InboundRequest, responder: Responder) -> None:
+        order = json.loads(request.body)
+        if order["fence"] < self.fence:
+            self.refused_orders += 1
+            responder.send_whole(412, [])
+            return
+        self.fence = order["fence"]
+        if self.busy or order["expect"] != self.order_count:
+            self.refused_orders += 1
+            responder.send_whole(409, [])
+            return
+        self.order_count += 1
+        self.orders.append(order | {"at": time.monotonic()})
+        status = self._carry_out(order)
+        responder.send_whole(status, JSON, b"{}")
+
+    def _carry_out(self, order: dict) -> int:
+        model, adapter = order["model"], order.get("adapter", "")
+        loop = asyncio.get_running_loop()
+        if adapter and order["op"] == "evict":
+            self.held.get(model, set()).discard(adapter)
+            return 200
+        if adapter:
+            loop.call_later(ADAPTER_LOAD_S, self._add_adapter, model, adapter)
+            return 202
+        self.busy = model
+        if order["op"] == "load":
+            self.held[model] = set()
+            if len(self.held) > self.model_places:
+                self.violations.append(f"{self.server} holds {sorted(self.held)}")
+            loop.call_later(MODEL_LOAD_S, self._end_order)
+        else:
+            self.held.pop(model, None)
+            loop.call_later(MODEL_LOAD_S / 10, self._end_order)
+        return 202
+
+    def _add_adapter(self, model: str, adapter: str) -> None:
+        if model in self.held:
+            self.held[model].add(adapter)
+        if sum(len(names) for names in self.held.values()) > self.adapter_places:
+            self.violations.append(f"{self.server} has too many adapters")
+
+    def _end_order(self) -> None:
+        self.busy = ""
+        self.register()
+
+    def _report(self, responder: Responder) -> None:
+        report = {
+            "stage": "mixed",
+            "models": self._models(),
+            "busy": bool(self.busy),
+            "seq": self.order_count,
+            "queued": 0,
+            "inflight": self.running,
+        }
+        responder.send_whole(200, JSON, json.dumps(report).encode())
--- /dev/null
+++ b/standins/site/deployment.py
@@ -0,0 +1,307 @@
+"""A small deployment: the store and servers in a thread, gateways as processes."""
+
+import asyncio
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Self
+
+from standins.site.backends import Backend
+from standins.site.store import Store
+
+START_TIMEOUT_S = 15.0
+CALL_TIMEOUT_S = 10.0
+MODELS = ("oak", "elm", "ash", "fir", "yew")
+
+
+def free_port() -> int:
+    """Return a port that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def route(name: str, kind: str, service: str, **changes: Any) -> dict:
+    """Return a route as an operator writes it."""
+    return {
+        "name": name,
+        "host": "site.example",
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeout-ms": 4_000,
+        "goal-ms": 300,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+    } | changes
+
+
+def configuration(version: int = 1, **changes: Any) -> dict:
+    """Return the operators' configuration."""
+    stream = {"sticky": True, "can-resume": True, "gap-aim-ms": 150}
+    engine = {
+        "slots": 8,
+        "kv-cap": 10_000,
+        "mb": 200.0,
+        "adapter-slots": 3,
+        "loads-per-s": 5.0,
+        "models": [
+            {
+                "name": name,
+                "mb": 90.0,
+                "load-s": 0.2,
+                "warm-s": 0.2,
+                "disk-s": 0.2,
+                "adapters": 6,
+                "adapter-mb": 1.0,
+            }
+            for name in MODELS
+        ],
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("read", "idempotent", "web"),
+            route("write", "mutating", "web", attempts=1),
+            route("talk", "stream", "lm", **stream),
+            route("once", "stream", "lm", **(stream | {"can-resume": False})),
+        ],
+        "services": [
+            {"name": "lm", "health-path": "/h", "max-conns": 100, "engine": engine},
+            {"name": "web", "health-path": "/h", "max-conns": 100},
+        ],
+        "limits": {
+            "max-header-bytes": 16_384,
+            "max-body-bytes": 100_000,
+            "header-timeout-ms": 2_000,
+            "idle-timeout-ms": 5_000,
+        },
+    } | changes
+
+
+@dataclass
+class Reply:
+    """What a caller got.
+
+    :param is_whole: Whether the body came to its stated end.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+    seconds: float
+
+
+@dataclass
+class Gateway:
+    """One gateway process."""
+
+    name: str
+    zone: str
+    settings: Path
+    log: Path
+    ports: dict[str, int] = field(default_factory=dict)
+    process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        command = [sys.executable, "-m", "sequoiapoint", "gateway"]
+        with self.log.open("a") as log:
+            self.process = subprocess.Popen(
+                [*command, "--settings", str(self.settings)], stdout=log, stderr=log
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send the process a signal."""
+        os.kill(self.process.pid, number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.process.kill()
+        self.process.wait()
+
+    def is_ready(self) -> bool:
+        """Ask as the balancer does."""
+        try:
+            connection = http.client.HTTPConnection(
+                "127.0.0.1", self.ports["ready"], timeout=1
+            )
+            connection.request("GET", "/sequoiapoint/readyz")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+
+    def events(self, name: str) -> list[str]:
+        """Return the log lines of an event."""
+        return [
+            line
+            for line in self.log.read_text().splitlines()
+            if f"event={name} " in line + " "
+        ]
+
+    def metrics(self) -> str:
+        """Return the metrics."""
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.ports["metrics"], timeout=2
+        )
+        connection.request("GET", "/metrics")
+        return connection.getresponse().read().decode()
+
+    def ask(
+        self,
+        path: str,
+        request_id: str,
+        body: bytes = b"",
+        model: str = "",
+        events: int = 5,
+        budget_ms: int = 4_000,
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Send a request as a caller does, over a new connection."""
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.ports["front"], timeout=CALL_TIMEOUT_S
+        )
+        sent = {
+            "Host": "site.example",
+            "Request-Id": request_id,
+            "Deadline-Ms": str(budget_ms),
+        }
+        if model:
+            sent |= {"Model": model, "Token-Count": f"10,{events}"}
+        began = time.monotonic()
+        connection.request("POST", path, body, sent | (headers or {}))
+        response = connection.getresponse()
+        is_whole = True
+        try:
+            data = response.read()
+        except http.client.IncompleteRead as error:
+            data, is_whole = error.partial, False
+        except ConnectionError:
+            data, is_whole = b"", False
+        connection.close()
+        names = {name.lower(): value for name, value in response.getheaders()}
+        seconds = time.monotonic() - began
+        return Reply(response.status, names, data, is_whole, seconds)
+
+
+class SiteDeployment:
+    """Runs everything for the length of a block."""
+
+    def __init__(self, gateways: int = 2, engines: int = 2, plain: int = 2) -> None:
+        self._counts = (gateways, engines, plain)
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._folder = tempfile.TemporaryDirectory()
+        self.gateways: list[Gateway] = []
+        self.engines: list[Backend] = []
+        self.plain: list[Backend] = []
+
+    @property
+    def backends(self) -> list[Backend]:
+        """Return all servers."""
+        return self.engines + self.plain
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        gateways, engines, plain = self._counts
+        self.run(self._start_platform(engines, plain))
+        for number in range(gateways):
+            self.gateways.append(self.add_gateway(f"gw-{number}", f"z{number % 2}"))
+        self.wait(lambda: all(g.is_ready() for g in self.gateways), START_TIMEOUT_S)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for gateway in self.gateways:
+            if gateway.process.poll() is None:
+                gateway.kill()
+        self.run(self._stop_platform())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._folder.cleanup()
+
+    async def _start_platform(self, engines: int, plain: int) -> None:
+        self.store = Store()
+        self.store_address = f"127.0.0.1:{free_port()}"
+        await self.store.server.start(self.store_address)
+        self.store.write("keyed.op", "config", configuration())
+        for number in range(engines):
+            held = {MODELS[number % len(MODELS)]: set()}
+            engine = Backend(
+                self.store, f"lm-{number}", "lm", f"z{number % 2}", held=held
+            )
+            engine.is_engine = True
+            self.engines.append(engine)
+        for number in range(plain):
+            server = Backend(self.store, f"web-{number}", "web", f"z{number % 2}")
+            self.plain.append(server)
+        for backend in self.backends:
+            await backend.start(free_port())
+
+    async def _stop_platform(self) -> None:
+        for server in [self.store.server, *(b.http for b in self.backends)]:
+            await server.stop()
+        await asyncio.sleep(0)
+
+    def add_gateway(self, name: str, zone: str) -> Gateway:
+        """Start one more gateway."""
+        ports = {p: free_port() for p in ("front", "ready", "peer", "metrics")}
+        folder = Path(self._folder.name)
+        gateway = Gateway(
+            name, zone, folder / f"{name}.json", folder / f"{name}.log", ports
+        )
+        settings = {
+            "host": name,
+            "zone": zone,
+            "caller_address": f"127.0.0.1:{ports['front']}",
+            "readiness_address": f"127.0.0.1:{ports['ready']}",
+            "peer_address": f"127.0.0.1:{ports['peer']}",
+            "metrics_address": f"127.0.0.1:{ports['metrics']}",
+            "store": self.store_address,
+        }
+        gateway.settings.write_text("// a test's settings\n" + json.dumps(settings))
+        gateway.start()
+        return gateway
+
+    def run(self, work: Any) -> Any:
+        """Run a coroutine in the stand-ins' loop and return its result."""
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result(30)
+
+    def call(self, function: Callable[..., Any], *arguments: Any, **named: Any) -> Any:
+        """Call a function in the stand-ins' loop and return its result."""
+
+        async def work() -> Any:
+            return function(*arguments, **named)
+
+        return self.run(work())
+
+    def wait(self, condition: Callable[[], bool], timeout_s: float) -> float:
+        """Wait for a condition and return how long it took, in seconds.
+
+        :raises AssertionError: It does not hold in time.
+        """
+        began = time.monotonic()
+        while not condition():
+            if time.monotonic() - began > timeout_s:
+                logs = "\n".join(
+                    g.log.read_text()[-1500:] for g in self.gateways if g.log.exists()
+                )
+                raise AssertionError(f"not within {timeout_s} s; logs:\n{logs}")
+            time.sleep(0.05)
+        return time.monotonic() - began
--- /dev/null
+++ b/standins/site/store.py
@@ -0,0 +1,178 @@
+"""Stand-in for the platform's store: keyed topics, long polls and groups."""
+
+import asyncio
+import base64
+import json
+import struct
+import time
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+from sequoiapoint.transport.loop_server import InboundRequest, LoopServer, Responder
+
+CALLS = "/sequoiapoint/log-"
+JSON = [(b"Content-Type", b"application/json")]
+
+
+@dataclass
+class Topic:
+    """A topic with one partition.
+
+    :param first: The offset of the oldest record that is kept.
+    """
+
+    records: list[tuple[str, bytes]] = field(default_factory=list)
+    first: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def append(self, key: str, value: bytes) -> int:
+        """Add a record and wake the readers."""
+        self.records.append((key, value))
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return len(self.records) - 1
+
+
+@dataclass
+class Group:
+    """A group that shares one partition.
+
+    :param members: When each member's lease ends.
+    """
+
+    generation: int = 0
+    owner: str = ""
+    members: dict[str, float] = field(default_factory=dict)
+
+
+class Store:
+    """The store.
+
+    :ivar outage: "" for none, or how calls fail: ``busy``, ``silent`` or ``reset``.
+    """
+
+    def __init__(self) -> None:
+        self.topics: dict[str, Topic] = {}
+        self.groups: dict[str, Group] = {}
+        self.outage = ""
+        self.calls: list[str] = []
+        self.server = LoopServer(self._handle, lambda status: None)
+
+    def topic(self, name: str) -> Topic:
+        """Return a topic, which is made on its first use."""
+        return self.topics.setdefault(name, Topic())
+
+    def write(self, topic: str, key: str, value: object) -> None:
+        """Write a record as an operator or a server does."""
+        body = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.topic(topic).append(key, body)
+
+    def forget(self, topic: str) -> None:
+        """Drop the history of a topic; the newest record of each key stays."""
+        self.topic(topic).first = len(self.topic(topic).records)
+        self.topic(topic).changed.set()
+
+    def reassign(self, group: str) -> None:
+        """Deal a group's partition anew, without any request."""
+        state = self.groups[group]
+        others = [m for m in state.members if m != state.owner]
+        if others:
+            state.owner = others[0]
+            state.generation += 1
+
+    async def _handle(self, request: InboundRequest, responder: Responder) -> None:
+        url = urlsplit(request.target)
+        call = url.path.removeprefix(CALLS)
+        self.calls.append(call)
+        if self.outage == "silent":
+            await asyncio.sleep(60)
+        if self.outage == "reset":
+            responder.abort()
+            return
+        if self.outage == "busy":
+            responder.send_whole(503, [])
+            return
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        await getattr(self, f"_{call}")(request, query, responder)
+
+    async def _append(
+        self, request: InboundRequest, query: dict, responder: Responder
+    ) -> None:
+        topic, body, position = self.topic(query["topic"]), request.body, 0
+        offset = len(topic.records)
+        while position < len(body):
+            (length,) = struct.unpack_from(">I", body, position)
+            content = body[position + 4 : position + 4 + length]
+            position += 4 + length
+            key = content[1 : 1 + content[0]].decode()
+            topic.append(key, content[1 + content[0] :])
+        answer = {"offset": offset, "end": len(topic.records)}
+        responder.send_whole(200, JSON, json.dumps(answer).encode())
+
+    async def _read(
+        self, request: InboundRequest, query: dict, responder: Responder
+    ) -> None:
+        topic, start = self.topic(query["topic"]), int(query["from"])
+        if start < topic.first:
+            first = json.dumps({"first": topic.first}).encode()
+            responder.send_whole(410, JSON, first)
+            return
+        if start >= len(topic.records):
+            try:
+                async with asyncio.timeout(int(query.get("wait-ms", 0)) / 1000):
+                    await topic.changed.wait()
+            except TimeoutError:
+                pass
+        if start < topic.first:
+            responder.send_whole(410, JSON, b'{"first":0}')
+            return
+        body = struct.pack(">QQ", len(topic.records), topic.first)
+        for key, value in topic.records[start:]:
+            content = bytes([len(key)]) + key.encode() + value
+            body += struct.pack(">I", len(content)) + content
+        responder.send_whole(200, [], body)
+
+    async def _newest(
+        self, request: InboundRequest, query: dict, responder: Responder
+    ) -> None:
+        topic = self.topic(query["topic"])
+        newest = {
+            key: (offset, value) for offset, (key, value) in enumerate(topic.records)
+        }
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (offset, value) in newest.items()
+            if value
+        ]
+        answer = {"items": items, "has-more": False, "end": len(topic.records)}
+        responder.send_whole(200, JSON, json.dumps(answer).encode())
+
+    async def _join(
+        self, request: InboundRequest, query: dict, responder: Responder
+    ) -> None:
+        call = json.loads(request.body)
+        group = self.groups.setdefault(call["group"], Group())
+        now = time.monotonic()
+        lapsed = [m for m, until in group.members.items() if until < now]
+        for member in lapsed:
+            del group.members[member]
+        if lapsed or call["member"] not in group.members:
+            group.generation += 1
+        group.members[call["member"]] = now + call["ttl-ms"] / 1000
+        if group.owner not in group.members:
+            group.owner = call["member"]
+            group.generation += 1
+        held = [[call["topics"][0], 0, 0]] if group.owner == call["member"] else []
+        answer = {"generation": group.generation, "parts": held}
+        responder.send_whole(200, JSON, json.dumps(answer).encode())
+
+    async def _leave(
+        self, request: InboundRequest, query: dict, responder: Responder
+    ) -> None:
+        call = json.loads(request.body)
+        group = self.groups.setdefault(call["group"], Group())
+        group.members.pop(call["member"], None)
+        if group.owner == call["member"]:
+            group.owner = ""
+        group.generation += 1
+        responder.send_whole(200, JSON, b"{}")
