--- a/sequoiapoint/coordination/waiting.py
+++ b/sequoiapoint/coordination/waiting.py
@@ -9,6 +9,11 @@
 
 WAIT_SHARE = 0.4
 """Part of the time left that a request may wait; the rest is for running it."""
+PATIENT_GOAL_S = 2.0
+"""Goal from which a request can wait for its model to be loaded."""
+PATIENT_WAIT_SHARE = 0.6
+"""Part of the time left that such a request may wait: models that are asked for now and
+then take turns in memory."""
 LEAST_PATIENCE_S = 2.0
 """Silence after which the least patient callers abandon a stream."""
 FIRST_EVENT_SHARE = 0.6
@@ -18,6 +23,9 @@
 beyond the places keep its batch full until the hosts' next look."""
 PLAIN_FILL = 2.0
 """The same for a plain service, whose requests are short."""
+UNREAD_TOKENS = 4_000
+"""Prompt tokens that an engine should have before it at once, from all hosts: it reads
+them in about a tenth of a second, in which the streams that it runs make no progress."""
 RETURN_AFTER_S = 0.4
 """Middle of the spread of refused callers' returns: about the time in which a full
 server finishes a batch."""
@@ -30,9 +38,11 @@
 
     :param remaining_s: What is left of the time that its caller waits.
     """
-    limit_s = WAIT_SHARE * remaining_s
-    if route.is_stream:
-        limit_s = min(limit_s, FIRST_EVENT_SHARE * patience_s(route))
+    if not route.is_stream:
+        return min(remaining_s, max(route.goal_s, WAIT_SHARE * remaining_s))
+    limit_s = min(WAIT_SHARE * remaining_s, FIRST_EVENT_SHARE * patience_s(route))
+    if route.goal_s >= PATIENT_GOAL_S:
+        limit_s = PATIENT_WAIT_SHARE * remaining_s
     return min(remaining_s, max(route.goal_s, limit_s))
 
 
@@ -60,3 +70,16 @@
     :param load: Requests believed to be there.
     """
     return load >= slots * (ENGINE_FILL if is_engine else PLAIN_FILL)
+
+
+def may_read_more(unread_tokens: int, prompt_tokens: int, hosts: int) -> bool:
+    """Tell whether an engine should be sent another prompt by this host.
+
+    Answers a burst of prompts: sent at once, they hold up every stream of the engine;
+    sent as the ones before them are read, they wait at the hosts by urgency.
+
+    :param unread_tokens: Tokens that this host has sent and the engine has not read.
+    :param hosts: How many hosts send to the engine.
+    """
+    share = UNREAD_TOKENS / max(1, hosts)
+    return unread_tokens == 0 or unread_tokens + prompt_tokens <= share
--- a/sequoiapoint/node/relay.py
+++ b/sequoiapoint/node/relay.py
@@ -161,11 +161,17 @@
         self._has_unknown = False
         self._has_resend = False
         self._first_event_s: float | None = None
+        self._number = 0
+        self._last_event_at: float | None = None
+        self._longest_gap_s = 0.0
 
     @property
     def _is_engine(self) -> bool:
         return self._spec is not None and self._spec.engine is not None
 
+    def _prompt_tokens(self) -> int:
+        return max(1, self._request.prompt_tokens) if self._is_engine else 0
+
     def _remaining_s(self) -> float:
         return self._deadline - monotonic_s()
 
@@ -194,7 +200,8 @@
                 return
             number = next(_request_numbers)
             load = state.loads.of(entry.incarnation)
-            load.send(number, monotonic_s())
+            load.send(number, monotonic_s(), self._prompt_tokens())
+            self._number = number
             if self._is_engine:
                 state.demand.change(self._demand_key, in_work=1)
             try:
@@ -271,6 +278,12 @@
             if self._spec is not None and self._is_out_of_connections(entry):
                 self._last_reason = "no_connection"
                 continue
+            unread = sum(load.unread_tokens.values())
+            if self._is_engine and not waiting.may_read_more(
+                unread, self._prompt_tokens(), state.host_count
+            ):
+                self._last_reason = "engine_reads"
+                continue
             candidates.append(
                 server_choice.Candidate(
                     entry, running, load.failure_rate, load.is_avoided(now)
@@ -383,6 +396,7 @@
         entry: ServerEntry,
     ) -> tuple[_Step, str]:
         responder, splitter = self._responder, self._splitter
+        load = self._state.loads.of(entry.incarnation)
         heard = asyncio.Event()
 
         def pass_on(data: bytes) -> None:
@@ -390,6 +404,9 @@
             events = splitter.feed(data)
             if not events:
                 return
+            if load.note_first_event(self._number):
+                self._state.waiting.notify()
+            self._note_gap(monotonic_s())
             if not responder.is_started:
                 responder.start_stream(head.status, list(head.headers))
                 self._first_event_s = monotonic_s() - self._arrived_s
@@ -422,6 +439,13 @@
             reason,
         )
 
+    def _note_gap(self, now: float) -> None:
+        """Note the pause before an event, which counts for a stream being on time."""
+        if self._last_event_at is not None:
+            gap_s = now - self._last_event_at
+            self._longest_gap_s = max(self._longest_gap_s, gap_s)
+        self._last_event_at = now
+
     async def _await_stream(self, exchange: Exchange, heard: asyncio.Event) -> End:
         """Wait for a stream's end, its deadline, or a silence that is too long."""
         ended = exchange.ended
@@ -514,7 +538,7 @@
             self._refuse_not_run(self._last_reason)
 
     def _refuse_not_run(self, reason: str) -> None:
-        has_servers = reason in ("servers_full", "no_connection")
+        has_servers = reason in ("servers_full", "no_connection", "engine_reads")
         self._refuse(
             reason,
             http.HTTPStatus.SERVICE_UNAVAILABLE,
@@ -586,6 +610,7 @@
         self._state.metrics.request(outcome, self._route.repeatability.value, elapsed_s)
         if self._first_event_s is not None:
             fields["first_ms"] = round(self._first_event_s * 1000)
+            fields["longest_gap_ms"] = round(self._longest_gap_s * 1000)
         if self._request.model:
             fields["model"] = self._request.model
             fields["adapter"] = self._request.adapter
