--- a/sequoiapoint/coordination/waiting.py
+++ b/sequoiapoint/coordination/waiting.py
@@ -19,13 +19,13 @@
 FIRST_EVENT_SHARE = 0.6
 """Part of that silence that a stream may wait before it is sent."""
 ENGINE_FILL = 1.25
-"""Requests at an engine, against its places, from which a host sends no more; the ones
+"""Requests at an engine, against its places, from which a host sends no more; those
 beyond the places keep its batch full until the hosts' next look."""
 PLAIN_FILL = 2.0
 """The same for a plain service, whose requests are short."""
 UNREAD_TOKENS = 4_000
 """Prompt tokens that an engine should have before it at once, from all hosts: it reads
-them in about a tenth of a second, in which the streams that it runs make no progress."""
+them in a tenth of a second, in which the streams that it runs make no progress."""
 RETURN_AFTER_S = 0.4
 """Middle of the spread of refused callers' returns: about the time in which a full
 server finishes a batch."""
