Tell peers of recent suspicions only

Cause: digests repeated every suspicion for two minutes, several kilobytes to each host twice a second while answers were lost.

--- a/sequoiapoint/coordination/quarantine.py
+++ b/sequoiapoint/coordination/quarantine.py
@@ -20,12 +20,14 @@
     :param deaths: The server incarnations that died with the request in flight.
     :param until: When this is forgotten, in seconds on the local clock.
     :param is_quarantined: Whether the request is refused.
+    :param changed_at: When the last death was learnt of, in seconds.
     """
 
     fingerprint: str
     deaths: frozenset[str]
     until: float
     is_quarantined: bool
+    changed_at: float = 0.0
 
 
 class Quarantine:
@@ -59,7 +61,7 @@
         quarantined = len(all_deaths) >= self._deaths_needed
         until = now + (QUARANTINE_S if quarantined else SUSPECT_S)
         self._suspicions[fingerprint] = Suspicion(
-            fingerprint, all_deaths, until, quarantined
+            fingerprint, all_deaths, until, quarantined, now
         )
         return quarantined
 
@@ -88,6 +90,16 @@
         self._suspicions = {f: s for f, s in self._suspicions.items() if s.until > now}
         return tuple(self._suspicions.values())
 
+    def news(self, now: float, age_s: float, most: int) -> tuple[Suspicion, ...]:
+        """Return what changed lately, the newest first, for the peers.
+
+        :param age_s: How long ago it may have changed, in seconds.
+        :param most: The most to return.
+        """
+        recent = [s for s in self.suspicions(now) if now - s.changed_at < age_s]
+        recent.sort(key=lambda suspicion: -suspicion.changed_at)
+        return tuple(recent[:most])
+
     def _live(self, fingerprint: str, now: float) -> Suspicion | None:
         known = self._suspicions.get(fingerprint)
         return known if known is not None and known.until > now else None
--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -37,6 +37,10 @@
 """Time to fetch a topic from a peer."""
 FETCH_DELAY_S = 0.4
 """How long the store may lag behind a peer before the peer is asked."""
+SUSPICION_NEWS_S = 1.6
+"""For how long a suspicion is repeated: three digests, of which one may get lost."""
+SUSPICIONS = 20
+"""Suspicions in a digest; with more of them at once the cause is not a request."""
 HOST_TOPIC = "keyed.hosts"
 """Where hosts write their addresses, for those that start later."""
 REGISTER_RETRY_S = 1.0
@@ -200,7 +204,8 @@
             counts=tuple(state.loads.own_counts().items()),
             holdings=holdings,
             suspicions=tuple(
-                (s.fingerprint, s.deaths) for s in state.quarantine.suspicions(now)
+                (s.fingerprint, s.deaths)
+                for s in state.quarantine.news(now, SUSPICION_NEWS_S, SUSPICIONS)
             ),
         )
 
