--- a/sequoiapoint/coordination/model_placement_test.py
+++ b/sequoiapoint/coordination/model_placement_test.py
@@ -104,7 +104,7 @@
 
 
 def test_a_long_load_at_an_engine_that_serves_nothing_holds_up_no_other():
-    """Replays an empty engine that joins and loads for seconds from the weight store."""
+    """Replays an empty engine that joins and loads from the weight store slowly."""
     engines = [engine("new", "m1", coming="m1"), engine("a", "m0"), engine("b", "m0")]
     orders = plan(engines, m0=HOT, m1=WARM, m5=URGENT_WAITS)
     assert [(action, model) for _, action, model in orders] == [("load", "m5")]
