--- a/sequoiapoint/coordination/waiting.py
+++ b/sequoiapoint/coordination/waiting.py
@@ -11,9 +11,9 @@
 """Part of the time left that a request may wait; the rest is for running it."""
 PATIENT_GOAL_S = 2.0
 """Goal from which a request can wait for its model to be loaded."""
-PATIENT_WAIT_SHARE = 0.6
-"""Part of the time left that such a request may wait: models that are asked for now and
-then take turns in memory."""
+PATIENT_WAIT_SHARE = 0.75
+"""Part of its caller's time and patience that such a request may wait: models that are
+asked for now and then take turns in memory."""
 LEAST_PATIENCE_S = 2.0
 """Silence after which the least patient callers abandon a stream."""
 FIRST_EVENT_SHARE = 0.6
@@ -42,7 +42,7 @@
         return min(remaining_s, max(route.goal_s, WAIT_SHARE * remaining_s))
     limit_s = min(WAIT_SHARE * remaining_s, FIRST_EVENT_SHARE * patience_s(route))
     if route.goal_s >= PATIENT_GOAL_S:
-        limit_s = PATIENT_WAIT_SHARE * remaining_s
+        limit_s = PATIENT_WAIT_SHARE * min(remaining_s, patience_s(route))
     return min(remaining_s, max(route.goal_s, limit_s))
 
 
--- a/sequoiapoint/node/order_giver.py
+++ b/sequoiapoint/node/order_giver.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections import Counter, deque
+from collections.abc import Mapping
 
 import xxhash
 
@@ -34,9 +35,17 @@
 """Time between renewals by the holder: four in a lease, three while it is trusted."""
 CANDIDATE_RENEWAL_S = 0.8
 """The same for hosts that would follow it: two in a lease."""
+HOLDER_NOW_S = 0.6
+"""Age of a digest up to which its sender counts as giving orders still."""
+HOLDER_SILENCE_S = 1.2
+"""Age of a holder's last digest from which others want to follow it: two digests lost,
+and less than the time for which the store keeps its lease."""
 CANDIDATES = 3
-"""Hosts that are in the group; the others join when one of these falls silent."""
-OUTSIDER_CHECK_S = 0.5
+"""Hosts that want to follow a silent holder; others do when these fall silent too."""
+FIRST_JOIN_DELAY_S = 0.6
+"""Time after the start before a host may join the group: a join that was not needed
+moves the lease."""
+OUTSIDER_CHECK_S = 0.2
 """Time between looks at whether this host should be in the group."""
 PLAN_INTERVAL_S = 0.2
 """Time between looks at the placement when nothing asks for one."""
@@ -57,6 +66,11 @@
 """Time constant of the demand that copies follow: a shift of demand shows within it."""
 ADAPTER_RECENT_S = 5.0
 """Time after its last request for which an adapter counts as asked for."""
+DEMAND_LOG_INTERVAL_S = 1.0
+"""Time between log lines about the demand."""
+DEMAND_LOG_MODELS = 5
+"""Models in such a line, the most wanted first: requests at servers, requests that
+wait, copies."""
 EVICTION_NOTICE_S = 0.08
 """How long before an eviction the other hosts are told to send no more."""
 STORE_LOAD_SHARE = 0.8
@@ -82,6 +96,7 @@
         self._priorities: dict[tuple[str, str], int] = {}
         self._adapter_asked_at: dict[tuple[str, str, str], float] = {}
         self._planned_at = 0.0
+        self._logged_at = 0.0
         self._store_loads: deque[float] = deque()
         self._tasks: set[asyncio.Task] = set()
 
@@ -101,6 +116,8 @@
 
     async def _renew(self) -> None:
         was_held = False
+        # The first digests tell which hosts there are, and so who belongs to the group.
+        await asyncio.sleep(FIRST_JOIN_DELAY_S)
         while not self._state.is_draining:
             is_held = self._lease.is_held(since_boot_s())
             if is_held or self._is_candidate():
@@ -115,13 +132,17 @@
             await asyncio.sleep(pause_s)
 
     def _is_candidate(self) -> bool:
-        """Tell whether this host is among those that may hold the lease.
+        """Tell whether this host should be in the group without holding the lease.
 
-        All hosts rank the hosts that they hear of alike; views that differ for a while
-        only make the group larger.
+        While a holder is heard of, nobody else is: each member that comes or goes may
+        move the lease.  All hosts rank the hosts that they hear of alike; views that
+        differ for a while only make the group larger.
         """
+        now = monotonic_s()
+        if self._exchange.hears_other_holder(now, HOLDER_SILENCE_S):
+            return False
         own = self._state.settings.host
-        hosts = [own, *(p.host for p in self._exchange.peers.live(monotonic_s()))]
+        hosts = [own, *(p.host for p in self._exchange.peers.live(now))]
         hosts.sort(key=lambda host: xxhash.xxh64_intdigest(host.encode()))
         return own in hosts[:CANDIDATES]
 
@@ -175,7 +196,7 @@
         if configuration is None:
             return
         now = monotonic_s()
-        if self._exchange.hears_other_holder(now):
+        if self._exchange.hears_other_holder(now, HOLDER_NOW_S):
             self._lease.note_other_holder(since_boot_s())
         self._follow_demand(now)
         for service in configuration.services.values():
@@ -256,11 +277,37 @@
         ):
             self._start(order, spec, now)
         left = self._store_loads_left(spec, now)
+        self._log_demand(service, records, wishes, now)
         for order in model_placement.plan_models(settled, spec, wishes, left):
             self._start(order, spec, now)
         for order in model_placement.plan_spare_places(settled, spec, wishes):
             self._start(order, spec, now)
 
+    def _log_demand(
+        self,
+        service: str,
+        records: list[EngineRecord],
+        wishes: Mapping[str, Wish],
+        now: float,
+    ) -> None:
+        """Log what the placement is decided on, once in a while."""
+        if now - self._logged_at < DEMAND_LOG_INTERVAL_S:
+            return
+        self._logged_at = now
+        most = sorted(wishes, key=lambda model: -wishes[model].requests)
+        self._state.log.event(
+            "demand",
+            service=service,
+            engines=len(records),
+            in_doubt=sum(record.is_in_doubt for record in records),
+            busy=sum(record.is_busy for record in records),
+            models=",".join(
+                f"{m}:{wishes[m].in_work:.1f}+{wishes[m].waiting}"
+                f"/{sum(m in record.held for record in records)}"
+                for m in most[:DEMAND_LOG_MODELS]
+            ),
+        )
+
     def _follow_engines(self, service: str, now: float) -> list[EngineRecord]:
         """Return the records of the engines that take orders."""
         fleet = self._state.fleet
--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -31,8 +31,6 @@
 """Least time between digests for news that requests wait for."""
 HOLDINGS_INTERVAL_S = 1.0
 """Time between repetitions of what all engines hold; a lost datagram costs as much."""
-HOLDER_AGE_S = 0.6
-"""Age of a digest up to which its sender counts as giving orders still."""
 FETCH_TIMEOUT_S = 1.0
 """Time to fetch a topic from a peer."""
 FETCH_DELAY_S = 0.4
@@ -102,10 +100,13 @@
             tasks.create_task(self._send_urgently())
             tasks.create_task(self._fetch_what_lags())
 
-    def hears_other_holder(self, now: float) -> bool:
-        """Tell whether another host says that it gives orders."""
+    def hears_other_holder(self, now: float, age_s: float) -> bool:
+        """Tell whether another host has said lately that it gives orders.
+
+        :param age_s: How old its word may be, in seconds.
+        """
         return any(
-            peer.digest.fence > 0 and now - peer.heard_at < HOLDER_AGE_S
+            peer.digest.fence > 0 and now - peer.heard_at < age_s
             for peer in self.peers.live(now)
         )
 
