--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -53,8 +53,8 @@
 ADAPTER_PREFIX = "a"
 """Adapters of a model are named by this and their number from one."""
 BUSY_SHARE = 0.4
-"""Part of the engines with adapters in demand that may load or evict models at once:
-they take no orders about adapters meanwhile."""
+"""Part of the engines with models in demand that may load or evict models at once:
+they take no orders about adapters meanwhile, and none about what comes next."""
 ADAPTER_DISTURBANCE_S = 2.0
 """What an order about a model costs besides, as time, at an engine that serves adapters
 of a model in demand."""
@@ -116,14 +116,16 @@
     spec: EngineSpec,
     wishes: Mapping[str, Wish],
     store_loads_left: int,
+    now: float = 0.0,
 ) -> list[PlannedOrder]:
     """Plan at most one order about a model for each engine.
 
     :param records: Engines that take new work.
     :param wishes: Demand by model.
     :param store_loads_left: Loads that the weight store's rate still allows.
+    :param now: The time, in seconds.
     """
-    planner = _Planner(records, spec, wishes)
+    planner = _Planner(records, spec, wishes, now)
     orders: list[PlannedOrder] = []
     for name in planner.wanted():
         order = planner.place(name)
@@ -146,9 +148,13 @@
         records: Sequence[EngineRecord],
         spec: EngineSpec,
         wishes: Mapping[str, Wish],
+        now: float,
     ) -> None:
+        self._records = records
         self._spec = spec
         self._wishes = wishes
+        self._now = now
+        self._taken_s: dict[str, float] = {}
         self._is_making_room = any(record.leaving_model for record in records)
         serving = [r for r in records if self._serves(r)]
         most = max(1, int(BUSY_SHARE * len(serving))) if serving else len(records)
@@ -165,9 +171,9 @@
             self._copy_fill = SCARCE_COPY_FILL
 
     def _serves(self, record: EngineRecord) -> bool:
-        """Tell whether an engine holds a model whose adapters are in demand."""
+        """Tell whether an engine holds a model in demand besides one on its way."""
         return any(
-            self._wish(name).adapters
+            self._wish(name).requests >= 1 or self._wish(name).adapters
             for name in record.held
             if name not in (record.coming, record.leaving_model)
         )
@@ -214,6 +220,9 @@
     def take(self, name: str, order: PlannedOrder) -> None:
         """Reckon with an order that is given."""
         self.free.remove(order.record)
+        self._taken_s[order.record.entry.server] = EVICTION_COST_S + load_seconds(
+            order.record, self._spec, name
+        )
         if self._serves(order.record):
             self._orders_left -= 1
         if self._copies[name] > 0:
@@ -223,16 +232,31 @@
         """Return the load of a model, or the eviction that makes room for it."""
         if self._copies[name] > 0 and self._further_copies_left <= 0:
             return None
+        is_urgent_first = (
+            self._copies[name] == 0
+            and not self._wish(name).is_patient
+            and self._wish(name).waiting > 0
+        )
         best: tuple[float, PlannedOrder] | None = None
-        for record in self.free:
+        for record in self._records:
             if name in record.held:
                 continue
-            if self._orders_left <= 0 and self._serves(record):
+            is_over = self._orders_left <= 0 and self._serves(record)
+            if is_over and not is_urgent_first:
                 continue
             option = self._option(name, record)
             if option is not None and (best is None or option[0] < best[0]):
                 best = option
-        return best[1] if best else None
+        if best is None or best[1].record not in self.free:
+            # Where the best engine is busy, it is worth waiting for.
+            return None
+        return best[1]
+
+    def _free_in_s(self, record: EngineRecord) -> float:
+        """Return how long an engine takes no other order about a model, in seconds."""
+        if record.is_busy:
+            return max(0.0, record.busy_until - self._now)
+        return self._taken_s.get(record.entry.server, 0.0)
 
     def _option(
         self, name: str, record: EngineRecord
@@ -240,7 +264,9 @@
         """Return the cost in seconds of a copy on an engine, and the order for it."""
         wish = self._wish(name)
         urgency = 1.0 if wish.is_patient else 1.0 + wish.waiting / WAITING_DOUBLES
-        cost = urgency * load_seconds(record, self._spec, name)
+        cost = urgency * (
+            self._free_in_s(record) + load_seconds(record, self._spec, name)
+        )
         if self._serves(record):
             cost += ADAPTER_DISTURBANCE_S
         room = self._spec.memory_mb - record.used_mb(self._spec)
--- a/sequoiapoint/coordination/model_placement_test.py
+++ b/sequoiapoint/coordination/model_placement_test.py
@@ -106,7 +106,8 @@
 
 def test_a_long_load_at_an_engine_that_serves_nothing_holds_up_no_other():
     """Replays an empty engine that joins and loads from the weight store slowly."""
-    engines = [engine("new", "m1", coming="m1"), engine("a", "m0"), engine("b", "m0")]
+    loading = engine("new", "m1", coming="m1", busy_until=6.0)
+    engines = [loading, engine("a", "m0"), engine("b", "m0")]
     orders = plan(engines, m0=HOT_ADAPTERS, m1=WARM, m5=URGENT_WAITS)
     assert [(action, model) for _, action, model in orders] == [("load", "m5")]
 
@@ -120,6 +121,24 @@
     assert orders[0][:2] == ("a", "evict")
 
 
+@pytest.mark.parametrize(
+    ("busy_until", "expected"), [(11.0, []), (30.0, [("cold", "load")])]
+)
+def test_a_busy_engine_with_a_quick_copy_is_waited_for_if_that_is_sooner(
+    busy_until, expected
+):
+    """Replays long loads from the weight store beside engines with copies on disk."""
+    quick = engine("quick", "m1", "m2", on_disk=frozenset({"m5"}))
+    quick.coming, quick.busy_until = "m2", busy_until
+    engines = [quick, engine("cold", "m3", "m4")]
+    wishes = {"m5": URGENT_WAITS}
+    orders = model_placement.plan_models(engines, SPEC, wishes, 10, now=10.0)
+    planned = [(o.record.entry.server, o.action.value) for o in orders]
+    assert [p for p, o in zip(planned, orders, strict=True) if o.model == "m5"] == (
+        expected
+    )
+
+
 @pytest.mark.parametrize(
     ("on_disk", "in_memory", "left", "planned"),
     [((), (), 0, 0), ((), (), 1, 1), (("m5",), (), 0, 1), ((), ("m5",), 0, 1)],
--- a/sequoiapoint/node/order_giver.py
+++ b/sequoiapoint/node/order_giver.py
@@ -278,7 +278,7 @@
             self._start(order, spec, now)
         left = self._store_loads_left(spec, now)
         self._log_demand(service, records, wishes, now)
-        for order in model_placement.plan_models(settled, spec, wishes, left):
+        for order in model_placement.plan_models(settled, spec, wishes, left, now):
             self._start(order, spec, now)
         for order in model_placement.plan_spare_places(settled, spec, wishes):
             self._start(order, spec, now)
