--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,4 @@
 
 bench: setup
 	$(BIN)/python -m standins.path_benchmark
+	$(BIN)/python -m standins.gateway_benchmark
--- a/sequoiapoint/node/relay.py
+++ b/sequoiapoint/node/relay.py
@@ -153,9 +153,7 @@
         self._sends = 0
         self._connect_failures = 0
         self._tried: set[str] = set()
-        self._splitter = EventSplitter(
-            state.adapter.servers.event_id, request.last_event_id
-        )
+        self._splitter = EventSplitter(request.last_event_id)
         self._last_reason = ""
         self._waited_s = 0.0
         self._has_unknown = False
@@ -428,7 +426,7 @@
             self.log_end(
                 "answered",
                 status=head.status,
-                events=splitter.events,
+                events=splitter.count,
                 server=entry.server,
             )
             return _Step.DELIVERED, ""
--- a/sequoiapoint/platform/servers.py
+++ b/sequoiapoint/platform/servers.py
@@ -165,9 +165,3 @@
             in_host_memory=frozenset(report.at_hand.in_memory),
             on_disk=frozenset(report.at_hand.on_disk),
         )
-
-    def event_id(self, line: bytes) -> str | None:
-        """Return the id that a line of an event stream sets, if it sets one."""
-        if line.startswith(b"id:"):
-            return line[3:].strip().decode("latin-1")
-        return None
--- a/sequoiapoint/platform/servers_test.py
+++ b/sequoiapoint/platform/servers_test.py
@@ -170,10 +170,3 @@
 )
 def test_a_report_that_cannot_be_read_says_so(body):
     assert isinstance(CODEC.decode_report(body), Unreadable)
-
-
-@pytest.mark.parametrize(
-    ("line", "expected"), [(b"id: 3", "3"), (b"id:4", "4"), (b"data: id:5", None)]
-)
-def test_an_events_id(line, expected):
-    assert CODEC.event_id(line) == expected
--- a/sequoiapoint/protocol/event_stream_test.py
+++ b/sequoiapoint/protocol/event_stream_test.py
@@ -5,13 +5,9 @@
 from sequoiapoint.protocol.event_stream import EventSplitter
 
 
-def event_id(line):
-    return line[3:].strip().decode() if line.startswith(b"id:") else None
-
-
 @pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n"])
 def test_only_whole_events_pass(end):
-    splitter = EventSplitter(event_id)
+    splitter = EventSplitter()
     assert splitter.feed(b"id: 1\ndata: a" + end + b"id: 2\nda") == (
         b"id: 1\ndata: a" + end
     )
@@ -21,7 +17,7 @@
 
 
 def test_a_stream_goes_on_after_the_last_whole_event():
-    splitter = EventSplitter(event_id, "7")
+    splitter = EventSplitter("7")
     splitter.feed(b"id: 8\ndata: a\n\nid: 9\nda")
     splitter.drop_partial()
     assert splitter.last_id == "8"
@@ -31,9 +27,25 @@
 @hypothesis.given(st.lists(st.integers(1, 40), max_size=60))
 def test_any_pieces_pass_the_same_bytes_in_order(cuts):
     whole = b"".join(b"id: %d\ndata: %s\n\n" % (n, b"x" * n) for n in range(1, 20))
-    splitter, passed, position = EventSplitter(event_id), b"", 0
+    splitter, passed, position = EventSplitter(), b"", 0
     for cut in [*cuts, len(whole)]:
         passed += splitter.feed(whole[position : position + cut])
         position += cut
     assert passed == whole
-    assert (splitter.events, splitter.last_id) == (19, "19")
+    assert (splitter.count, splitter.last_id) == (19, "19")
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        (b"id: 3\ndata: id: 9\n\n", "3"),
+        (b"data: x\nid:4\n\n", "4"),
+        (b"data: id:5\n\n", "0"),
+        (b"id: 6\ndata: a\n\ndata: without\n\n", "6"),
+        (b"id: 6\ndata: a\n\nid: 7\ndata: cut", "6"),
+    ],
+)
+def test_the_last_id_is_that_of_a_whole_event(data, expected):
+    splitter = EventSplitter("0")
+    splitter.feed(data)
+    assert splitter.last_id == expected
--- a/sequoiapoint/protocol/ports.py
+++ b/sequoiapoint/protocol/ports.py
@@ -84,9 +84,6 @@
     def decode_report(self, body: bytes) -> EngineReport | Unreadable:
         """Decode an engine's report."""
 
-    def event_id(self, line: bytes) -> str | None:
-        """Return the id that a line of an event stream sets, if it sets one."""
-
 
 class StoreCodec(Protocol):
     """Translates the calls to the platform's store."""
--- /dev/null
+++ b/standins/gateway_benchmark.py
@@ -0,0 +1,91 @@
+"""What the gateway itself costs: processor time a stream and a plain request.
+
+Real processes on loopback; only the gateway's own processor time counts, without that
+of the callers and servers, which are stand-ins in this process, and without what the
+gateway uses while nothing is asked of it, which is printed by itself.
+"""
+
+import concurrent.futures
+import sys
+import time
+from collections.abc import Callable
+
+import psutil
+
+from standins.site.deployment import Gateway, SiteDeployment
+
+EVENTS = 47
+"""Events of a stream: the users' most frequent kind of request."""
+STREAMS = 400
+PLAIN = 2_000
+CALLERS = 8
+IDLE_S = 5.0
+"""How long the idle gateway is looked at."""
+MOST_MS_A_STREAM = 2.0
+"""The bound on one stream, from the project's plan."""
+THREAD_PATH_MS_AN_EVENT = 1000.0 / 251 / 24
+"""The path of threads: 251 requests of 24 tokens a second and core by its benchmark,
+run right after this one on the same machine."""
+MOST_OF_THREAD_PATH = 0.2
+"""The bound on the cost of an event, against the path of threads."""
+
+
+def processor_ms(gateway: Gateway) -> float:
+    """Return the processor time that a gateway has used, in milliseconds."""
+    times = psutil.Process(gateway.process.pid).cpu_times()
+    return 1000.0 * (times.user + times.system)
+
+
+def idle_share(gateway: Gateway) -> float:
+    """Return the share of a core that an idle gateway uses."""
+    began = processor_ms(gateway)
+    time.sleep(IDLE_S)
+    return (processor_ms(gateway) - began) / 1000.0 / IDLE_S
+
+
+def cost_ms(
+    gateway: Gateway, count: int, ask: Callable[[int], bool], idle: float
+) -> float:
+    """Return the processor time for each request, in milliseconds.
+
+    :param idle: The share of a core that the idle gateway uses.
+    """
+    began, began_at = processor_ms(gateway), time.monotonic()
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+        served = sum(pool.map(ask, range(count)))
+    if served < count:
+        raise RuntimeError(f"{count - served} of {count} requests were not served")
+    idle_ms = 1000.0 * idle * (time.monotonic() - began_at)
+    return (processor_ms(gateway) - began - idle_ms) / count
+
+
+def main() -> int:
+    """Measure, print and compare with the bounds."""
+    with SiteDeployment(gateways=1) as site:
+        gateway = site.gateways[0]
+
+        def stream(number: int) -> bool:
+            reply = gateway.ask("/talk/x", f"s-{number}", b"q" * 1400, "oak", EVENTS)
+            return reply.status == 200 and reply.is_whole
+
+        def plain(number: int) -> bool:
+            return gateway.ask("/read/x", f"p-{number}", b"q" * 600).status == 200
+
+        idle = idle_share(gateway)
+        stream_ms = cost_ms(gateway, STREAMS, stream, idle)
+        plain_ms = cost_ms(gateway, PLAIN, plain, idle)
+        memory_mb = psutil.Process(gateway.process.pid).memory_info().rss / 1e6
+    ratio = stream_ms / EVENTS / THREAD_PATH_MS_AN_EVENT
+    print(
+        f"a stream of {EVENTS} events {stream_ms:.2f} ms (at most {MOST_MS_A_STREAM})"
+    )
+    print(f"an event against the path of threads {ratio:.3f} (at most "
+          f"{MOST_OF_THREAD_PATH})")  # fmt: skip
+    print(f"a plain request {plain_ms:.2f} ms")
+    print(f"idle {100 * idle:.2f} % of a core")
+    print(f"resident memory {memory_mb:.0f} MB")
+    return int(stream_ms > MOST_MS_A_STREAM or ratio > MOST_OF_THREAD_PATH)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
