--- /dev/null
+++ b/sequoiapoint/node/order_giver_test.py
@@ -0,0 +1,59 @@
+"""Who joins the group whose partition is the lease for orders."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from sequoiapoint.node.order_giver import (
+    CANDIDATES,
+    HOLDER_SILENCE_S,
+    OrderGiver,
+)
+from sequoiapoint.node.peer_exchange import PeerExchange
+from sequoiapoint.protocol.digests import Digest
+from sequoiapoint.protocol.gateway_settings import Bounds
+from sequoiapoint.state.peers import Peers
+from sequoiapoint.transport.clock import monotonic_s
+
+HOSTS = [f"h-{n}" for n in range(9)]
+
+
+def giver(host, peers):
+    exchange = SimpleNamespace(peers=peers)
+    exchange.hears_other_holder = lambda now, age_s: PeerExchange.hears_other_holder(
+        exchange, now, age_s
+    )
+    settings = SimpleNamespace(host=host, bounds=Bounds())
+    return OrderGiver(SimpleNamespace(settings=settings), None, exchange)
+
+
+def peers_of(host, holder="", heard_before_s=0.0):
+    peers, now = Peers(), monotonic_s()
+    for other in HOSTS:
+        if other != host:
+            fence = 4 if other == holder else 0
+            digest = Digest(other, "z", "127.0.0.1:1", 1, fence=fence)
+            peers.take(digest, now - heard_before_s)
+    return peers
+
+
+def candidates(holder="", heard_before_s=0.0):
+    return [
+        host
+        for host in HOSTS
+        if giver(host, peers_of(host, holder, heard_before_s))._is_candidate()
+    ]
+
+
+def test_a_few_hosts_want_the_lease_when_nobody_holds_it():
+    assert len(candidates()) == CANDIDATES
+
+
+@pytest.mark.parametrize(
+    ("heard_before_s", "joining"),
+    [(0.0, 0), (HOLDER_SILENCE_S / 2, 0), (HOLDER_SILENCE_S + 0.1, CANDIDATES)],
+)
+def test_nobody_joins_beside_a_holder_that_is_heard_of(heard_before_s, joining):
+    """Replays a rolling restart: hosts come and go while one gives orders."""
+    others = [h for h in candidates("h-0", heard_before_s) if h != "h-0"]
+    assert abs(len(others) - joining) <= (joining > 0)
