Split the relay and the giver of orders: choice of servers, lease, history of demand

Behaviour as it was, but that a new holder of the lease starts with a new history. What nothing called (leaving servers in digests) is gone.

--- a/sequoiapoint/node/order_giver.py
+++ b/sequoiapoint/node/order_giver.py
@@ -1,16 +1,18 @@
-"""Gives orders to engines while this host holds the lease for it."""
+"""Gives orders to engines while this host holds the lease for it.
+
+The decisions are in ``coordination``; this asks, orders and keeps the ledger of what
+each engine has accepted.
+"""
 
 import asyncio
-import math
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Mapping
 
-import xxhash
-
 from sequoiapoint.coordination import model_placement
+from sequoiapoint.coordination.demand_history import DemandHistory
 from sequoiapoint.coordination.model_placement import PlannedOrder, Wish
-from sequoiapoint.coordination.order_lease import OrderLease
 from sequoiapoint.node.gateway_state import GatewayState
+from sequoiapoint.node.lease_keeper import LeaseKeeper
 from sequoiapoint.node.peer_exchange import PeerExchange
 from sequoiapoint.protocol.errors import Failure
 from sequoiapoint.protocol.gateway import (
@@ -22,31 +24,10 @@
     Unreadable,
 )
 from sequoiapoint.state.engine_ledger import REPORT_LAG_S, EngineRecord
-from sequoiapoint.transport.clock import monotonic_s, since_boot_s
+from sequoiapoint.transport.clock import monotonic_s
 from sequoiapoint.transport.loop_client import call
 from sequoiapoint.transport.store_client import StoreClient
 
-GROUP = "engine-orders"
-GROUP_TOPIC = "engine-orders"
-LEASE_S = 1.8
-"""For how long the store keeps a silent holder; a gap in orders costs callers more than
-renewals, of which ten have the price of a call."""
-HOLDER_RENEWAL_S = 0.45
-"""Time between renewals by the holder: four in a lease, three while it is trusted."""
-CANDIDATE_RENEWAL_S = 0.8
-"""The same for hosts that would follow it: two in a lease."""
-HOLDER_NOW_S = 0.6
-"""Age of a digest up to which its sender counts as giving orders still."""
-HOLDER_SILENCE_S = 1.2
-"""Age of a holder's last digest from which others want to follow it: two digests lost,
-and less than the time for which the store keeps its lease."""
-CANDIDATES = 3
-"""Hosts that want to follow a silent holder; others do when these fall silent too."""
-FIRST_JOIN_DELAY_S = 0.6
-"""Time after the start before a host may join the group: a join that was not needed
-moves the lease."""
-OUTSIDER_CHECK_S = 0.2
-"""Time between looks at whether this host should be in the group."""
 PLAN_INTERVAL_S = 0.2
 """Time between looks at the placement when nothing asks for one."""
 LEAST_PLAN_INTERVAL_S = 0.01
@@ -62,10 +43,6 @@
 """How long the eviction of a model takes that no request uses: some round trips."""
 LOAD_MARGIN_S = 0.1
 """Time after a load's due end before it is believed done."""
-SMOOTHING_S = 1.0
-"""Time constant of the demand that copies follow: a shift of demand shows within it."""
-ADAPTER_RECENT_S = 5.0
-"""Time after its last request for which an adapter counts as asked for."""
 DEMAND_LOG_INTERVAL_S = 1.0
 """Time between log lines about the demand."""
 DEMAND_LOG_MODELS = 5
@@ -86,16 +63,9 @@
         self._state = state
         self._store = store
         self._exchange = exchange
-        bounds = state.settings.bounds
-        self._lease = OrderLease(LEASE_S, bounds.order_lease_s, bounds.is_fence_checked)
-        self._held_at = 0.0
+        self._lease = LeaseKeeper(state, store, exchange, self._start_anew)
         self._records: dict[tuple[str, int], EngineRecord] = {}
-        self._in_work: dict[tuple[str, str], float] = {}
-        self._asked_at: dict[tuple[str, str], float] = {}
-        self._goals: dict[tuple[str, str], float] = {}
-        self._priorities: dict[tuple[str, str], int] = {}
-        self._adapter_asked_at: dict[tuple[str, str, str], float] = {}
-        self._planned_at = 0.0
+        self._demand = DemandHistory(monotonic_s())
         self._logged_at = 0.0
         self._store_loads: deque[float] = deque()
         self._tasks: set[asyncio.Task] = set()
@@ -103,73 +73,17 @@
     async def run(self) -> None:
         """Renew the lease and plan for as long as the process runs."""
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._renew())
+            tasks.create_task(self._lease.run())
             tasks.create_task(self._plan_regularly())
 
     async def release(self) -> None:
         """Give the lease up, so that another host follows soon."""
-        self._lease.release()
-        self._exchange.fence = 0
-        await self._store.leave(GROUP, self._state.settings.host)
-
-    # Lease
-
-    async def _renew(self) -> None:
-        was_held = False
-        # The first digests tell which hosts there are, and so who belongs to the group.
-        await asyncio.sleep(FIRST_JOIN_DELAY_S)
-        while not self._state.is_draining:
-            is_held = self._lease.is_held(since_boot_s())
-            if is_held or self._is_candidate():
-                await self._join()
-                is_held = self._lease.is_held(since_boot_s())
-                pause_s = HOLDER_RENEWAL_S if is_held else CANDIDATE_RENEWAL_S
-            else:
-                pause_s = OUTSIDER_CHECK_S
-            if is_held != was_held:
-                was_held = is_held
-                self._note_turn(is_held)
-            await asyncio.sleep(pause_s)
-
-    def _is_candidate(self) -> bool:
-        """Tell whether this host should be in the group without holding the lease.
-
-        While a holder is heard of, nobody else is: each member that comes or goes may
-        move the lease.  All hosts rank the hosts that they hear of alike; views that
-        differ for a while only make the group larger.
-        """
-        now = monotonic_s()
-        if self._exchange.hears_other_holder(now, HOLDER_SILENCE_S):
-            return False
-        own = self._state.settings.host
-        hosts = [own, *(p.host for p in self._exchange.peers.live(now))]
-        hosts.sort(key=lambda host: xxhash.xxh64_intdigest(host.encode()))
-        return own in hosts[:CANDIDATES]
-
-    async def _join(self) -> None:
-        asked_at = since_boot_s()
-        answer = await self._store.join(
-            GROUP,
-            GROUP_TOPIC,
-            self._state.settings.host,
-            LEASE_S,
-            self._lease.generation,
-        )
-        if not isinstance(answer, Failure) and not self._state.is_draining:
-            self._lease.renew(answer, asked_at)
+        await self._lease.release()
 
-    def _note_turn(self, is_held: bool) -> None:
-        """Start with no belief of one's own when the lease comes or goes."""
+    def _start_anew(self) -> None:
+        """Drop what is believed of engines and demand when the lease comes or goes."""
         self._records.clear()
-        self._held_at = monotonic_s()
-        self._exchange.fence = self._lease.fence if is_held else 0
-        self._exchange.send_soon()
-        self._state.log.event(
-            "order_lease", "held" if is_held else "lost", fence=self._lease.fence
-        )
-
-    def _may_order(self) -> bool:
-        return not self._state.is_draining and self._lease.may_order(since_boot_s())
+        self._demand = DemandHistory(monotonic_s())
 
     # Planning
 
@@ -182,13 +96,10 @@
             except TimeoutError:
                 pass
             wants.clear()
-            if self._lease.is_held(since_boot_s()):
-                self._exchange.fence = self._lease.fence
+            if self._lease.is_held:
                 self._plan()
-            else:
-                self._exchange.fence = 0
-                if self._state.demand.waiting():
-                    self._exchange.send_soon()
+            elif self._state.demand.waiting():
+                self._exchange.send_soon()
             await asyncio.sleep(LEAST_PLAN_INTERVAL_S)
 
     def _plan(self) -> None:
@@ -196,84 +107,40 @@
         if configuration is None:
             return
         now = monotonic_s()
-        if self._exchange.hears_other_holder(now, HOLDER_NOW_S):
-            self._lease.note_other_holder(since_boot_s())
-        self._follow_demand(now)
+        self._demand.follow(self._exchange.fleet_demand.total(now), now)
+        self._note_adapters_used(now)
         for service in configuration.services.values():
             if service.engine is not None:
                 self._plan_service(service.name, service.engine, now)
 
-    def _follow_demand(self, now: float) -> None:
-        weight = 1.0 - math.exp(-(now - self._planned_at) / SMOOTHING_S)
-        self._planned_at = now
-        in_work: dict[tuple[str, str], int] = {}
-        self._waiting: dict[tuple[str, str], int] = {}
-        self._adapters_waiting: dict[str, dict[tuple[str, str], int]] = {}
-        self._adapters_in_use: dict[str, set[tuple[str, str]]] = {}
-        total = self._exchange.fleet_demand.total(now)
-        for demand in total:
-            key = (demand.service, demand.model)
-            in_work[key] = in_work.get(key, 0) + demand.in_work
-            self._waiting[key] = self._waiting.get(key, 0) + demand.waiting
-            self._asked_at[key] = now
-            self._goals[key] = min(demand.goal_s, self._goals.get(key, demand.goal_s))
-            self._priorities[key] = min(
-                demand.priority, self._priorities.get(key, demand.priority)
-            )
-            if demand.adapter:
-                self._note_adapter(demand, now)
-        for key in self._in_work.keys() | in_work.keys():
-            value = self._in_work.get(key, 0.0)
-            self._in_work[key] = value + weight * (in_work.get(key, 0) - value)
-
-    def _note_adapter(self, demand: object, now: float) -> None:
-        pair = (demand.model, demand.adapter)
-        self._adapter_asked_at[(demand.service, *pair)] = now
-        if demand.waiting:
-            self._adapters_waiting.setdefault(demand.service, {})[pair] = demand.waiting
-        if demand.in_work:
-            self._adapters_in_use.setdefault(demand.service, set()).add(pair)
+    def _note_adapters_used(self, now: float) -> None:
         for record in self._records.values():
-            if demand.adapter in record.held.get(demand.model, ()):
-                record.adapter_used[pair] = now
+            for pair in self._demand.adapters_asked_now(record.entry.service):
+                if pair[1] in record.held.get(pair[0], ()):
+                    record.adapter_used[pair] = now
 
     def _plan_service(self, service: str, spec: EngineSpec, now: float) -> None:
         records = self._follow_engines(service, now)
-        if not self._may_order():
+        if not self._lease.may_order():
             return
         settled = [r for r in records if not r.is_in_doubt]
-        adapters_asked = Counter(
-            model
-            for (name, model, _), at in self._adapter_asked_at.items()
-            if name == service and now - at < ADAPTER_RECENT_S
-        )
-        least_urgent = max(
-            (
-                route.priority
-                for route in self._state.configuration.routes
-                if any(target == service for target, _ in route.targets)
-            ),
-            default=0,
+        wishes = self._demand.wishes(
+            service,
+            spec.models,
+            self._state.configuration.least_urgent_priority(service),
+            now,
         )
-        wishes = {
-            model: Wish(
-                self._in_work.get((service, model), 0.0),
-                self._waiting.get((service, model), 0),
-                now - self._asked_at.get((service, model), self._held_at),
-                adapters_asked[model],
-                self._goals.get((service, model)),
-                self._priorities.get((service, model), 0) == least_urgent,
-            )
-            for model in spec.models
-        }
         loads = {
             r.entry.server: self._state.loads.of(r.entry.incarnation).running(now)
             for r in settled
         }
-        adapters = self._adapters_waiting.get(service, {})
         # Each plan leaves out the engines to which one before it gives an order.
         for order in model_placement.plan_adapters(
-            settled, spec, adapters, self._adapters_in_use.get(service, set()), loads
+            settled,
+            spec,
+            self._demand.adapters_waiting(service),
+            self._demand.adapters_in_use(service),
+            loads,
         ):
             self._start(order, spec, now)
         left = self._store_loads_left(spec, now)
@@ -389,7 +256,7 @@
                 self._withdraw(record, planned)
                 if not planned.adapter:
                     await asyncio.sleep(EVICTION_NOTICE_S)
-            if not self._may_order() or record.order_count is None:
+            if not self._lease.may_order() or record.order_count is None:
                 return
             order = Order(
                 planned.action,
--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -80,7 +80,6 @@
         self.peers = Peers()
         self.fleet_demand = FleetDemand()
         self.fence = 0
-        self.leaving: dict[tuple[str, int], float] = {}
 
     async def start(self) -> None:
         """Listen for digests and calls."""
--- /dev/null
+++ b/sequoiapoint/node/request_run.py
@@ -0,0 +1,493 @@
+"""The sends of one caller's request, and what follows from each.
+
+Only what has certainly not run is refused as such; a request whose outcome is not known
+is sent again only where its route says that it may run more than once.
+"""
+
+import asyncio
+import enum
+import http
+import itertools
+
+import xxhash
+
+from sequoiapoint.coordination import waiting
+from sequoiapoint.node.gateway_state import GatewayState
+from sequoiapoint.node.server_pick import LEAST_SEND_S, ServerPicker
+from sequoiapoint.protocol.errors import Failure
+from sequoiapoint.protocol.event_stream import EventSplitter
+from sequoiapoint.protocol.gateway import (
+    AnswerHead,
+    CallerRequest,
+    Route,
+    ServerEntry,
+)
+from sequoiapoint.protocol.ports import Headers
+from sequoiapoint.transport.clock import monotonic_s
+from sequoiapoint.transport.loop_client import (
+    CONNECT_TIMEOUT_S,
+    ClientConnection,
+    End,
+    Exchange,
+)
+from sequoiapoint.transport.loop_server import Responder
+
+SERVER_ANSWER_GRACE_S = 0.1
+"""Time after the deadline for the server's own word that it was reached."""
+FIRST_TRY_SHARE = 0.5
+"""Part of its time for the first try of a plain request that may run twice."""
+STREAM_SILENCE_S = 1.2
+"""Silence of a server from which a stream that may be resumed goes on elsewhere; below
+the two seconds after which callers give up."""
+ENGINE_PRIORITIES = 9
+"""The least urgent rank that engines know; theirs starts at zero too."""
+
+_request_numbers = itertools.count()
+
+
+class _Step(enum.Enum):
+    """What follows from one send."""
+
+    DELIVERED = "delivered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    BROKEN_STREAM = "broken_stream"
+
+
+def refuse(
+    state: GatewayState,
+    responder: Responder,
+    request_id: str,
+    reason: str,
+    status: int,
+    retry_after_s: float | None = None,
+    **fields: object,
+) -> None:
+    """Give a final answer of the gateway's own."""
+    headers = state.adapter.callers.refusal_headers(request_id, retry_after_s)
+    responder.send_whole(int(status), headers)
+    state.metrics.refusal(reason)
+    state.log.event(
+        "request_refused",
+        reason,
+        request=request_id,
+        status=int(status),
+        retry_after_s=None if retry_after_s is None else round(retry_after_s, 2),
+        configuration=state.configuration.version if state.configuration else None,
+        **fields,
+    )
+
+
+class RequestRun:
+    """The sends of one request."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        request: CallerRequest,
+        route: Route,
+        arrived_s: float,
+        responder: Responder,
+    ) -> None:
+        self._state = state
+        self._request = request
+        self._route = route
+        self._responder = responder
+        self._arrived_s = arrived_s
+        budget_s = route.timeout_s
+        if request.budget_s is not None:
+            budget_s = min(budget_s, request.budget_s)
+        self._deadline = arrived_s + budget_s
+        self._picker = ServerPicker(state, request, route, self._deadline)
+        self._sends = 0
+        self._splitter = EventSplitter(request.last_event_id)
+        self._has_unknown = False
+        self._has_resend = False
+        self._first_event_s: float | None = None
+        self._number = 0
+        self._last_event_at: float | None = None
+        self._longest_gap_s = 0.0
+
+    def _remaining_s(self) -> float:
+        return self._deadline - monotonic_s()
+
+    def _fingerprint(self) -> str:
+        digest = xxhash.xxh64(self._request.target.encode())
+        digest.update(self._request.model.encode())
+        digest.update(self._request.body)
+        return digest.hexdigest()
+
+    async def run(self) -> None:
+        """Send the request until it is answered or may not be sent again."""
+        state = self._state
+        fingerprint = self._fingerprint()
+        if state.quarantine.is_quarantined(fingerprint, monotonic_s()):
+            self._refuse("quarantined", http.HTTPStatus.FORBIDDEN, None)
+            return
+        if not self._picker.knows_model():
+            self._refuse_not_run("unknown_model")
+            return
+        if self._picker.is_engine:
+            state.demand.ask(
+                self._picker.demand_key, self._route.goal_s, self._route.priority
+            )
+        while True:
+            entry = await self._picker.wait()
+            if entry is None:
+                self._refuse_unsent()
+                return
+            number = next(_request_numbers)
+            load = state.loads.of(entry.incarnation)
+            load.send(number, monotonic_s(), self._picker.prompt_tokens)
+            self._number = number
+            if self._picker.is_engine:
+                state.demand.change(self._picker.demand_key, in_work=1)
+            try:
+                step = await self._send(entry, fingerprint)
+            finally:
+                load.finish(number)
+                if self._picker.is_engine:
+                    state.demand.change(self._picker.demand_key, in_work=-1)
+                state.waiting.notify()
+            if step is _Step.DELIVERED:
+                return
+            if step is None:
+                # No connection was made, so that nothing has been sent.
+                self._picker.connect_failures += 1
+                continue
+            self._picker.tried.add(entry.server)
+            if not self._may_send_again(step):
+                self._give_up(step)
+                return
+
+    # Sending
+
+    async def _send(self, entry: ServerEntry, fingerprint: str) -> _Step | None:
+        """Send once; None where no connection was made."""
+        state = self._state
+        pool = state.pools.of(entry)
+        load = state.loads.of(entry.incarnation)
+        connection = await pool.acquire(min(CONNECT_TIMEOUT_S, self._remaining_s()))
+        now = monotonic_s()
+        if isinstance(connection, Failure):
+            load.note_connect_failure(now)
+            self._log_attempt(entry, "not_connected", error=connection.reason)
+            return None
+        if self._sends == 0:
+            state.retries(self._picker.service).note_request(now)
+        self._sends += 1
+        priority = min(self._route.priority, ENGINE_PRIORITIES)
+        head = state.adapter.servers.request_head(
+            self._request,
+            entry,
+            self._remaining_s(),
+            min(self._route.priority, ENGINE_PRIORITIES)
+            if self._picker.is_engine
+            else None,
+            self._splitter.last_id,
+        )
+        exchange = connection.send(head, self._request.body, self._is_own_answer)
+        try:
+            step, reason = await self._follow(entry, connection, exchange)
+        finally:
+            if not exchange.ended.done():
+                connection.close()
+        now = monotonic_s()
+        if reason != End.TIMED_OUT.value:
+            load.hear(now)
+        self._note_health(entry, step, reason, fingerprint)
+        if step is not _Step.DELIVERED:
+            self._picker.reason = reason
+            self._log_attempt(entry, step.value, error=reason)
+        return step
+
+    def _is_own_answer(self, status: int, headers: Headers) -> bool:
+        head = self._state.adapter.servers.decode_head(status, headers)
+        return not head.request_id or head.request_id == self._request.request_id
+
+    async def _follow(
+        self, entry: ServerEntry, connection: ClientConnection, exchange: Exchange
+    ) -> tuple[_Step, str]:
+        """Wait for the answer; return what follows and why."""
+        answered = await self._await(exchange.head, self._first_patience(), entry)
+        if isinstance(answered, End):
+            return _Step.UNKNOWN, answered.value
+        head = self._state.adapter.servers.decode_head(*answered)
+        now = monotonic_s()
+        load = self._state.loads.of(entry.incarnation)
+        load.hear(now)
+        if head.load is not None:
+            load.take_report(head.load, now)
+        if head.was_not_run:
+            if head.is_wrong_server and self._picker.is_engine:
+                self._state.fleet.deny(
+                    entry, self._request.model, self._request.adapter, now
+                )
+                self._state.wants_order.set()
+            return _Step.NOT_RUN, f"server_said_{head.status}"
+        is_good = 200 <= head.status < 300
+        if head.is_encoded or (is_good and not head.is_sealed):
+            connection.close()
+            return _Step.UNKNOWN, "not_the_servers_answer"
+        if is_good and self._route.is_stream:
+            return await self._follow_stream(head, connection, exchange, entry)
+        return await self._follow_whole(head, exchange, entry)
+
+    async def _follow_whole(
+        self, head: AnswerHead, exchange: Exchange, entry: ServerEntry
+    ) -> tuple[_Step, str]:
+        end = await self._await(exchange.ended, self._remaining_s(), entry)
+        if end is not End.COMPLETE:
+            return _Step.UNKNOWN, end.value
+        is_error = head.status >= 500
+        may_repeat = self._route.may_repeat and self._has_sends_left()
+        has_time = self._remaining_s() > LEAST_SEND_S
+        if is_error and may_repeat and has_time and self._take_resend():
+            self._has_resend = True
+            return _Step.UNKNOWN, f"server_error_{head.status}"
+        if self._responder.is_started:
+            return _Step.UNKNOWN, f"server_error_{head.status}"
+        self._responder.send_whole(
+            head.status, list(head.headers), exchange.take_body()
+        )
+        self.log_end("answered", status=head.status, server=entry.server)
+        return _Step.DELIVERED, "server_error" if is_error else ""
+
+    async def _follow_stream(
+        self,
+        head: AnswerHead,
+        connection: ClientConnection,
+        exchange: Exchange,
+        entry: ServerEntry,
+    ) -> tuple[_Step, str]:
+        responder, splitter = self._responder, self._splitter
+        load = self._state.loads.of(entry.incarnation)
+        heard = asyncio.Event()
+
+        def pass_on(data: bytes) -> None:
+            heard.set()
+            events = splitter.feed(data)
+            if not events:
+                return
+            if load.note_first_event(self._number):
+                self._state.waiting.notify()
+            self._note_gap(monotonic_s())
+            if not responder.is_started:
+                responder.start_stream(head.status, list(head.headers))
+                self._first_event_s = monotonic_s() - self._arrived_s
+                self._state.metrics.first_token(
+                    self._route.repeatability.value, self._first_event_s
+                )
+            responder.send(events)
+
+        exchange.on_body = pass_on
+        responder.on_congestion(connection.pause, connection.resume)
+        early = exchange.take_body()
+        if early:
+            pass_on(early)
+        end = await self._await_stream(exchange, heard)
+        if end is End.COMPLETE and not splitter.has_partial:
+            if not responder.is_started:
+                responder.start_stream(head.status, list(head.headers))
+            responder.end_stream()
+            self.log_end(
+                "answered",
+                status=head.status,
+                events=splitter.count,
+                server=entry.server,
+            )
+            return _Step.DELIVERED, ""
+        splitter.drop_partial()
+        reason = end.value if end is not End.COMPLETE else "partial_event"
+        return (
+            _Step.BROKEN_STREAM if responder.is_started else _Step.UNKNOWN,
+            reason,
+        )
+
+    def _note_gap(self, now: float) -> None:
+        """Note the pause before an event, which counts for a stream being on time."""
+        if self._last_event_at is not None:
+            gap_s = now - self._last_event_at
+            self._longest_gap_s = max(self._longest_gap_s, gap_s)
+        self._last_event_at = now
+
+    async def _await_stream(self, exchange: Exchange, heard: asyncio.Event) -> End:
+        """Wait for a stream's end, its deadline, or a silence that is too long."""
+        ended = exchange.ended
+        silence_s = max(STREAM_SILENCE_S, 8 * self._route.event_gap_s)
+        may_switch = self._route.is_resumable and self._has_sends_left()
+        while not ended.done():
+            timeout_s = self._remaining_s() + SERVER_ANSWER_GRACE_S
+            if timeout_s <= 0:
+                return End.TIMED_OUT
+            heard.clear()
+            await asyncio.wait(
+                [ended], timeout=min(timeout_s, silence_s) if may_switch else timeout_s
+            )
+            if not ended.done() and may_switch and not heard.is_set():
+                return End.TIMED_OUT
+        return ended.result()
+
+    def _first_patience(self) -> float:
+        remaining_s = self._remaining_s() + SERVER_ANSWER_GRACE_S
+        if not self._route.may_repeat or not self._has_sends_left():
+            return remaining_s
+        if self._route.is_stream:
+            return min(remaining_s, max(STREAM_SILENCE_S, 4 * self._route.goal_s))
+        return min(remaining_s, FIRST_TRY_SHARE * (self._deadline - self._arrived_s))
+
+    async def _await(
+        self, future: asyncio.Future, timeout_s: float, entry: ServerEntry
+    ) -> object:
+        """Wait for a future, at most until the deadline.
+
+        A late first answer is waited for as long as its server speaks at all.
+        """
+        while True:
+            await asyncio.wait([future], timeout=max(0.0, timeout_s))
+            if future.done():
+                return future.result()
+            now = monotonic_s()
+            load = self._state.loads.of(entry.incarnation)
+            if self._deadline + SERVER_ANSWER_GRACE_S <= now:
+                return End.TIMED_OUT
+            if load.is_silent(now) or not self._route.is_stream:
+                return End.TIMED_OUT
+            timeout_s = min(
+                STREAM_SILENCE_S, self._deadline + SERVER_ANSWER_GRACE_S - now
+            )
+
+    # What follows
+
+    def _has_sends_left(self) -> bool:
+        return self._sends < self._route.attempts
+
+    def _take_resend(self) -> bool:
+        state = self._state
+        return state.retries(self._picker.service).take_resend(
+            monotonic_s(), state.host_count
+        )
+
+    def _may_send_again(self, step: _Step) -> bool:
+        if step is not _Step.NOT_RUN and not self._route.may_repeat:
+            return False
+        if step is _Step.BROKEN_STREAM and not self._route.is_resumable:
+            return False
+        if step is not _Step.NOT_RUN:
+            self._has_unknown = True
+        if not self._has_sends_left() or self._remaining_s() < LEAST_SEND_S:
+            return False
+        if self._has_resend:
+            self._has_resend = False
+        elif not self._take_resend():
+            self._state.metrics.refusal("retry_budget")
+            return False
+        self._state.metrics.retry(self._picker.reason)
+        return True
+
+    def _give_up(self, step: _Step) -> None:
+        if self._responder.is_started:
+            self._responder.abort()
+            self.log_end("broken_off", reason=self._picker.reason)
+        elif step is _Step.NOT_RUN and not self._has_unknown:
+            self._refuse_not_run(self._picker.reason)
+        else:
+            self._fail()
+
+    def _refuse_unsent(self) -> None:
+        """Answer where no server was found, or none in time."""
+        if self._responder.is_started:
+            self._responder.abort()
+            self.log_end("broken_off", reason=self._picker.reason)
+        elif self._has_unknown:
+            self._fail()
+        else:
+            self._refuse_not_run(self._picker.reason)
+
+    def _refuse_not_run(self, reason: str) -> None:
+        has_servers = reason in ("servers_full", "no_connection", "engine_reads")
+        self._refuse(
+            reason,
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            waiting.retry_after_s(has_servers, self._state.rng.random()),
+        )
+
+    def _fail(self) -> None:
+        is_late = self._remaining_s() < LEAST_SEND_S
+        status = (
+            http.HTTPStatus.GATEWAY_TIMEOUT if is_late else http.HTTPStatus.BAD_GATEWAY
+        )
+        self._refuse(self._picker.reason or "outcome_unknown", status, None)
+
+    def _refuse(self, reason: str, status: int, retry_after_s: float | None) -> None:
+        refuse(
+            self._state,
+            self._responder,
+            self._request.request_id,
+            reason,
+            status,
+            retry_after_s,
+            route=self._route.name,
+            sends=self._sends,
+            waited_ms=round(self._picker.waited_s * 1000),
+            remaining_ms=round(self._remaining_s() * 1000),
+        )
+
+    # Health, log
+
+    def _note_health(
+        self, entry: ServerEntry, step: _Step, reason: str, fingerprint: str
+    ) -> None:
+        state = self._state
+        load = state.loads.of(entry.incarnation)
+        is_failure = step in (_Step.UNKNOWN, _Step.BROKEN_STREAM) or bool(reason)
+        if step is _Step.NOT_RUN:
+            is_failure = not reason.endswith("421")
+        load.note_outcome(is_failure)
+        if step is _Step.DELIVERED and not reason:
+            state.quarantine.clear(fingerprint)
+        elif reason in (End.RESET.value, End.CLOSED.value):
+            death = f"{entry.server}@{entry.started_ms}"
+            now = monotonic_s()
+            if state.quarantine.record_death(fingerprint, death, now):
+                state.log.event(
+                    "request_quarantined",
+                    request=self._request.request_id,
+                    fingerprint=fingerprint,
+                )
+
+    def _log_attempt(self, entry: ServerEntry, outcome: str, **fields: object) -> None:
+        now = monotonic_s()
+        load = self._state.loads.of(entry.incarnation)
+        self._state.log.event(
+            "attempt_failed",
+            outcome,
+            request=self._request.request_id,
+            peer=entry.server,
+            sends=self._sends,
+            load=round(load.running(now), 1),
+            load_age_ms=round((now - load.reported_at) * 1000) if load.report else None,
+            remaining_ms=round(self._remaining_s() * 1000),
+            **fields,
+        )
+
+    def log_end(self, outcome: str, **fields: object) -> None:
+        """Log and count the end of the request."""
+        elapsed_s = monotonic_s() - self._arrived_s
+        self._state.metrics.request(outcome, self._route.repeatability.value, elapsed_s)
+        if self._first_event_s is not None:
+            fields["first_ms"] = round(self._first_event_s * 1000)
+            fields["longest_gap_ms"] = round(self._longest_gap_s * 1000)
+        if self._request.model:
+            fields["model"] = self._request.model
+            fields["adapter"] = self._request.adapter
+        self._state.log.event(
+            "request_ended",
+            outcome,
+            request=self._request.request_id,
+            route=self._route.name,
+            sends=self._sends,
+            waited_ms=round(self._picker.waited_s * 1000),
+            elapsed_ms=round(elapsed_s * 1000),
+            **fields,
+        )
--- a/sequoiapoint/protocol/digest.capnp
+++ b/sequoiapoint/protocol/digest.capnp
@@ -33,11 +33,6 @@
   deaths @1 :List(Text);
 }
 
-struct Leaving {
-  server @0 :Text;
-  startedMs @1 :Int64;
-}
-
 struct Digest {
   # Sent over UDP; every list may be empty.
   host @0 :Text;
@@ -53,7 +48,6 @@
   demands @10 :List(Demand);
   holdings @11 :List(Holding);
   suspicions @12 :List(Suspicion);
-  leaving @13 :List(Leaving);
 }
 
 struct Record {
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -26,7 +26,6 @@
     :param demands: Its demand for models.
     :param holdings: What engines hold, from the host that gives orders.
     :param suspicions: Fingerprints with the server processes that died on them.
-    :param leaving: Servers that said themselves that they leave.
     """
 
     host: str
@@ -42,7 +41,6 @@
     demands: tuple[ModelDemand, ...] = ()
     holdings: tuple[tuple[Incarnation, dict[str, frozenset[str]]], ...] = ()
     suspicions: tuple[tuple[str, frozenset[str]], ...] = ()
-    leaving: tuple[Incarnation, ...] = ()
 
 
 def encode_digest(digest: Digest) -> bytes:
@@ -88,7 +86,6 @@
             {"fingerprint": fingerprint, "deaths": sorted(deaths)}
             for fingerprint, deaths in digest.suspicions
         ],
-        leaving=[{"server": s, "startedMs": at} for s, at in digest.leaving],
     )
     return message.to_bytes_packed()
 
@@ -133,7 +130,6 @@
             suspicions=tuple(
                 (s.fingerprint, frozenset(s.deaths)) for s in message.suspicions
             ),
-            leaving=tuple((entry.server, entry.startedMs) for entry in message.leaving),
         )
     except capnp.KjException as error:
         raise ValueError(f"not a digest: {error}") from error
--- a/sequoiapoint/protocol/gateway.py
+++ b/sequoiapoint/protocol/gateway.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import functools
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -126,6 +127,18 @@
     services: Mapping[str, ServiceSpec]
     limits: CallerLimits
 
+    def least_urgent_priority(self, service: str) -> int:
+        """Return the rank of a service's least urgent requests; 0 is the first."""
+        return self._least_urgent.get(service, 0)
+
+    @functools.cached_property
+    def _least_urgent(self) -> Mapping[str, int]:
+        ranks: dict[str, int] = {}
+        for route in self.routes:
+            for service, _ in route.targets:
+                ranks[service] = max(ranks.get(service, 0), route.priority)
+        return ranks
+
 
 class ServerState(enum.Enum):
     """Whether a server takes new work."""
--- a/sequoiapoint/state/fleet.py
+++ b/sequoiapoint/state/fleet.py
@@ -39,7 +39,6 @@
         self._by_service: dict[str, list[ServerEntry]] = {}
         self._residency: dict[Incarnation, Residency] = {}
         self._vanished_at: dict[str, float] = {}
-        self._leaving: dict[str, int] = {}
 
     @property
     def entries(self) -> Mapping[str, ServerEntry]:
@@ -57,8 +56,6 @@
             return False
         if known is not None and known.started_ms < entry.started_ms:
             self._residency.pop(known.incarnation, None)
-        if self._leaving.get(entry.server, -1) < entry.started_ms:
-            self._leaving.pop(entry.server, None)
         self._vanished_at.pop(entry.server, None)
         self._entries[entry.server] = entry
         if entry.models is not None:
@@ -91,23 +88,10 @@
             self.remove(server)
         return gone
 
-    def mark_leaving(self, server: str, started_ms: int) -> bool:
-        """Note that a process of a server takes no new work; tell if that is news."""
-        if self._leaving.get(server, -1) >= started_ms:
-            return False
-        self._leaving[server] = started_ms
-        return True
-
-    def is_ready(self, entry: ServerEntry) -> bool:
-        """Tell whether a server takes new work."""
-        return (
-            entry.state is ServerState.READY
-            and self._leaving.get(entry.server, -1) < entry.started_ms
-        )
-
     def ready_servers(self, service: str) -> list[ServerEntry]:
         """Return the servers of a service that take new work."""
-        return [e for e in self._by_service.get(service, ()) if self.is_ready(e)]
+        entries = self._by_service.get(service, ())
+        return [e for e in entries if e.state is ServerState.READY]
 
     def holds(self, entry: ServerEntry, model: str, adapter: str, now: float) -> bool:
         """Tell whether an engine is believed to hold a model and an adapter of it."""
