--- a/sequoiapoint/node/request_run.py
+++ b/sequoiapoint/node/request_run.py
@@ -181,9 +181,7 @@
             self._request,
             entry,
             self._remaining_s(),
-            min(self._route.priority, ENGINE_PRIORITIES)
-            if self._picker.is_engine
-            else None,
+            priority if self._picker.is_engine else None,
             self._splitter.last_id,
         )
         exchange = connection.send(head, self._request.body, self._is_own_answer)
