--- /dev/null
+++ b/sequoiapoint/coordination/adapter_placement_test.py
@@ -0,0 +1,78 @@
+import pytest
+
+from sequoiapoint.coordination import adapter_placement
+from sequoiapoint.coordination.model_placement import Wish
+from sequoiapoint.protocol.gateway import (
+    EngineSpec,
+    ModelSpec,
+    ServerEntry,
+    ServerState,
+)
+from sequoiapoint.state.engine_ledger import EngineRecord
+
+MODELS = [f"m{n}" for n in range(12)]
+SPEC = EngineSpec(
+    slots=64,
+    cache_tokens=1000,
+    memory_mb=200.0,
+    adapter_places=4,
+    store_loads_per_s=1.0,
+    models={m: ModelSpec(m, 60.0, 4.0, 0.4, 0.8, 6, 1.0) for m in MODELS},
+)
+
+
+def engine(server, *models, adapters=(), **fields):
+    entry = ServerEntry(server, "lm", "10.0.0.1:1", "z", ServerState.READY, 1, 64)
+    held = {name: set() for name in models}
+    if adapters:
+        held[models[0]] = set(adapters)
+    return EngineRecord(entry, order_count=0, held=held, **fields)
+
+
+def plan_adapters(engines, waiting, in_use=frozenset()):
+    orders = adapter_placement.plan_adapters(engines, SPEC, waiting, in_use, {})
+    return [(o.record.entry.server, o.action.value, o.adapter) for o in orders]
+
+
+def test_an_adapter_that_requests_wait_for_is_loaded_where_there_is_a_place():
+    full = engine("a", "m0", adapters=("a1", "a2", "a3", "a4"))
+    assert plan_adapters([full, engine("b", "m0")], {("m0", "a5"): 2}) == [
+        ("b", "load", "a5")
+    ]
+
+
+def test_the_adapter_unused_longest_yields_its_place():
+    record = engine("a", "m0", adapters=("a1", "a2", "a3", "a4"))
+    record.adapter_used = {("m0", f"a{n}"): float(n) for n in (1, 2, 3, 4)}
+    assert plan_adapters([record], {("m0", "a5"): 1}) == [("a", "evict", "a1")]
+    assert plan_adapters([record], {("m0", "a5"): 1}, {("m0", "a1")}) == [
+        ("a", "evict", "a2")
+    ]
+
+
+def test_an_adapter_in_use_keeps_its_place_until_its_requests_end():
+    """Replays the order that would overfill an engine: the place is not free yet."""
+    record = engine("a", "m0", adapters=("a1", "a2", "a3"))
+    record.leaving_adapters = {("m0", "a4")}
+    assert plan_adapters([record], {("m0", "a5"): 1}) == []
+
+
+@pytest.mark.parametrize("field", ["coming", "leaving_model"])
+def test_an_engine_busy_with_a_model_gets_no_order_about_adapters(field):
+    record = engine("a", "m0", **{field: "m1"})
+    assert plan_adapters([record], {("m0", "a5"): 1}) == []
+
+
+def test_an_adapter_on_its_way_is_not_ordered_twice():
+    engines = [engine("a", "m0", adapters=("a5",)), engine("b", "m0")]
+    assert plan_adapters(engines, {("m0", "a5"): 1}) == []
+
+
+def test_spare_places_are_filled_with_adapters_of_models_in_demand():
+    """Replays a model whose adapters are asked for one after the other."""
+    engines = [engine("a", "m0", adapters=("a1", "a2")), engine("b", "m1")]
+    wishes = {"m0": Wish(5.0, 0, 0.0, adapters=2), "m1": Wish(5.0, 0, 0.0)}
+    orders = adapter_placement.plan_spare_places(engines, SPEC, wishes)
+    assert [(o.record.entry.server, o.model, o.adapter) for o in orders] == [
+        ("a", "m0", "a3")
+    ]
--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -3,12 +3,12 @@
 Answers demand that moves by a place in a list within seconds, rare models that are
 asked for at once, and a start with many models: a model's first copy comes before any
 second that helps as much, a copy is only given up for one that is asked for more, and
-loads from the weight store stay below its rate.  Adapters load in milliseconds and
-follow the requests that wait.
+loads from the weight store stay below its rate.
 """
 
+import enum
 import math
-from collections.abc import Mapping, Sequence, Set
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from sequoiapoint.protocol.gateway import EngineSpec, OrderAction
@@ -48,10 +48,6 @@
 """Time for which a new copy stays, so that models do not take turns at a place."""
 ADAPTER_COPIES_SHARE = 1.0
 """Part of an engine's adapter places that one model's adapters are planned to take."""
-ADAPTERS_AT_ONCE = 4
-"""Adapters that may be on their way to an engine at once, by the engines' protocol."""
-ADAPTER_PREFIX = "a"
-"""Adapters of a model are named by this and their number from one."""
 BUSY_SHARE = 0.4
 """Part of the engines with models in demand that may load or evict models at once:
 they take no orders about adapters meanwhile, and none about what comes next."""
@@ -93,6 +89,25 @@
         return self.in_work + self.waiting
 
 
+class Readiness(enum.IntEnum):
+    """Why a copy may go for one of another model, the readiest first."""
+
+    EXCESS = 0
+    """Its model has more copies than it needs."""
+    PATIENT_IDLE = 1
+    """Its model's requests can wait for a load, and none has come for a while."""
+    PATIENT_UNUSED = 2
+    """They can wait for a load, and none is in work."""
+    CARRIED_BY_OTHERS = 3
+    """Other copies carry its requests on time."""
+    CROWDING_OTHERS = 4
+    """Other copies carry its requests, though late."""
+    OUTWEIGHED = 5
+    """The other model has far more requests, and these can wait."""
+    IDLE = 6
+    """It is the only copy of a model that nobody asks for at the moment."""
+
+
 NO_WISH = Wish(0.0, 0, math.inf, goal_s=None)
 
 
@@ -277,15 +292,15 @@
         if self._is_making_room and self._copies[name] > 0:
             return None
         ranked = [
-            (rank, self._value(other), other)
+            (readiness, self._value(other), other)
             for other in record.held
-            if (rank := self._yield_rank(other, name, record)) is not None
+            if (readiness := self._readiness(other, name, record)) is not None
         ]
         if not ranked:
             return None
-        rank, value, victim = min(ranked)
+        readiness, value, victim = min(ranked)
         order = PlannedOrder(record, OrderAction.EVICT, victim)
-        return cost + EVICTION_COST_S * (1 + rank) + value, order
+        return cost + EVICTION_COST_S * (1 + readiness) + value, order
 
     def _value(self, name: str) -> float:
         """Return what a copy of a model is worth: its requests, then how lately."""
@@ -293,11 +308,10 @@
         requests = wish.requests / max(1, self._copies[name])
         return requests + 1.0 / (1.0 + min(wish.idle_s, 1e6))
 
-    def _yield_rank(self, name: str, wanted: str, record: EngineRecord) -> int | None:
-        """Return how readily a copy of one model goes for a copy of another.
-
-        :return: 0 for the readiest, None for a copy that stays.
-        """
+    def _readiness(
+        self, name: str, wanted: str, record: EngineRecord
+    ) -> Readiness | None:
+        """Return why a copy may go for one of another model, None if it stays."""
         if name not in self._spec.models or name == record.coming:
             return None
         wish, wanted_wish = self._wish(name), self._wish(wanted)
@@ -310,23 +324,25 @@
         left = self._copies[name] - 1
         is_unused = wish.requests < UNUSED_REQUESTS
         if left >= self._target(name) and self._fill(name, left) <= YIELD_FILL:
-            return 0
+            return Readiness.EXCESS
         if wish.is_patient and is_unused and wish.idle_s > wanted_wish.idle_s:
-            return 1 if wish.idle_s > IDLE_S else 2
+            has_been_idle = wish.idle_s > IDLE_S
+            return Readiness.PATIENT_IDLE if has_been_idle else Readiness.PATIENT_UNUSED
         if is_first and wanted_wish.waiting == 0:
             return None
         wanted_fill = self._fill(wanted, self._copies[wanted])
         if left >= 1 and self._fill(name, left) <= min(
             self._copy_fill, wanted_fill / 2
         ):
-            return 3
+            return Readiness.CARRIED_BY_OTHERS
         if wanted_wish.is_patient and wanted_wish.is_least_urgent:
             return None
         if is_first and left >= 1 and self._fill(name, left) <= CROWDED_FILL:
-            return 4
+            return Readiness.CROWDING_OTHERS
         if wish.is_patient and wish.requests < OUTWEIGHED_SHARE * wanted_wish.requests:
-            return 5 if wanted_fill > self._copy_fill else None
-        return 6 if is_first and is_unused and wish.idle_s > IDLE_S else None
+            return Readiness.OUTWEIGHED if wanted_fill > self._copy_fill else None
+        is_idle = is_unused and wish.idle_s > IDLE_S
+        return Readiness.IDLE if is_first and is_idle else None
 
 
 def load_seconds(record: EngineRecord, spec: EngineSpec, name: str) -> float:
@@ -337,107 +353,3 @@
     if name in record.on_disk:
         return model.disk_load_s
     return model.load_s
-
-
-def plan_adapters(
-    records: Sequence[EngineRecord],
-    spec: EngineSpec,
-    waiting: Mapping[tuple[str, str], int],
-    in_use: Set[tuple[str, str]],
-    loads: Mapping[str, float],
-) -> list[PlannedOrder]:
-    """Plan an order for each adapter that requests wait for, one for each engine.
-
-    An engine that loads or evicts a model takes no order about adapters meanwhile.
-
-    :param waiting: Requests that wait, by model and adapter.
-    :param in_use: Adapters with requests at servers; they yield last, as their place is
-        only free once those have ended.
-    :param loads: Load by server, to choose among engines that hold the model.
-    """
-    free = [r for r in records if not r.is_busy and not r.has_order_in_flight]
-    orders = []
-    for (model, adapter), _ in sorted(waiting.items(), key=lambda item: -item[1]):
-        if any(adapter in r.held.get(model, ()) for r in records):
-            continue
-        hosts = [r for r in free if model in r.held]
-        if not hosts:
-            continue
-        record = min(hosts, key=lambda r: _adapter_cost(r, spec, loads))
-        order = _adapter_order(record, spec, (model, adapter), waiting.keys(), in_use)
-        if order is not None:
-            free.remove(record)
-            orders.append(order)
-    return orders
-
-
-def plan_spare_places(
-    records: Sequence[EngineRecord], spec: EngineSpec, wishes: Mapping[str, Wish]
-) -> list[PlannedOrder]:
-    """Plan adapters of the models in demand for places that nothing else needs.
-
-    Answers a model whose adapters are asked for one after the other: those that fit are
-    there before their first request.
-    """
-    free = [r for r in records if not r.is_busy and not r.has_order_in_flight]
-    orders = []
-    wanted = sorted(
-        (
-            name
-            for name, wish in wishes.items()
-            if wish.adapters and name in spec.models
-        ),
-        key=lambda name: -wishes[name].requests,
-    )
-    for model in wanted:
-        held = {a for r in records for a in r.held.get(model, ())}
-        numbers = range(1, spec.models[model].adapter_count + 1)
-        missing = [f"{ADAPTER_PREFIX}{n}" for n in numbers]
-        missing = [name for name in missing if name not in held]
-        for record in list(free):
-            has_place = _has_adapter_place(record, spec, model)
-            if not missing or model not in record.held or not has_place:
-                continue
-            orders.append(PlannedOrder(record, OrderAction.LOAD, model, missing.pop(0)))
-            free.remove(record)
-    return orders
-
-
-def _adapter_cost(
-    record: EngineRecord, spec: EngineSpec, loads: Mapping[str, float]
-) -> tuple[bool, float]:
-    has_place = record.adapter_count < spec.adapter_places
-    return (not has_place, loads.get(record.entry.server, 0.0) / spec.slots)
-
-
-def _has_adapter_place(record: EngineRecord, spec: EngineSpec, model: str) -> bool:
-    has_room = record.used_mb(spec) + spec.models[model].adapter_mb <= spec.memory_mb
-    return has_room and record.adapter_count < spec.adapter_places
-
-
-def _adapter_order(
-    record: EngineRecord,
-    spec: EngineSpec,
-    wanted: tuple[str, str],
-    waiting: Set[tuple[str, str]],
-    in_use: Set[tuple[str, str]],
-) -> PlannedOrder | None:
-    if len(record.coming_adapters) >= ADAPTERS_AT_ONCE:
-        return None
-    if _has_adapter_place(record, spec, wanted[0]):
-        return PlannedOrder(record, OrderAction.LOAD, *wanted)
-    if record.leaving_adapters:
-        return None
-    held = [
-        (model, adapter)
-        for model, adapters in record.held.items()
-        for adapter in adapters
-        if (model, adapter) not in waiting
-        and (model, adapter) not in record.coming_adapters
-    ]
-    if not held:
-        return None
-    victim = min(
-        held, key=lambda pair: (pair in in_use, record.adapter_used.get(pair, 0.0))
-    )
-    return PlannedOrder(record, OrderAction.EVICT, *victim)
--- a/sequoiapoint/node/order_giver.py
+++ b/sequoiapoint/node/order_giver.py
@@ -8,7 +8,7 @@
 from collections import deque
 from collections.abc import Mapping
 
-from sequoiapoint.coordination import model_placement
+from sequoiapoint.coordination import adapter_placement, model_placement
 from sequoiapoint.coordination.demand_history import DemandHistory
 from sequoiapoint.coordination.model_placement import PlannedOrder, Wish
 from sequoiapoint.node.gateway_state import GatewayState
@@ -135,7 +135,7 @@
             for r in settled
         }
         # Each plan leaves out the engines to which one before it gives an order.
-        for order in model_placement.plan_adapters(
+        for order in adapter_placement.plan_adapters(
             settled,
             spec,
             self._demand.adapters_waiting(service),
@@ -147,7 +147,7 @@
         self._log_demand(service, records, wishes, now)
         for order in model_placement.plan_models(settled, spec, wishes, left, now):
             self._start(order, spec, now)
-        for order in model_placement.plan_spare_places(settled, spec, wishes):
+        for order in adapter_placement.plan_spare_places(settled, spec, wishes):
             self._start(order, spec, now)
 
     def _log_demand(
