--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -51,7 +51,7 @@
 BUSY_SHARE = 0.4
 """Part of the engines with models in demand that may load or evict models at once:
 they take no orders about adapters meanwhile, and none about what comes next."""
-ADAPTER_DISTURBANCE_S = 2.0
+SERVING_ENGINE_COST_S = 2.0
 """What an order about a model costs besides, as time, at an engine that serves adapters
 of a model in demand."""
 EVICTION_COST_S = 1.0
@@ -283,7 +283,7 @@
             self._free_in_s(record) + load_seconds(record, self._spec, name)
         )
         if self._serves(record):
-            cost += ADAPTER_DISTURBANCE_S
+            cost += SERVING_ENGINE_COST_S
         room = self._spec.memory_mb - record.used_mb(self._spec)
         if room >= self._spec.models[name].size_mb:
             is_store_load = name not in record.in_host_memory | record.on_disk
--- a/sequoiapoint/node/store_watch.py
+++ b/sequoiapoint/node/store_watch.py
@@ -16,7 +16,7 @@
 
 CONFIGURATION_WAIT_S = 2.5
 """Longest wait of a read for a configuration: below the time after which a connection
-that fell silent counts as a disturbance."""
+that fell silent counts as a disruption."""
 SERVER_WAIT_S = 2.0
 """The same for the servers' entries, which change all the time."""
 SERVER_PAUSE_S = 0.6
--- a/sequoiapoint/protocol/gateway_settings.py
+++ b/sequoiapoint/protocol/gateway_settings.py
@@ -24,7 +24,7 @@
     configuration_s: float = pydantic.Field(default=2.0, gt=0)
     """Time after which a configuration must be in force."""
     contact_s: float = pydantic.Field(default=3.0, gt=0)
-    """Time after a disturbance until bounds hold again."""
+    """Time after a disruption until bounds hold again."""
     order_lease_s: float = pydantic.Field(default=3.0, gt=0)
     """Time within which two hosts must not take turns at giving orders."""
     is_fence_checked: bool = True
