Wait for leaders that were heard before the lease was acquired

Cause: a host noted other leaders only while it planned orders itself, thus only while it held the lease. Peers keep the time; a leader that drains is not waited for, as it has given up for good.

--- a/sequoiapoint/coordination/order_lease.py
+++ b/sequoiapoint/coordination/order_lease.py
@@ -70,9 +70,13 @@
         """Note that an engine has rejected a fencing token for a higher one."""
         self._rejected_fence = max(self._rejected_fence, fence)
 
-    def note_other_holder(self, now: float) -> None:
-        """Note that another host claims to hold the lease."""
-        self._other_holder_seen_at = now
+    def note_other_holder(self, heard_at: float) -> None:
+        """Note when another host last announced that it holds the lease.
+
+        :param heard_at: Also from the time before this host held the lease; -inf if
+            there is no holder to wait for.
+        """
+        self._other_holder_seen_at = heard_at
 
     def release(self) -> None:
         """Stop sending orders."""
--- a/sequoiapoint/node/lease_manager.py
+++ b/sequoiapoint/node/lease_manager.py
@@ -27,8 +27,6 @@
 part of it for which the leader trusts the lease."""
 CANDIDATE_RENEWAL_INTERVAL_S = 0.8
 """Interval between the renewals of candidates: two in the duration of a lease."""
-LEADER_ACTIVE_AGE_S = 0.6
-"""Maximum age of a leader's digest for which it counts as still sending orders."""
 LEADER_SILENCE_S = 1.2
 """Age of a leader's last digest from which candidates join the group: two lost digests,
 and less than the duration of the lease."""
@@ -75,10 +73,8 @@
 
     def may_order(self) -> bool:
         """Tell whether this host may send an order now."""
-        if self._exchange.placement.has_other_leader(
-            monotonic_s(), LEADER_ACTIVE_AGE_S
-        ):
-            self._lease.note_other_holder(since_boot_s())
+        silent_s = monotonic_s() - self._exchange.peers.other_leader_heard_at()
+        self._lease.note_other_holder(since_boot_s() - silent_s)
         return not self._state.is_draining and self._lease.may_order(since_boot_s())
 
     def note_rejected(self, fence: int) -> None:
--- a/sequoiapoint/node/lease_manager_test.py
+++ b/sequoiapoint/node/lease_manager_test.py
@@ -1,15 +1,20 @@
 """Which hosts join the group that decides who holds the leader's lease."""
 
+import asyncio
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
 
+from sequoiapoint.coordination.order_lease import MIN_HANDOVER_WAIT_S
+from sequoiapoint.node import lease_manager as lease_manager_module
 from sequoiapoint.node.lease_manager import LEADER_SILENCE_S, LeaseManager
 from sequoiapoint.node.placement_exchange import (
     MAX_LEADER_CANDIDATES,
     PlacementExchange,
 )
 from sequoiapoint.protocol.digests import Digest, Member
+from sequoiapoint.protocol.gateway import GroupMembership
 from sequoiapoint.protocol.gateway_settings import Bounds
 from sequoiapoint.state.peers import Peers
 from sequoiapoint.transport.clock import monotonic_s
@@ -61,3 +66,48 @@
     """Guards against joins that move the lease during a rolling restart."""
     joining_hosts = [h for h in candidates("h-0", digest_age_s) if h != "h-0"]
     assert abs(len(joining_hosts) - joining) <= (joining > 0)
+
+
+class _Store:
+    """Grants the lease to whoever joins, under increasing generations."""
+
+    def __init__(self):
+        self.generation = 10
+
+    async def join(self, group, topic, member, lease_s, generation):
+        self.generation += 1
+        return GroupMembership(self.generation, frozenset({0}))
+
+
+@pytest.mark.parametrize(
+    ("heard_s_ago", "is_leaving", "may_order"),
+    [
+        (0.4, False, False),
+        (Bounds().order_lease_s - 0.7, False, False),
+        (Bounds().order_lease_s + 0.1, False, True),
+        (0.4, True, True),
+    ],
+)
+def test_orders_wait_for_a_leader_that_was_heard_before_the_lease_was_acquired(
+    monkeypatch, heard_s_ago, is_leaving, may_order
+):
+    """Replays a lease that moves several times in a second.
+
+    The previous leader still reaches the engines when this host acquires the lease; it
+    was last heard while this host sent no orders and so did not watch for it.
+    """
+    now = 100.0
+    monkeypatch.setattr(lease_manager_module, "monotonic_s", lambda: now)
+    monkeypatch.setattr(lease_manager_module, "since_boot_s", lambda: now + 50.0)
+    peers = Peers(Member("h-1", "z", "127.0.0.1:1"))
+    leader = Digest("h-0", "z", "127.0.0.1:2", 1, fence=9)
+    peers.merge(leader, now - heard_s_ago - 0.1)
+    silenced = replace(leader, fence=0, is_leaving=is_leaving)
+    peers.merge(silenced, now - heard_s_ago)
+    manager = lease_manager("h-1", peers)
+    manager._state.is_draining = False
+    manager._store = _Store()
+    manager._exchange.placement._sender = SimpleNamespace(fence=0)
+    asyncio.run(manager._join())
+    now += MIN_HANDOVER_WAIT_S + 0.05
+    assert manager.may_order() is may_order
--- a/sequoiapoint/state/peers.py
+++ b/sequoiapoint/state/peers.py
@@ -72,6 +72,7 @@
         self._zone_totals: dict[str, dict[str, tuple[float, Digest]]] = {}
         self._cluster_totals: tuple[float, Digest] | None = None
         self._host_counts: deque[tuple[float, int]] = deque()
+        self._other_leader: tuple[str, float] | None = None
 
     # Updates from the store and from digests
 
@@ -105,6 +106,7 @@
         elif known is not None and not is_new:
             peer.report, peer.report_at = known.report, known.report_at
         self._peers[digest.host] = peer
+        self._record_leader(digest, now)
         if digest.scope is Scope.ZONE:
             self._zone_totals.setdefault(digest.zone, {})[digest.host] = (now, digest)
             self._relays[digest.zone] = (now, digest.relays)
@@ -112,6 +114,18 @@
             self._merge_cluster_totals(digest, now)
         return is_new
 
+    def _record_leader(self, digest: Digest, now: float) -> None:
+        """Record when another leader was last heard.
+
+        A leader that drains has given up the lease for good, so its successor need not
+        wait for it.
+        """
+        if digest.is_leaving:
+            if self._other_leader is not None and self._other_leader[0] == digest.host:
+                self._other_leader = None
+        elif digest.fence > 0:
+            self._other_leader = (digest.host, now)
+
     def _merge_cluster_totals(self, digest: Digest, now: float) -> None:
         self._cluster_totals = (now, digest)
         for member in digest.members:
@@ -163,6 +177,13 @@
         leaders = [peer for peer in self.live(now) if peer.digest.fence > 0]
         return max(leaders, key=lambda peer: peer.digest.fence, default=None)
 
+    def other_leader_heard_at(self) -> float:
+        """Return when another leader was last heard, in seconds; -inf if never.
+
+        The time is kept after that host has lost the lease or fallen silent.
+        """
+        return -math.inf if self._other_leader is None else self._other_leader[1]
+
     def member(self, host: str) -> Member | None:
         """Return a host's zone and address, None if the host is unknown."""
         peer = self._peers.get(host)
