Pace an aggregator's datagrams; follow one aggregator; heartbeats between totals

Digests to many hosts are paced to a quarter of the link, newest first of a kind, and the totals themselves to a tenth, with heartbeats of constant size between them. Hosts follow the first of several aggregators in the order of all hosts until it has been silent for 1.2 s, and log each change with its cause.

--- a/sequoiapoint/node/digest_sender.py
+++ b/sequoiapoint/node/digest_sender.py
@@ -1,13 +1,18 @@
 """Sends digests: messages with this host's address, status and topic offsets."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Hashable, Iterable
 
+from sequoiapoint.coordination.fan_out import FanOutQueue
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.store_watch import StoreWatch
 from sequoiapoint.protocol.digests import Digest, Member, encode_digest
+from sequoiapoint.transport.clock import monotonic_s
 from sequoiapoint.transport.store_client import StoreClient
 
+MIN_PACING_PAUSE_S = 0.002
+"""Minimum pause between two batches of paced datagrams."""
+
 
 class DigestSender:
     """Sends digests to other hosts as UDP datagrams.
@@ -27,6 +32,17 @@
         self.local_member = Member(settings.host, settings.zone, settings.peer_address)
         self.transport: asyncio.DatagramTransport | None = None
         self.fence = 0
+        self._fan_out = FanOutQueue(settings.link_mbps)
+        self._has_paced = asyncio.Event()
+
+    async def run(self) -> None:
+        """Send the paced datagrams when they are due, until the process stops."""
+        while True:
+            await self._has_paced.wait()
+            self._has_paced.clear()
+            while (pause_s := self._fan_out.pause_s()) is not None:
+                await asyncio.sleep(max(MIN_PACING_PAUSE_S, pause_s))
+                self.flush()
 
     def build_digest(self, **fields: object) -> Digest:
         """Build a digest with this host's common fields.
@@ -52,8 +68,26 @@
 
     def forward(self, data: bytes, members: Iterable[Member]) -> None:
         """Send an encoded digest unchanged to the given hosts, except this one."""
-        for address in {member.address for member in members} - {
-            self.local_member.address
-        }:
-            host, _, port = address.rpartition(":")
-            self.transport.sendto(data, (host, int(port)))
+        for address in self._other_addresses(members):
+            self._send_to(address, data)
+
+    def spread(self, kind: Hashable, data: bytes, members: Iterable[Member]) -> None:
+        """Send an encoded digest to many hosts without filling this host's link.
+
+        :param kind: A newer digest of the same kind replaces one that still waits.
+        """
+        self._fan_out.add(kind, data, self._other_addresses(members))
+        self.flush()
+        self._has_paced.set()
+
+    def flush(self) -> None:
+        """Send the paced datagrams that are due."""
+        for address, data in self._fan_out.take_due(monotonic_s()):
+            self._send_to(address, data)
+
+    def _other_addresses(self, members: Iterable[Member]) -> set[str]:
+        return {member.address for member in members} - {self.local_member.address}
+
+    def _send_to(self, address: str, data: bytes) -> None:
+        host, _, port = address.rpartition(":")
+        self.transport.sendto(data, (host, int(port)))
--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -8,20 +8,31 @@
 
 import asyncio
 from collections import Counter
+from dataclasses import replace
 
+from sequoiapoint.coordination.fan_out import BYTES_PER_MBIT
 from sequoiapoint.node.digest_sender import DigestSender
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.host_registry import HostRegistry
-from sequoiapoint.node.placement_exchange import PlacementExchange
+from sequoiapoint.node.placement_exchange import PlacementExchange, broadcast_kind
 from sequoiapoint.node.store_watch import StoreWatch
 from sequoiapoint.node.topic_exchange import TopicExchange
-from sequoiapoint.protocol.digests import Member, Scope, decode_digest
+from sequoiapoint.protocol.digests import (
+    Digest,
+    Member,
+    Scope,
+    decode_digest,
+    encode_digest,
+)
 from sequoiapoint.state.peers import Peers
 from sequoiapoint.transport.clock import monotonic_s
 from sequoiapoint.transport.store_client import StoreClient
 
 DIGEST_INTERVAL_S = 0.5
 """Mean interval between periodic digests; loads change within a second."""
+TOTALS_LINK_SHARE = 0.1
+"""Share of an aggregator's link that the totals for its zone may use.  Between totals
+it sends heartbeats, whose size does not grow with the hosts and servers."""
 MIN_URGENT_INTERVAL_S = 0.02
 """Minimum interval between urgent digests, which requests wait for."""
 SUSPICION_REPEAT_S = 1.6
@@ -61,6 +72,8 @@
         self._local_member = self._sender.local_member
         self._urgent_requested = asyncio.Event()
         self._are_counts_urgent = False
+        self._totals_due_at = 0.0
+        self._aggregator = ""
         self.peers = Peers(self._local_member)
         self.placement = PlacementExchange(
             state, self.peers, self._sender, self._urgent_requested.set
@@ -86,6 +99,7 @@
             tasks.create_task(self._registry.run())
             tasks.create_task(self._run_periodic())
             tasks.create_task(self._run_urgent())
+            tasks.create_task(self._sender.run())
             tasks.create_task(self._topics.run())
 
     async def stop(self) -> None:
@@ -171,7 +185,23 @@
         self._sender.send(
             zone_digest, (r for r in relays if r.zone != self._local_member.zone)
         )
-        self._sender.send(cluster_digest, self._zone_members(now))
+        self._send_to_zone(cluster_digest, now)
+
+    def _send_to_zone(self, totals: Digest, now: float) -> None:
+        """Send totals to the hosts of the zone, or a heartbeat if they are not due."""
+        members = self._zone_members(now)
+        if now < self._totals_due_at:
+            heartbeat = replace(
+                totals, counts=(), members=(), relays=(), is_heartbeat=True
+            )
+            self._sender.spread("heartbeat", encode_digest(heartbeat), members)
+            return
+        data = encode_digest(totals)
+        link_bytes_per_s = BYTES_PER_MBIT * self._state.settings.link_mbps
+        interval_s = len(members) * len(data) / (TOTALS_LINK_SHARE * link_bytes_per_s)
+        # Half an interval less, so that a digest that is sent early is not a heartbeat.
+        self._totals_due_at = now + max(0.0, interval_s - DIGEST_INTERVAL_S / 2)
+        self._sender.spread("totals", data, members)
 
     # Receiving
 
@@ -196,7 +226,13 @@
                 "peer_seen", peer=digest.host, zone=digest.zone, address=digest.address
             )
             self.schedule_digest()
-        if digest.scope is Scope.FLEET and not self.peers.is_aggregator(now):
+        self._log_aggregator(now)
+        if (
+            digest.scope is Scope.FLEET
+            and not digest.is_heartbeat
+            and digest.host == self.peers.aggregator_host
+            and not self.peers.is_aggregator(now)
+        ):
             state.loads.set_cluster_running(dict(digest.counts), now)
         for fingerprint, deaths in digest.suspicions:
             state.quarantine.merge(fingerprint, deaths, now)
@@ -206,4 +242,17 @@
         is_broadcast = digest.scope is Scope.NONE and not digest.is_demand_report
         if is_broadcast and is_from_sender and self.peers.is_aggregator(now):
             members = [m for m in self._zone_members(now) if m != digest.sender]
-            self._sender.forward(data, members)
+            self._sender.spread(broadcast_kind(digest), data, members)
+
+    def _log_aggregator(self, now: float) -> None:
+        """Log which aggregator this host follows when that changes."""
+        followed = self.peers.aggregator_host
+        if followed != self._aggregator:
+            self._state.log.event(
+                "aggregator",
+                self.peers.aggregator_change,
+                followed=followed,
+                previous=self._aggregator,
+                hosts=self.peers.host_count(now),
+            )
+            self._aggregator = followed
--- a/sequoiapoint/node/peer_exchange_test.py
+++ b/sequoiapoint/node/peer_exchange_test.py
@@ -6,8 +6,9 @@
 
 import pytest
 
+from sequoiapoint.coordination.fan_out import BYTES_PER_MBIT
 from sequoiapoint.coordination.quarantine import Quarantine
-from sequoiapoint.node import peer_exchange, topic_exchange
+from sequoiapoint.node import digest_sender, peer_exchange, topic_exchange
 from sequoiapoint.node.peer_exchange import DIGEST_INTERVAL_S, PeerExchange
 from sequoiapoint.protocol.digests import Member
 from sequoiapoint.protocol.gateway import ServerEntry, ServerState
@@ -18,6 +19,8 @@
 from sequoiapoint.state.server_load import ServerLoads
 
 SERVER = ("s-1", 1)
+LINK_QUEUE_S = 0.1
+"""Time for which a host's link can hold datagrams before it drops more."""
 STEP_S = 0.05
 """Time step of the simulation, in which the hosts with due digests send them."""
 
@@ -27,7 +30,9 @@
 
     def __init__(self, network, name, zone):
         self.address = f"10.0.{len(network.hosts)}.1:7"
-        settings = SimpleNamespace(host=name, zone=zone, peer_address=self.address)
+        settings = SimpleNamespace(
+            host=name, zone=zone, peer_address=self.address, link_mbps=network.link_mbps
+        )
         self.state = SimpleNamespace(
             settings=settings,
             started_ms=1,
@@ -39,7 +44,7 @@
             wait_queue=SimpleNamespace(notify=lambda: None),
             replan_requested=SimpleNamespace(set=lambda: None),
             host_count=1,
-            log=SimpleNamespace(event=lambda *a, **f: None),
+            log=SimpleNamespace(event=self._log),
             metrics=SimpleNamespace(event=lambda *a: None),
         )
         topics = [SimpleNamespace(topic=n, content=KeyedTopic()) for n in ("c", "s")]
@@ -54,10 +59,16 @@
         self.zone = zone
         self.exchange = PeerExchange(self.state, store, watch)
         self.exchange._sender.transport = SimpleNamespace(
-            sendto=lambda data, to: network.sent.append((self, to, data))
+            sendto=lambda data, to: network.send(self, to, data)
         )
+        self.link_free_at = 0.0
+        self.followed_aggregators = []
         self.next_digest_at = network.rng.uniform(0.0, DIGEST_INTERVAL_S)
 
+    def _log(self, event, *outcome, **fields):
+        if event == "aggregator":
+            self.followed_aggregators.append(fields["followed"])
+
     def entry(self):
         return ServerEntry(
             SERVER[0], "lm", "10.1.0.1:9", "z0", ServerState.READY, SERVER[1], 8
@@ -79,14 +90,16 @@
 class _Network:
     """Hosts in zones, each of which knows the others' addresses from the store."""
 
-    def __init__(self, monkeypatch, zones, hosts_in_zone):
+    def __init__(self, monkeypatch, zones, hosts_in_zone, link_mbps=20.0):
+        self.link_mbps = link_mbps
         self.rng = random.Random(7)
         self.now = 100.0
         self.hosts, self.sent, self.stopped_hosts = [], [], set()
         self.received = Counter()
+        self.lost = 0
         self.cross_zone_bytes = 0
         self.isolated_zones = set()
-        for module in (peer_exchange, topic_exchange):
+        for module in (peer_exchange, topic_exchange, digest_sender):
             monkeypatch.setattr(module, "monotonic_s", lambda: self.now)
         for number in range(zones * hosts_in_zone):
             self.hosts.append(_Host(self, f"h-{number}", f"z{number % zones}"))
@@ -109,8 +122,19 @@
                 ):
                     host.next_digest_at += DIGEST_INTERVAL_S
                     host.send_digests(self.now)
+                host.exchange._sender.flush()
             self.deliver_pending()
 
+    def send(self, sender, to, data):
+        """Put a datagram on the sender's link, unless the link's queue is full."""
+        start = max(self.now, sender.link_free_at)
+        if start - self.now > LINK_QUEUE_S:
+            self.lost += 1
+            return
+        link_bytes_per_s = self.link_mbps * BYTES_PER_MBIT
+        sender.link_free_at = start + len(data) / link_bytes_per_s
+        self.sent.append((sender, to, data))
+
     def deliver_pending(self):
         by_address = {h.address: h for h in self.hosts}
         while self.sent:
@@ -197,6 +221,37 @@
     assert len(network.aggregators()) == 3
 
 
+@pytest.mark.parametrize(
+    ("zones", "hosts_in_zone", "link_mbps"), [(4, 21, 5.0), (6, 32, 20.0)]
+)
+def test_hosts_on_slow_links_keep_following_one_aggregator(
+    monkeypatch, zones, hosts_in_zone, link_mbps
+):
+    """Replays the link load of the grown and the large deployment.
+
+    The first relay of a zone is silent for 1.2 s once.  Hosts may follow its standby
+    meanwhile, and nothing else.
+    """
+    network = _Network(monkeypatch, zones, hosts_in_zone, link_mbps)
+    servers = [(f"i-{n:08x}", 1764800000000 + n) for n in range(99)]
+    for host in network.hosts:
+        for server in servers:
+            host.state.loads.get_or_create(server).note_sent(0, 0.0)
+    network.run(5.0)
+    assert len(network.aggregators()) == zones
+    for host in network.hosts:
+        host.followed_aggregators.clear()
+    silent = next(h for h in network.aggregators() if h.zone == "z0")
+    network.stopped_hosts.add(silent)
+    network.run(RELAY_FAILOVER_S)
+    network.stopped_hosts.remove(silent)
+    network.run(10.0)
+    assert network.lost == 0
+    for host in network.hosts:
+        assert len(host.followed_aggregators) <= (2 if host.zone == "z0" else 0)
+    assert {h.state.host_count for h in network.hosts} == {len(network.hosts)}
+
+
 def test_a_zone_recovers_when_all_its_relays_fail_at_once(monkeypatch):
     network = _Network(monkeypatch, 2, 6)
     network.run(4.0)
--- a/sequoiapoint/node/placement_exchange.py
+++ b/sequoiapoint/node/placement_exchange.py
@@ -6,11 +6,11 @@
 requests wait for them.  All hosts report their demand to the leader directly.
 """
 
-from collections.abc import Callable, Iterable, Mapping, Set
+from collections.abc import Callable, Hashable, Iterable, Mapping, Set
 
 from sequoiapoint.node.digest_sender import DigestSender
 from sequoiapoint.node.gateway_state import GatewayState
-from sequoiapoint.protocol.digests import Digest, Scope
+from sequoiapoint.protocol.digests import Digest, Scope, encode_digest
 from sequoiapoint.protocol.gateway import Incarnation
 from sequoiapoint.state.demand import ClusterDemand
 from sequoiapoint.state.peers import Peers
@@ -195,7 +195,7 @@
         members = list(self._peers.all_relays(now))
         if self._peers.is_aggregator(now):
             members += [peer.member for peer in self._peers.zone_members(now)]
-        self._sender.send(digest, members)
+        self._sender.spread(broadcast_kind(digest), encode_digest(digest), members)
 
     def send_demand(self, now: float) -> None:
         """Report this host's demand to the leader, or to the candidates without one."""
@@ -229,6 +229,11 @@
             self._state.wait_queue.notify()
 
 
+def broadcast_kind(digest: Digest) -> Hashable:
+    """Return what a leader's broadcast is about; a newer one replaces an older one."""
+    return ("holdings", frozenset(incarnation for incarnation, _ in digest.holdings))
+
+
 def _holds_any(
     held: Mapping[str, frozenset[str]], wanted: Iterable[tuple[str, str]]
 ) -> bool:
--- a/sequoiapoint/protocol/digest.capnp
+++ b/sequoiapoint/protocol/digest.capnp
@@ -66,6 +66,7 @@
   members @15 :List(Member);    # Hosts of the zone, sent by the zone's aggregator.
   relays @16 :List(Member);     # Aggregators and their successors, of each zone.
   isDemandReport @17 :Bool;     # Whether the demands replace those of the last report.
+  isHeartbeat @18 :Bool;        # Whether the lists of the sender's last digest stand.
 }
 
 struct Record {
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -58,6 +58,8 @@
     :param members: The hosts of the sender's zone, if it aggregates for them.
     :param relays: The aggregators of the zones and their successors.
     :param is_demand_report: Whether the demands replace those of the last report.
+    :param is_heartbeat: Whether the digest carries no counts, members and relays, and
+        those of the sender's last digest remain valid.
     """
 
     host: str
@@ -78,6 +80,7 @@
     members: tuple[Member, ...] = ()
     relays: tuple[Member, ...] = ()
     is_demand_report: bool = False
+    is_heartbeat: bool = False
 
     @property
     def sender(self) -> Member:
@@ -141,6 +144,7 @@
         members=_encode_members(digest.members),
         relays=_encode_members(digest.relays),
         isDemandReport=digest.is_demand_report,
+        isHeartbeat=digest.is_heartbeat,
     )
     return message.to_bytes_packed()
 
@@ -190,6 +194,7 @@
             members=_decode_members(message.members),
             relays=_decode_members(message.relays),
             is_demand_report=message.isDemandReport,
+            is_heartbeat=message.isHeartbeat,
         )
     except capnp.KjException as error:
         raise ValueError(f"not a digest: {error}") from error
--- a/sequoiapoint/protocol/gateway_settings.py
+++ b/sequoiapoint/protocol/gateway_settings.py
@@ -50,6 +50,8 @@
     """Address for metrics scraping."""
     store: Address
     """Address of the platform's store."""
+    link_mbps: float = pydantic.Field(default=1000.0, gt=0)
+    """Rate of the host's network link, in Mbit/s."""
     bounds: Bounds = Bounds()
     log_level: str = pydantic.Field(
         default="info", pattern="^(debug|info|warning|error)$"
--- a/sequoiapoint/state/peers.py
+++ b/sequoiapoint/state/peers.py
@@ -8,7 +8,7 @@
 import math
 from collections import Counter, deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import xxhash
 
@@ -71,6 +71,7 @@
         self._relays: dict[str, tuple[float, tuple[Member, ...]]] = {}
         self._zone_totals: dict[str, dict[str, tuple[float, Digest]]] = {}
         self._cluster_totals: tuple[float, Digest] | None = None
+        self._aggregator_change = ""
         self._host_counts: deque[tuple[float, int]] = deque()
         self._other_leader: tuple[str, float] | None = None
 
@@ -127,6 +128,25 @@
             self._other_leader = (digest.host, now)
 
     def _merge_cluster_totals(self, digest: Digest, now: float) -> None:
+        """Merge totals, or a heartbeat, unless they come from another aggregator.
+
+        Several hosts may aggregate for a short time.  All hosts of a zone follow the
+        one of them that precedes the others in the order of all hosts, and change only
+        when it has been silent for ``RELAY_FAILOVER_S``.
+        """
+        if self._cluster_totals is not None:
+            heard_at, known = self._cluster_totals
+            if known.host != digest.host:
+                is_recent = now - heard_at < RELAY_FAILOVER_S
+                if is_recent and sorted_by_hash((known.host, digest.host))[0] == (
+                    known.host
+                ):
+                    return
+                self._aggregator_change = "precedes" if is_recent else "other_silent"
+            elif digest.is_heartbeat:
+                digest = replace(digest, members=known.members, relays=known.relays)
+        else:
+            self._aggregator_change = "first"
         self._cluster_totals = (now, digest)
         for member in digest.members:
             if member.host != self._own.host:
@@ -264,6 +284,16 @@
                 return False
         return False
 
+    @property
+    def aggregator_host(self) -> str:
+        """Return the aggregator whose totals this host follows, "" before the first."""
+        return "" if self._cluster_totals is None else self._cluster_totals[1].host
+
+    @property
+    def aggregator_change(self) -> str:
+        """Return why this host follows its present aggregator."""
+        return self._aggregator_change
+
     def aggregator(self, now: float, max_age_s: float) -> Peer | None:
         """Return the aggregator of this host's zone, None if its totals are too old.
 
