Distribute topics in a zone along a tree, compressed

A host fetches from the one that precedes it in a tree of fan-out 4, which holds the fetch until it has the change; it falls back to the aggregator. Topic states are compressed at the lowest level.

--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -115,6 +115,7 @@
 
     def _notify_zone(self) -> None:
         """Announce a new topic offset to the hosts for which this one reads it."""
+        self._topics.note_advance()
         if self.peers.is_aggregator(monotonic_s()):
             self.schedule_digest()
 
--- a/sequoiapoint/node/topic_exchange.py
+++ b/sequoiapoint/node/topic_exchange.py
@@ -1,14 +1,16 @@
 """Replication of the store's topics between hosts, over TCP.
 
-The relays of a zone read the store.  The other hosts of the zone fetch changes from
-their aggregator, and read the store themselves if the aggregator falls silent or cannot
-reach the store.  A relay that lags behind other hosts fetches from them as well.
+The relays of a zone read the store.  The other hosts of the zone fetch changes along a
+tree whose root is their aggregator, and read the store themselves if the aggregator
+falls silent or cannot reach the store.  A relay that lags behind other hosts fetches
+from them as well.
 """
 
 import asyncio
 import http
 from urllib.parse import parse_qs, urlencode, urlsplit
 
+from sequoiapoint.coordination import distribution_tree
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.store_watch import StoreWatch, TopicWatch
 from sequoiapoint.protocol.digests import (
@@ -20,6 +22,7 @@
 )
 from sequoiapoint.protocol.errors import Failure
 from sequoiapoint.protocol.ports import HttpCall
+from sequoiapoint.state.keyed_topic import KeyedTopic
 from sequoiapoint.state.peers import Peer, Peers
 from sequoiapoint.transport.async_http_client import ConnectionPool, call
 from sequoiapoint.transport.async_http_server import (
@@ -44,6 +47,10 @@
 """Time for which this host may lag behind a peer's server entries before it fetches
 them from the peer.  It is longer than for a configuration because the store is read
 with pauses between the reads."""
+MAX_HOLD_S = 0.5
+"""Time for which a host holds another host's fetch until it has the change itself."""
+SOURCE_BACKOFF_S = 5.0
+"""Time for which the aggregator replaces a host that failed to deliver a change."""
 TOPIC_PATH = "/topics/"
 
 
@@ -63,6 +70,8 @@
         # By topic: a peer's end offset, and since when this host has lagged behind it.
         self._lags: dict[str, tuple[int, float]] = {}
         self._reader = ""
+        self._advanced = asyncio.Event()
+        self._avoided_until: dict[str, float] = {}
         watch.reads_via_relay = self.reads_via_relay
 
     async def start(self) -> None:
@@ -85,6 +94,11 @@
             for watch in (self._watch.configuration, self._watch.servers):
                 await self._fetch_if_lagging(watch)
 
+    def note_advance(self) -> None:
+        """Answer the held fetches of other hosts, as a topic has advanced."""
+        self._advanced.set()
+        self._advanced = asyncio.Event()
+
     def handle_digest(self, digest: Digest) -> None:
         """Schedule a fetch if this host lags behind a digest; note store outages."""
         if digest.scope is Scope.FLEET and not digest.is_store_reachable:
@@ -117,7 +131,7 @@
             self.reads_via_relay()
             and self._known_end(aggregator, watch) > watch.content.end
         ):
-            await self._fetch(watch, aggregator)
+            await self._fetch_along_tree(watch, aggregator, now)
             return
         ahead = [
             peer
@@ -140,6 +154,26 @@
         )
         await self._fetch(watch, nearest)
 
+    async def _fetch_along_tree(
+        self, watch: TopicWatch, aggregator: Peer, now: float
+    ) -> None:
+        """Fetch a change from this host's source, or else from the aggregator."""
+        name = distribution_tree.source(
+            self._state.settings.host, aggregator.host, self._peers.listed_members()
+        )
+        source = self._peers.peer(name)
+        if (
+            source is not None
+            and name != aggregator.host
+            and now >= self._avoided_until.get(name, 0.0)
+        ):
+            known = watch.content.end
+            await self._fetch(watch, source)
+            if watch.content.end > known:
+                return
+            self._avoided_until[name] = now + SOURCE_BACKOFF_S
+        await self._fetch(watch, aggregator)
+
     def _known_end(self, peer: Peer, watch: TopicWatch) -> int:
         return _known_end(peer.digest, watch, self._watch)
 
@@ -179,7 +213,8 @@
     async def _serve_topic(self, request: InboundRequest, responder: Responder) -> None:
         """Serve a topic to another host: the changes since the offset that it knows.
 
-        The complete topic is sent if the changes are no longer known.
+        The complete topic is sent if the changes are no longer known.  If there is no
+        change yet, the response waits for one.
         """
         url = urlsplit(request.target)
         watch = self._watch.topic(url.path.removeprefix(TOPIC_PATH))
@@ -188,12 +223,23 @@
             return
         known = parse_qs(url.query).get("from", [""])[0]
         content = watch.content
+        if known.isdecimal() and int(known) >= content.end:
+            await self._await_advance(content, int(known))
         changes = content.changes_since(int(known)) if known.isdecimal() else None
         is_complete = changes is None
         records = tuple(content.records.values()) if is_complete else changes
         body = encode_topic_state(TopicState(records, content.end, is_complete))
         responder.send_response(int(http.HTTPStatus.OK), [], body)
 
+    async def _await_advance(self, content: KeyedTopic, known: int) -> None:
+        """Wait until a topic has advanced beyond an offset, for a limited time."""
+        try:
+            async with asyncio.timeout(MAX_HOLD_S):
+                while content.end <= known:
+                    await self._advanced.wait()
+        except TimeoutError:
+            pass
+
 
 def _known_end(digest: Digest, watch: TopicWatch, store_watch: StoreWatch) -> int:
     if watch is store_watch.configuration:
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -1,6 +1,7 @@
 """Codec of the messages between gateway hosts."""
 
 import enum
+import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
@@ -15,8 +16,12 @@
 
 MAX_PRIORITY = 255
 """The least urgent priority that a digest can carry."""
-TRAVERSAL_LIMIT_WORDS = 8 * 1024 * 1024
-"""Read limit of 64 MB, far above the configuration of the largest intended site."""
+MAX_TOPIC_STATE_BYTES = 64_000_000
+"""Maximum size of a topic, far above the configuration of the largest intended site."""
+TRAVERSAL_LIMIT_WORDS = MAX_TOPIC_STATE_BYTES // 8
+"""The same as a read limit."""
+COMPRESSION_LEVEL = 1
+"""Level of the fastest compression, which reduces a configuration to a fifth."""
 
 
 class Scope(enum.Enum):
@@ -213,8 +218,20 @@
     is_complete: bool
 
 
+def _decompress(data: bytes) -> bytes:
+    """Decompress data of at most ``MAX_TOPIC_STATE_BYTES``.
+
+    :raises ValueError: The data is incomplete or too large.
+    """
+    decompressor = zlib.decompressobj()
+    state = decompressor.decompress(data, MAX_TOPIC_STATE_BYTES)
+    if not decompressor.eof:
+        raise ValueError("not a topic's state: incomplete or too large")
+    return state
+
+
 def encode_topic_state(state: TopicState) -> bytes:
-    """Encode the state of a topic."""
+    """Encode and compress the state of a topic."""
     message = _SCHEMA.TopicState.new_message(
         end=state.end,
         records=[
@@ -223,7 +240,7 @@
         ],
         isWhole=state.is_complete,
     )
-    return message.to_bytes_packed()
+    return zlib.compress(message.to_bytes(), COMPRESSION_LEVEL)
 
 
 def decode_topic_state(data: bytes) -> TopicState:
@@ -232,13 +249,13 @@
     :raises ValueError: The data is not the state of a topic.
     """
     try:
-        message = _SCHEMA.TopicState.from_bytes_packed(
-            data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
-        )
-        records = tuple(
-            StoreRecord(r.offset, r.key, bytes(r.value) or None)
-            for r in message.records
-        )
-        return TopicState(records, message.end, message.isWhole)
-    except capnp.KjException as error:
+        with _SCHEMA.TopicState.from_bytes(
+            _decompress(data), traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+        ) as message:
+            records = tuple(
+                StoreRecord(r.offset, r.key, bytes(r.value) or None)
+                for r in message.records
+            )
+            return TopicState(records, message.end, message.isWhole)
+    except (capnp.KjException, zlib.error) as error:
         raise ValueError(f"not a topic's state: {error}") from error
--- a/sequoiapoint/state/peers.py
+++ b/sequoiapoint/state/peers.py
@@ -204,6 +204,10 @@
         """
         return -math.inf if self._other_leader is None else self._other_leader[1]
 
+    def peer(self, host: str) -> Peer | None:
+        """Return what is known of another host, None if it is unknown."""
+        return self._peers.get(host)
+
     def member(self, host: str) -> Member | None:
         """Return a host's zone and address, None if the host is unknown."""
         peer = self._peers.get(host)
@@ -289,6 +293,12 @@
         """Return the aggregator whose totals this host follows, "" before the first."""
         return "" if self._cluster_totals is None else self._cluster_totals[1].host
 
+    def listed_members(self) -> list[str]:
+        """Return the hosts that the aggregator lists, in the order of all hosts."""
+        if self._cluster_totals is None:
+            return []
+        return sorted_by_hash(m.host for m in self._cluster_totals[1].members)
+
     @property
     def aggregator_change(self) -> str:
         """Return why this host follows its present aggregator."""
