Allocate the slots of a zone's engines to the requests of all hosts

Cause: with hundreds of hosts each host runs a few requests at a time and chooses by counts of up to 1.5 s of age; engines get more requests than slots, which stops streams for more urgent ones, while others have free slots. Replayed for 195 hosts at eight copies of 12 slots and four fifths of their slots taken: more than one request in twenty goes to a full engine (slot_allocator_test).

It queues requests by urgency over all hosts, avoids engines that fail or are late for any host, and is corrected by reports twice a second. Hosts ask their own zone first, then the zones with the least loaded copies, and choose by themselves among the engines of a zone whose allocator does not reply. In the replay no engine is overfilled and fewer than one request in twenty waits for more than 0.1 s.

--- a/sequoiapoint/coordination/server_choice.py
+++ b/sequoiapoint/coordination/server_choice.py
@@ -10,7 +10,7 @@
 
 import bisect
 import itertools
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from sequoiapoint.protocol.gateway import ServerEntry
@@ -73,6 +73,23 @@
     return min(eligible, key=lambda c: (_cost(c, own_zone, median), random()))
 
 
+def zones_by_load(
+    servers: Sequence[ServerEntry], running: Mapping[str, float], own_zone: str
+) -> list[str]:
+    """Return the zones with suitable servers, in the order in which to ask for a slot.
+
+    The own zone comes first, as traffic between zones has a price, then the zones with
+    the least loaded servers.
+
+    :param running: Estimated number of requests by server.
+    """
+    lowest: dict[str, float] = {}
+    for entry in servers:
+        utilisation = running[entry.server] / entry.slots
+        lowest[entry.zone] = min(utilisation, lowest.get(entry.zone, utilisation))
+    return sorted(lowest, key=lambda zone: (zone != own_zone, lowest[zone]))
+
+
 def _draw_by_free_capacity(
     eligible: Sequence[Candidate], own_zone: str, random: Callable[[], float]
 ) -> Candidate:
--- /dev/null
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -0,0 +1,327 @@
+"""Allocates the batch slots of a zone's engines to the requests of all hosts.
+
+Answers a load of hundreds of hosts before engines with few slots.  Each host runs a few
+requests at a time, so none of them knows the load of an engine from its own requests,
+and counts that are exchanged twice a second are too old: when every host chooses by
+them, some engines get more requests than slots, and stop streams for more urgent ones,
+while others have free slots.  Here one host of the zone, the allocator, counts the
+requests at each engine as it grants slots.  No engine gets more requests than slots,
+and a slot that becomes free goes to the most urgent request that waits at any host.
+
+The counts are corrected by the hosts' regular reports, so lost messages, requests sent
+without a grant and a change of the allocator have no lasting effect.
+"""
+
+import itertools
+import math
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from sequoiapoint.protocol.gateway import Incarnation
+from sequoiapoint.protocol.slots import (
+    NO_SERVER,
+    SlotOutcome,
+    SlotQuality,
+    SlotRelease,
+    SlotReply,
+    SlotRequest,
+)
+
+Key = tuple[str, str, str]
+"""A service, model and adapter."""
+
+QUEUE_TTL_S = 0.6
+"""Time for which a request stays queued after its host has last asked."""
+GRANT_IN_FLIGHT_S = 1.0
+"""Age from which a grant that its host does not report counts as ended.  A host that is
+slow may use a grant long after it was sent."""
+REPORT_TTL_S = 2.5
+"""Age from which a host's report, and its grants with it, no longer count."""
+QUALITY_WEIGHT = 0.1
+"""Weight of the newest request in the moving average of an engine's penalty."""
+PENALTIES = {
+    SlotQuality.ON_TIME: 0.0,
+    SlotQuality.LATE: 0.3,
+    SlotQuality.FAILED: 1.0,
+    SlotQuality.UNREACHABLE: 1.0,
+}
+"""Penalty of one request by how the engine ran it."""
+PENALTY_TOLERANCE = 0.1
+"""Penalty above the median of the zone's engines that is attributed to chance."""
+PENALTY_COST = 4.0
+"""Cost, in full batches, of an engine that fails all its requests."""
+FIRST_AVOIDANCE_S = 0.5
+"""Time for which an unreachable engine is avoided; it doubles with each failure."""
+MAX_AVOIDANCE_S = 4.0
+"""Maximum time for which an unreachable engine is avoided."""
+
+
+@dataclass
+class Engine:
+    """An engine of the zone.
+
+    :param held: Its resident models, each with the resident adapters.
+    :param used: Number of requests there, of all hosts.
+    :param penalty: Moving average of the penalties of its requests.
+    :param unreachable_count: Number of failures to connect in a row.
+    """
+
+    incarnation: Incarnation
+    service: str
+    slots: int
+    held: Mapping[str, frozenset[str]]
+    used: int = 0
+    penalty: float = 0.0
+    unreachable_count: int = 0
+    avoided_until: float = -math.inf
+
+    def holds(self, key: Key) -> bool:
+        """Tell whether the engine can run requests for a model and adapter."""
+        service, model, adapter = key
+        adapters = self.held.get(model)
+        return (
+            service == self.service
+            and adapters is not None
+            and (not adapter or adapter in adapters)
+        )
+
+    def record_quality(self, quality: SlotQuality, now: float) -> None:
+        """Update what is known of the engine's health with the end of a request."""
+        if quality is SlotQuality.UNUSED:
+            return
+        self.penalty += QUALITY_WEIGHT * (PENALTIES[quality] - self.penalty)
+        if quality is not SlotQuality.UNREACHABLE:
+            self.unreachable_count = 0
+            return
+        backoff_s = FIRST_AVOIDANCE_S * 2.0**self.unreachable_count
+        self.unreachable_count += 1
+        self.avoided_until = now + min(MAX_AVOIDANCE_S, backoff_s)
+
+
+@dataclass(frozen=True)
+class _Grant:
+    engine: Incarnation
+    granted_at: float
+
+
+@dataclass(frozen=True)
+class _Queued:
+    request: SlotRequest
+    asked_at: float
+    deadline: float
+    order: int
+
+    @property
+    def rank(self) -> tuple[int, float, int]:
+        """Return a key that sorts the most urgent request first."""
+        return (self.request.priority, self.deadline, self.order)
+
+
+@dataclass
+class _Host:
+    """What is known of one host's requests.
+
+    :param heard_at: When it last reported or requested a slot, in seconds.
+    :param unallocated: Requests by engine that it runs without a grant.
+    :param grants: Its grants by number.
+    """
+
+    heard_at: float
+    unallocated: dict[Incarnation, int] = field(default_factory=dict)
+    grants: dict[int, _Grant] = field(default_factory=dict)
+
+
+class SlotAllocator:
+    """The slots of a zone's engines, and the requests that wait for one."""
+
+    def __init__(self) -> None:
+        self._engines: dict[Incarnation, Engine] = {}
+        self._hosts: dict[str, _Host] = {}
+        self._queue: dict[Key, dict[tuple[str, int], _Queued]] = {}
+        self._order = itertools.count()
+
+    @property
+    def queue_length(self) -> int:
+        """Return the number of queued requests."""
+        return sum(map(len, self._queue.values()))
+
+    # Engines and counts
+
+    def set_engines(self, engines: Iterable[Engine]) -> None:
+        """Set the engines that accept requests; what is known of each is kept."""
+        updated: dict[Incarnation, Engine] = {}
+        for engine in engines:
+            known = self._engines.get(engine.incarnation)
+            if known is not None:
+                known.held, known.slots = engine.held, engine.slots
+                engine = known
+            updated[engine.incarnation] = engine
+        self._engines = updated
+        self._recount()
+
+    def set_report(
+        self, host: str, counts: Mapping[Incarnation, int], now: float
+    ) -> None:
+        """Set the number of a host's running requests by engine."""
+        known = self._hosts.setdefault(host, _Host(now))
+        known.heard_at = now
+        granted: Counter[Incarnation] = Counter()
+        for number, grant in sorted(
+            known.grants.items(), key=lambda item: -item[1].granted_at
+        ):
+            is_reported = granted[grant.engine] < counts.get(grant.engine, 0)
+            if not is_reported and now - grant.granted_at > GRANT_IN_FLIGHT_S:
+                del known.grants[number]
+                continue
+            granted[grant.engine] += 1
+        known.unallocated = {
+            engine: count - granted[engine]
+            for engine, count in counts.items()
+            if engine in self._engines and count > granted[engine]
+        }
+
+    def expire(self, now: float) -> None:
+        """Drop silent hosts and requests whose hosts no longer ask; count again."""
+        self._hosts = {
+            name: host
+            for name, host in self._hosts.items()
+            if now - host.heard_at <= REPORT_TTL_S
+        }
+        for key, waiting in list(self._queue.items()):
+            for identity, queued in list(waiting.items()):
+                if now - queued.asked_at > QUEUE_TTL_S or queued.deadline <= now:
+                    del waiting[identity]
+            if not waiting:
+                del self._queue[key]
+        self._recount()
+
+    def _recount(self) -> None:
+        for engine in self._engines.values():
+            engine.used = 0
+        for host in self._hosts.values():
+            for incarnation, count in host.unallocated.items():
+                if incarnation in self._engines:
+                    self._engines[incarnation].used += count
+            for grant in host.grants.values():
+                if grant.engine in self._engines:
+                    self._engines[grant.engine].used += 1
+
+    # Requests
+
+    def request(self, request: SlotRequest, now: float) -> SlotReply:
+        """Grant a slot, or queue the request.
+
+        A request that was granted a slot before, whose reply may be lost, is granted
+        the same slot again.
+        """
+        host = self._hosts.setdefault(request.host, _Host(now))
+        host.heard_at = now
+        grant = host.grants.get(request.number)
+        if grant is not None:
+            return SlotReply(
+                request.host, request.number, SlotOutcome.GRANTED, grant.engine
+            )
+        key = (request.service, request.model, request.adapter)
+        engine = self._best_engine(key, request, now)
+        if engine is not None:
+            self._withdraw(request.host, request.number)
+            return self._grant(engine, request, now)
+        identity = (request.host, request.number)
+        waiting = self._queue.setdefault(key, {})
+        known = waiting.get(identity)
+        order = next(self._order) if known is None else known.order
+        waiting[identity] = _Queued(request, now, now + request.remaining_s, order)
+        return SlotReply(request.host, request.number, SlotOutcome.QUEUED)
+
+    def release(self, release: SlotRelease, now: float) -> list[SlotReply]:
+        """Record the end of a request, and return the grants that this allows."""
+        self._withdraw(release.host, release.number)
+        engine = self._engines.get(release.engine)
+        if engine is not None:
+            engine.record_quality(release.quality, now)
+        host = self._hosts.get(release.host)
+        grant = None if host is None else host.grants.pop(release.number, None)
+        if grant is None or grant.engine not in self._engines:
+            return []
+        freed = self._engines[grant.engine]
+        freed.used -= 1
+        return self._grant_queued([freed], now)
+
+    def grant_queued(self, now: float) -> list[SlotReply]:
+        """Return the grants that are possible since engines or counts have changed."""
+        return self._grant_queued(self._engines.values(), now)
+
+    def _withdraw(self, host: str, number: int) -> None:
+        for key, waiting in list(self._queue.items()):
+            if waiting.pop((host, number), None) is not None:
+                if not waiting:
+                    del self._queue[key]
+                return
+
+    def _grant_queued(self, engines: Iterable[Engine], now: float) -> list[SlotReply]:
+        if not self._queue:
+            return []
+        replies = []
+        for engine in list(engines):
+            while engine.used < engine.slots and engine.avoided_until <= now:
+                queued = self._most_urgent(engine, now)
+                if queued is None:
+                    break
+                request = queued.request
+                self._withdraw(request.host, request.number)
+                replies.append(self._grant(engine, request, now))
+        return replies
+
+    def _most_urgent(self, engine: Engine, now: float) -> _Queued | None:
+        """Return the most urgent queued request that an engine can run."""
+        candidates = (
+            queued
+            for key, waiting in self._queue.items()
+            if engine.holds(key)
+            for queued in waiting.values()
+            if engine.incarnation[0] not in queued.request.excluded
+            and now - queued.asked_at <= QUEUE_TTL_S
+            and queued.deadline > now
+        )
+        return min(candidates, key=lambda queued: queued.rank, default=None)
+
+    def _grant(self, engine: Engine, request: SlotRequest, now: float) -> SlotReply:
+        engine.used += 1
+        host = self._hosts.setdefault(request.host, _Host(now))
+        host.grants[request.number] = _Grant(engine.incarnation, now)
+        return SlotReply(
+            request.host, request.number, SlotOutcome.GRANTED, engine.incarnation
+        )
+
+    def _best_engine(self, key: Key, request: SlotRequest, now: float) -> Engine | None:
+        """Return the engine with the lowest cost that has a free slot."""
+        candidates = [
+            engine
+            for engine in self._engines.values()
+            if engine.used < engine.slots
+            and engine.holds(key)
+            and engine.avoided_until <= now
+            and engine.incarnation[0] not in request.excluded
+        ]
+        if not candidates:
+            return None
+        penalties = sorted(engine.penalty for engine in self._engines.values())
+        tolerated = penalties[(len(penalties) - 1) // 2] + PENALTY_TOLERANCE
+        return min(
+            candidates,
+            key=lambda engine: (
+                engine.used / engine.slots
+                + PENALTY_COST * max(0.0, engine.penalty - tolerated)
+            ),
+        )
+
+
+def released(request: SlotReply, quality: SlotQuality) -> SlotRelease:
+    """Return the release of a granted slot."""
+    return SlotRelease(request.host, request.number, request.engine, quality)
+
+
+def withdrawn(host: str, number: int) -> SlotRelease:
+    """Return the withdrawal of a queued request."""
+    return SlotRelease(host, number, NO_SERVER, SlotQuality.UNUSED)
--- /dev/null
+++ b/sequoiapoint/coordination/slot_allocator_test.py
@@ -0,0 +1,222 @@
+import heapq
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from sequoiapoint.coordination import server_choice
+from sequoiapoint.coordination.slot_allocator import (
+    GRANT_IN_FLIGHT_S,
+    QUEUE_TTL_S,
+    REPORT_TTL_S,
+    Engine,
+    SlotAllocator,
+    released,
+    withdrawn,
+)
+from sequoiapoint.protocol.slots import SlotOutcome, SlotQuality, SlotRequest
+
+SLOTS = 12
+
+
+def engine(name, held=("oak",), slots=SLOTS):
+    return Engine((name, 1), "lm", slots, {model: frozenset() for model in held})
+
+
+def allocator(*engines):
+    result = SlotAllocator()
+    result.set_engines(engines or [engine("e-1")])
+    return result
+
+
+def ask(number, host="h", model="oak", priority=0, remaining_s=10.0, excluded=()):
+    return SlotRequest(host, number, "lm", model, "", priority, remaining_s, excluded)
+
+
+def test_no_more_requests_are_granted_than_the_engine_has_slots():
+    slots = allocator(engine("e-1", slots=2))
+    outcomes = [slots.request(ask(n, f"h-{n}"), 0.0).outcome for n in range(4)]
+    assert outcomes == [SlotOutcome.GRANTED] * 2 + [SlotOutcome.QUEUED] * 2
+
+
+def test_a_freed_slot_goes_to_the_most_urgent_request_of_all_hosts():
+    slots = allocator(engine("e-1", slots=1))
+    first = slots.request(ask(1), 0.0)
+    slots.request(ask(2, "a", priority=2, remaining_s=1.0), 0.0)
+    slots.request(ask(3, "b", priority=0, remaining_s=9.0), 0.1)
+    slots.request(ask(4, "c", priority=0, remaining_s=5.0), 0.2)
+    (grant,) = slots.release(released(first, SlotQuality.ON_TIME), 0.3)
+    assert (grant.host, grant.number) == ("c", 4)
+    (grant,) = slots.release(released(grant, SlotQuality.ON_TIME), 0.4)
+    assert (grant.host, grant.number) == ("b", 3)
+
+
+@pytest.mark.parametrize(
+    ("request_fields", "outcome"),
+    [
+        ({}, SlotOutcome.GRANTED),
+        ({"model": "elm"}, SlotOutcome.QUEUED),
+        ({"excluded": ("e-1",)}, SlotOutcome.QUEUED),
+    ],
+)
+def test_a_slot_is_granted_at_an_engine_that_can_run_the_request(
+    request_fields, outcome
+):
+    assert allocator().request(ask(1, **request_fields), 0.0).outcome is outcome
+
+
+def test_a_repeated_request_is_granted_the_same_slot():
+    slots = allocator(engine("e-1", slots=1))
+    assert slots.request(ask(1), 0.0) == slots.request(ask(1), 0.1)
+
+
+def test_a_model_that_becomes_resident_serves_the_requests_that_wait_for_it():
+    slots = allocator(engine("e-1"))
+    slots.request(ask(1, model="elm"), 0.0)
+    assert not slots.grant_queued(0.1)
+    slots.set_engines([engine("e-1", ("oak", "elm"))])
+    assert [grant.number for grant in slots.grant_queued(0.2)] == [1]
+
+
+@pytest.mark.parametrize(
+    ("end", "at"),
+    [
+        (lambda slots: slots.release(withdrawn("h", 2), 0.1), 0.1),
+        (lambda slots: slots.expire(QUEUE_TTL_S + 0.1), QUEUE_TTL_S + 0.1),
+    ],
+)
+def test_a_withdrawn_or_forgotten_request_is_granted_nothing(end, at):
+    slots = allocator(engine("e-1", slots=1))
+    first = slots.request(ask(1, "g"), 0.0)
+    slots.request(ask(2), 0.0)
+    end(slots)
+    assert slots.queue_length == 0
+    assert not slots.release(released(first, SlotQuality.ON_TIME), at)
+
+
+def test_reports_correct_the_counts():
+    """Covers lost releases, requests sent without a grant, and hosts that are gone."""
+    slots = allocator(engine("e-1", slots=2))
+    slots.request(ask(1), 0.0)
+    slots.set_report("h", {}, GRANT_IN_FLIGHT_S / 2)
+    slots.expire(GRANT_IN_FLIGHT_S / 2)
+    assert slots._engines[("e-1", 1)].used == 1
+    slots.set_report("h", {}, GRANT_IN_FLIGHT_S + 0.1)
+    slots.set_report("other", {("e-1", 1): 2}, GRANT_IN_FLIGHT_S + 0.1)
+    slots.expire(GRANT_IN_FLIGHT_S + 0.1)
+    assert slots._engines[("e-1", 1)].used == 2
+    assert slots.request(ask(2), 1.2).outcome is SlotOutcome.QUEUED
+    slots.set_report("h", {}, 1.0 + REPORT_TTL_S)
+    slots.expire(1.3 + REPORT_TTL_S)
+    assert slots._engines[("e-1", 1)].used == 0
+
+
+@pytest.mark.parametrize(
+    ("quality", "times", "expected"),
+    [
+        (SlotQuality.ON_TIME, 8, {"e-1", "e-2", "e-3"}),
+        (SlotQuality.FAILED, 8, {"e-2", "e-3"}),
+        (SlotQuality.UNREACHABLE, 1, {"e-2", "e-3"}),
+        (SlotQuality.UNUSED, 8, {"e-1", "e-2", "e-3"}),
+    ],
+)
+def test_an_engine_that_fails_is_avoided_for_all_hosts(quality, times, expected):
+    """Each of 195 hosts alone meets an engine too seldom to find out that it fails."""
+    slots = allocator(engine("e-1"), engine("e-2"), engine("e-3"))
+    for number in range(times):
+        grant = slots.request(
+            ask(number, f"h-{number}", excluded=("e-2", "e-3")), number * 0.01
+        )
+        slots.release(released(grant, quality), number * 0.01)
+    granted = {slots.request(ask(n), 0.2).engine[0] for n in range(100, 106)}
+    assert granted == expected
+
+
+class _Load:
+    """Requests from 195 hosts at the eight copies of a model, replayed with a seed.
+
+    Rates and durations are those of the large deployment's long streams and its short
+    ones, at four fifths of the engines' slots.
+    """
+
+    HOSTS = 195
+    COPIES = 8
+    DURATION_S = 60.0
+    COUNT_AGE_S = 0.75
+    LONG_S, SHORT_S, LONG_SHARE = 2.2, 0.3, 0.45
+
+    def __init__(self, seed):
+        self._rng = random.Random(seed)
+        self._ends = []
+        self.running = dict.fromkeys(range(self.COPIES), 0)
+        self.arrived_at, self.waits_s, self.overfilled = {}, [], 0
+
+    def start(self, number, copy, grant, now):
+        self.waits_s.append(now - self.arrived_at[number])
+        self.overfilled += self.running[copy] >= SLOTS
+        self.running[copy] += 1
+        is_long = self._rng.random() < self.LONG_SHARE
+        end = now + (self.LONG_S if is_long else self.SHORT_S)
+        heapq.heappush(self._ends, (end, number, copy, grant))
+
+    def play(self, arrive, end):
+        mean_s = self.LONG_SHARE * self.LONG_S + (1 - self.LONG_SHARE) * self.SHORT_S
+        rate = 0.8 * SLOTS * self.COPIES / mean_s
+        now, counted_at, counts, previous = 0.0, 0.0, {}, {}
+        while now < self.DURATION_S:
+            now += self._rng.expovariate(rate)
+            while self._ends and self._ends[0][0] <= now:
+                ended_at, _, copy, grant = heapq.heappop(self._ends)
+                self.running[copy] -= 1
+                end(grant, ended_at)
+            if now - counted_at > self.COUNT_AGE_S:
+                counted_at, previous, counts = now, counts, dict(self.running)
+            number = len(self.arrived_at)
+            self.arrived_at[number] = now
+            arrive(number, now, previous)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_hosts_that_choose_alone_overfill_engines(seed):
+    """Shows the load that the allocator answers: counts are up to 1.5 s old."""
+    load, rng = _Load(seed), random.Random(seed)
+    entries = [
+        SimpleNamespace(zone="z", slots=SLOTS, number=n) for n in range(load.COPIES)
+    ]
+
+    def arrive(number, now, counts):
+        candidates = [
+            server_choice.Candidate(entry, counts.get(entry.number, 0), 0.0, False)
+            for entry in entries
+        ]
+        chosen = server_choice.choose(candidates, "z", rng.random, load.HOSTS)
+        load.start(number, chosen.entry.number, None, now)
+
+    load.play(arrive, lambda grant, now: None)
+    assert load.overfilled > 0.05 * len(load.arrived_at)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_granted_slots_overfill_no_engine_and_few_requests_wait(seed):
+    """Replays the same load with the allocator."""
+    load, rng = _Load(seed), random.Random(seed)
+    slots = allocator(*(engine(str(n)) for n in range(load.COPIES)))
+
+    def start(reply, now):
+        load.start(reply.number, int(reply.engine[0]), reply, now)
+
+    def arrive(number, now, counts):
+        reply = slots.request(ask(number, f"h-{rng.randrange(load.HOSTS)}"), now)
+        if reply.outcome is SlotOutcome.GRANTED:
+            start(reply, now)
+
+    def end(grant, now):
+        for reply in slots.release(released(grant, SlotQuality.ON_TIME), now):
+            start(reply, now)
+
+    load.play(arrive, end)
+    assert load.overfilled == 0
+    assert len(load.waits_s) + slots.queue_length == len(load.arrived_at)
+    waiting = sum(wait_s > 0.1 for wait_s in load.waits_s)
+    assert waiting < 0.05 * len(load.arrived_at)
+    assert max(load.waits_s) < QUEUE_TTL_S
--- a/sequoiapoint/node/gateway_state.py
+++ b/sequoiapoint/node/gateway_state.py
@@ -32,11 +32,19 @@
 
     def __init__(self) -> None:
         self._waiting: dict[asyncio.Future[None], tuple[int, float]] = {}
+        self._by_number: dict[int, asyncio.Future[None]] = {}
 
-    async def wait(self, priority: int, deadline: float, timeout_s: float) -> None:
-        """Wait for the next notification, or until the timeout in seconds expires."""
+    async def wait(
+        self, priority: int, deadline: float, timeout_s: float, number: int = 0
+    ) -> None:
+        """Wait for the next notification, or until the timeout in seconds expires.
+
+        :param number: Identifies the request for ``wake``; 0 for none.
+        """
         future = asyncio.get_running_loop().create_future()
         self._waiting[future] = (priority, deadline)
+        if number:
+            self._by_number[number] = future
         try:
             async with asyncio.timeout(timeout_s):
                 await future
@@ -44,6 +52,14 @@
             pass
         finally:
             self._waiting.pop(future, None)
+            if number:
+                del self._by_number[number]
+
+    def wake(self, number: int) -> None:
+        """Wake one request if it waits."""
+        future = self._by_number.get(number)
+        if future is not None and not future.done():
+            future.set_result(None)
 
     def notify(self) -> None:
         """Wake all waiting requests, the most urgent first."""
--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -15,6 +15,7 @@
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.host_registry import HostRegistry
 from sequoiapoint.node.placement_exchange import PlacementExchange, broadcast_kind
+from sequoiapoint.node.slot_exchange import SlotExchange
 from sequoiapoint.node.store_watch import StoreWatch
 from sequoiapoint.node.topic_exchange import TopicExchange
 from sequoiapoint.protocol.digests import (
@@ -24,6 +25,7 @@
     decode_digest,
     encode_digest,
 )
+from sequoiapoint.protocol.slots import PREFIX as SLOT_MESSAGE_PREFIX
 from sequoiapoint.state.peers import Peers
 from sequoiapoint.transport.clock import monotonic_s
 from sequoiapoint.transport.store_client import StoreClient
@@ -62,6 +64,7 @@
 
     :ivar peers: The other hosts.
     :ivar placement: The exchange of holdings and demand with the leader.
+    :ivar slots: The exchange of slot messages with allocators.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         self.placement = PlacementExchange(
             state, self.peers, self._sender, self._urgent_requested.set
         )
+        self.slots = SlotExchange(state, self.peers, self._sender)
         self._topics = TopicExchange(state, store, watch, self.peers)
         self._registry = HostRegistry(
             state, store, self.peers, self._local_member, self.schedule_digest
@@ -100,6 +104,7 @@
             tasks.create_task(self._run_periodic())
             tasks.create_task(self._run_urgent())
             tasks.create_task(self._sender.run())
+            tasks.create_task(self.slots.run())
             tasks.create_task(self._topics.run())
 
     async def stop(self) -> None:
@@ -148,6 +153,7 @@
         """Send this host's request counts, or the totals if it is the aggregator."""
         state = self._state
         local_counts = state.loads.report()
+        self.slots.report(local_counts, now)
         suspicions = tuple(
             (s.fingerprint, s.deaths)
             for s in state.quarantine.recent_changes(
@@ -212,6 +218,9 @@
 
     def handle_datagram(self, data: bytes, address: tuple[str, int]) -> None:
         """Decode and handle a datagram; forward a leader's broadcast to the zone."""
+        if data.startswith(SLOT_MESSAGE_PREFIX):
+            self.slots.handle_datagram(data, address)
+            return
         state = self._state
         now = monotonic_s()
         try:
@@ -237,6 +246,7 @@
             state.loads.set_cluster_running(dict(digest.counts), now)
         for fingerprint, deaths in digest.suspicions:
             state.quarantine.merge(fingerprint, deaths, now)
+        self.slots.handle_report(digest, now)
         self.placement.handle_digest(digest, now)
         self._topics.handle_digest(digest)
         is_from_sender = digest.address == "{}:{}".format(*address)
--- a/sequoiapoint/node/peer_exchange_test.py
+++ b/sequoiapoint/node/peer_exchange_test.py
@@ -44,6 +44,7 @@
             wait_queue=SimpleNamespace(notify=lambda: None),
             replan_requested=SimpleNamespace(set=lambda: None),
             host_count=1,
+            recent_max_host_count=1,
             log=SimpleNamespace(event=self._log),
             metrics=SimpleNamespace(event=lambda *a: None),
         )
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -20,6 +20,7 @@
     MIN_ATTEMPT_TIME_S,
     ServerSelector,
 )
+from sequoiapoint.node.slot_exchange import SlotExchange
 from sequoiapoint.protocol.errors import Failure
 from sequoiapoint.protocol.event_stream import EventSplitter
 from sequoiapoint.protocol.gateway import (
@@ -29,6 +30,7 @@
     ServerEntry,
 )
 from sequoiapoint.protocol.ports import Headers
+from sequoiapoint.protocol.slots import SlotQuality
 from sequoiapoint.transport.async_http_client import (
     CONNECT_TIMEOUT_S,
     ClientConnection,
@@ -62,12 +64,44 @@
     BROKEN_STREAM = "broken_stream"
 
 
+class _StreamPace:
+    """Tells whether an engine has kept a stream's latency goals.
+
+    :param sent_at: When the request was sent to the engine, in seconds.
+    """
+
+    def __init__(self, sent_at: float, route: Route) -> None:
+        self._last_event_at = sent_at
+        self._limit_s = route.goal_s
+        self._max_event_gap_s = route.max_event_gap_s
+        self.is_late = False
+
+    def record_event(self, now: float) -> None:
+        """Record an event of the stream."""
+        self.is_late |= now - self._last_event_at > self._limit_s > 0
+        self._last_event_at = now
+        self._limit_s = self._max_event_gap_s
+
+
+def _slot_quality(
+    outcome: _AttemptOutcome, reason: str, pace: _StreamPace
+) -> SlotQuality:
+    """Return how an engine ran a request, for the zone's allocator."""
+    if outcome is _AttemptOutcome.NOT_RUN:
+        is_misdirected = reason == MISDIRECTED_REASON
+        return SlotQuality.UNUSED if is_misdirected else SlotQuality.LATE
+    if outcome is not _AttemptOutcome.DELIVERED or reason:
+        return SlotQuality.FAILED
+    return SlotQuality.LATE if pace.is_late else SlotQuality.ON_TIME
+
+
 class RequestForwarder:
     """Forwards one request: its attempts, retries and final response."""
 
     def __init__(
         self,
         state: GatewayState,
+        slots: SlotExchange,
         request: CallerRequest,
         route: Route,
         arrived_s: float,
@@ -82,12 +116,13 @@
         if request.budget_s is not None:
             budget_s = min(budget_s, request.budget_s)
         self._deadline = arrived_s + budget_s
-        self._selector = ServerSelector(state, request, route, self._deadline)
+        self._selector = ServerSelector(state, slots, request, route, self._deadline)
         self._record = RequestRecord(state, request, route, arrived_s)
         self._splitter = EventSplitter(request.last_event_id)
         self._has_unknown_outcome = False
         self._has_reserved_retry = False
         self._attempt_number = 0
+        self._slot_quality = SlotQuality.UNUSED
         self._head: ResponseHead | None = None
 
     def _remaining_s(self) -> float:
@@ -124,10 +159,12 @@
             self._attempt_number = attempt_number
             if self._selector.is_engine:
                 state.demand.adjust(self._selector.demand_key, running=1)
+            self._slot_quality = SlotQuality.UNUSED
             try:
                 outcome = await self._attempt(entry, fingerprint)
             finally:
                 load.note_finished(attempt_number)
+                self._selector.release(self._slot_quality)
                 if self._selector.is_engine:
                     state.demand.adjust(self._selector.demand_key, running=-1)
                 state.wait_queue.notify()
@@ -158,8 +195,10 @@
         now = monotonic_s()
         if isinstance(connection, Failure):
             load.note_connect_failure(now)
+            self._slot_quality = SlotQuality.UNREACHABLE
             self._log_attempt(entry, "not_connected", connection.reason)
             return None
+        pace = _StreamPace(now, self._route)
         if self._record.attempts == 0:
             state.retry_window(self._selector.service).record_request(now)
         self._record.attempts += 1
@@ -172,7 +211,9 @@
         )
         exchange = connection.send(head, self._request.body, self._accept_response)
         try:
-            outcome, reason = await self._process_response(entry, connection, exchange)
+            outcome, reason = await self._process_response(
+                entry, connection, exchange, pace
+            )
         finally:
             if not exchange.outcome.done():
                 connection.close()
@@ -180,6 +221,7 @@
         if reason != ExchangeOutcome.TIMED_OUT.value:
             load.note_received(now)
         self._note_health(entry, outcome, reason, fingerprint)
+        self._slot_quality = _slot_quality(outcome, reason, pace)
         if outcome is not _AttemptOutcome.DELIVERED:
             self._selector.reason = reason
             self._log_attempt(entry, outcome.value, reason)
@@ -191,7 +233,11 @@
         return not head.request_id or head.request_id == self._request.request_id
 
     async def _process_response(
-        self, entry: ServerEntry, connection: ClientConnection, exchange: Exchange
+        self,
+        entry: ServerEntry,
+        connection: ClientConnection,
+        exchange: Exchange,
+        pace: "_StreamPace",
     ) -> tuple[_AttemptOutcome, str]:
         """Wait for the response of an attempt and process it.
 
@@ -220,7 +266,7 @@
             connection.close()
             return _AttemptOutcome.UNKNOWN, "not_the_servers_answer"
         if is_success and self._route.is_stream:
-            return await self._forward_stream(head, connection, exchange, entry)
+            return await self._forward_stream(head, connection, exchange, entry, pace)
         return await self._forward_complete_response(head, exchange, entry)
 
     async def _forward_complete_response(
@@ -251,6 +297,7 @@
         connection: ClientConnection,
         exchange: Exchange,
         entry: ServerEntry,
+        pace: "_StreamPace",
     ) -> tuple[_AttemptOutcome, str]:
         responder, splitter = self._responder, self._splitter
         load = self._state.loads.get_or_create(entry.incarnation)
@@ -264,6 +311,7 @@
             if load.note_first_event(self._attempt_number):
                 self._state.wait_queue.notify()
             self._record.record_event()
+            pace.record_event(monotonic_s())
             if not responder.is_started:
                 responder.start_stream(head.status, list(head.headers))
             responder.send(events)
--- a/sequoiapoint/node/request_handler.py
+++ b/sequoiapoint/node/request_handler.py
@@ -7,14 +7,16 @@
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.request_forwarder import RequestForwarder
 from sequoiapoint.node.request_record import reject
+from sequoiapoint.node.slot_exchange import SlotExchange
 from sequoiapoint.transport.async_http_server import InboundRequest, Responder
 
 
 class RequestHandler:
     """Responds to callers' requests."""
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(self, state: GatewayState, slots: SlotExchange) -> None:
         self._state = state
+        self._slots = slots
 
     async def handle(self, inbound: InboundRequest, responder: Responder) -> None:
         """Handle one request: forward it to a server, or reject it."""
@@ -46,7 +48,7 @@
             )
             return
         forwarder = RequestForwarder(
-            state, request, route, inbound.arrived_s, responder
+            state, self._slots, request, route, inbound.arrived_s, responder
         )
         try:
             await forwarder.run()
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -2,7 +2,9 @@
 
 from sequoiapoint.coordination import server_choice, waiting
 from sequoiapoint.node.gateway_state import GatewayState
+from sequoiapoint.node.slot_exchange import SlotExchange, SlotTicket
 from sequoiapoint.protocol.gateway import CallerRequest, Route, ServerEntry
+from sequoiapoint.protocol.slots import SlotOutcome, SlotQuality, SlotRequest
 from sequoiapoint.transport.clock import monotonic_s
 
 MIN_ATTEMPT_TIME_S = 0.02
@@ -13,6 +15,9 @@
 CAPACITY_REASONS = frozenset({"servers_full", "no_connection", "engine_reads"})
 """Rejection reasons for which servers can run the request but have no capacity.  For
 "engine_reads", the engines still process earlier prompts."""
+MAX_ZONES_ASKED = 3
+"""Number of zones whose allocators are asked for a slot, one after the other, before a
+request waits for one of them."""
 MAX_WAIT_INTERVAL_S = 0.1
 """Maximum time between two selections for a waiting request.  The end of a server's
 back-off period wakes no request."""
@@ -32,11 +37,14 @@
     def __init__(
         self,
         state: GatewayState,
+        slots: SlotExchange,
         request: CallerRequest,
         route: Route,
         deadline: float,
     ) -> None:
         self._state = state
+        self._slots = slots
+        self._ticket: SlotTicket | None = None
         self._request = request
         self._route = route
         self._deadline = deadline
@@ -68,6 +76,20 @@
         :return: None if the request should be given up: too little time remains, the
             limit on its wait has passed, or too many connections have failed.
         """
+        with self._slots.ticket() as ticket:
+            entry = await self._select(ticket)
+            if entry is not None:
+                ticket.is_used = True
+                self._ticket = ticket
+            return entry
+
+    def release(self, quality: SlotQuality) -> None:
+        """Release the slot of the last attempt, if it was granted one."""
+        if self._ticket is not None:
+            self._slots.release(self._ticket, quality)
+            self._ticket = None
+
+    async def _select(self, ticket: SlotTicket) -> ServerEntry | None:
         state = self._state
         started_at = monotonic_s()
         limit_s = waiting.wait_limit_s(self._route, (self._deadline - monotonic_s()))
@@ -79,7 +101,7 @@
                     return None
                 if self.connect_failures >= MAX_CONNECT_FAILURES:
                     return None
-                entry = self._choose(now)
+                entry = await self._acquire(ticket, now)
                 if entry is not None:
                     return entry
                 if now - started_at > limit_s or now > state.queue_deadline:
@@ -90,25 +112,105 @@
                         state.demand.adjust(self.demand_key, waiting=1)
                         state.replan_requested.set()
                 await state.wait_queue.wait(
-                    self._route.priority, self._deadline, MAX_WAIT_INTERVAL_S
+                    self._route.priority,
+                    self._deadline,
+                    MAX_WAIT_INTERVAL_S,
+                    ticket.number,
                 )
         finally:
             self.waited_s += monotonic_s() - started_at
             if is_waiting and self.is_engine:
                 state.demand.adjust(self.demand_key, waiting=-1)
 
-    def _choose(self, now: float) -> ServerEntry | None:
+    async def _acquire(self, ticket: SlotTicket, now: float) -> ServerEntry | None:
+        """Return a server that can take the request now, None if there is none."""
+        serving = self._serving(now)
+        if not self.is_engine or not self._slots.is_active:
+            return self._choose(serving, now)
+        if ticket.grant is None and serving:
+            unallocated_zones = await self._ask_zones(ticket, serving, now)
+            if ticket.grant is None:
+                # The engines of zones whose allocators are out of reach.
+                remaining = [e for e in serving if e.zone in unallocated_zones]
+                entry = self._choose(remaining, monotonic_s())
+                self.reason = self.reason if remaining else "servers_full"
+                return entry
+        return self._granted_server(ticket)
+
+    def _granted_server(self, ticket: SlotTicket) -> ServerEntry | None:
+        if ticket.grant is None:
+            return None
+        server, started_ms = ticket.grant.engine
+        entry = self._state.fleet.entries.get(server)
+        if entry is not None and entry.started_ms == started_ms:
+            return entry
+        self.reason = "no_server"
+        self._slots.release(ticket, SlotQuality.UNUSED)
+        return None
+
+    async def _ask_zones(
+        self, ticket: SlotTicket, serving: list[ServerEntry], now: float
+    ) -> set[str]:
+        """Ask the allocators of the zones with suitable engines, until one grants.
+
+        :return: The zones whose allocators cannot be reached.
+        """
         state, request = self._state, self._request
-        ready = state.fleet.ready_servers(self.service)
+        avoided = [
+            e.server
+            for e in serving
+            if e.server in self.tried_servers
+            or state.loads.get_or_create(e.incarnation).is_avoided(now)
+        ]
+        slot_request = SlotRequest(
+            state.settings.host,
+            ticket.number,
+            self.service,
+            request.model,
+            request.adapter,
+            self._route.priority,
+            self._deadline - now,
+            tuple(avoided) if len(avoided) < len(serving) else (),
+        )
+        unallocated = set()
+        zones = server_choice.zones_by_load(
+            serving, self._running(serving, now), state.settings.zone
+        )
+        asked = 0
+        for zone in zones:
+            outcome = await self._slots.ask(ticket, zone, slot_request)
+            if outcome is SlotOutcome.UNAVAILABLE:
+                unallocated.add(zone)
+                continue
+            asked += 1
+            if ticket.grant is not None or asked >= MAX_ZONES_ASKED:
+                break
+        return unallocated
+
+    def _running(self, entries: list[ServerEntry], now: float) -> dict[str, float]:
+        """Return the estimated number of requests at each server."""
+        loads = self._state.loads
+        return {
+            e.server: loads.get_or_create(e.incarnation).running(now) for e in entries
+        }
+
+    def _serving(self, now: float) -> list[ServerEntry]:
+        """Return the servers that can run the request, whether or not they are full."""
+        fleet, request = self._state.fleet, self._request
+        ready = fleet.ready_servers(self.service)
         self.reason = "no_server"
         serving = [
             entry
             for entry in ready
             if not self.is_engine
-            or state.fleet.holds(entry, request.model, request.adapter, now)
+            or fleet.holds(entry, request.model, request.adapter, now)
         ]
         if ready and not serving:
             self.reason = "model_not_loaded"
+        return serving
+
+    def _choose(self, serving: list[ServerEntry], now: float) -> ServerEntry | None:
+        state = self._state
         untried = [e for e in serving if e.server not in self.tried_servers]
         candidates = []
         for entry in untried or serving:
--- /dev/null
+++ b/sequoiapoint/node/slot_exchange_test.py
@@ -0,0 +1,174 @@
+"""Requests for slots between hosts whose datagrams may be lost."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from sequoiapoint.node import slot_exchange
+from sequoiapoint.node.gateway_state import WaitQueue
+from sequoiapoint.node.slot_exchange import ALLOCATOR_WARM_UP_S, SlotExchange
+from sequoiapoint.protocol.digests import Member
+from sequoiapoint.protocol.gateway import HeldModel, ServerEntry, ServerState
+from sequoiapoint.protocol.slots import SlotOutcome, SlotQuality, SlotRequest
+from sequoiapoint.state.fleet import Fleet
+from sequoiapoint.state.server_load import ServerLoads
+
+ALLOCATOR = Member("h-0", "z", "10.0.0.1:7")
+HOST = Member("h-1", "z", "10.0.0.2:7")
+ENGINE = ("e-1", 1)
+
+
+class _Network:
+    """Delivers datagrams at once, unless the receiver is unreachable."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.unreachable = set()
+        self.exchanges = {}
+
+    def add(self, member, slots=1):
+        fleet = Fleet()
+        models = (HeldModel("oak", frozenset()),)
+        fleet.put(
+            ServerEntry(
+                *("e-1", "lm", "10.1.0.1:9", "z", ServerState.READY, 1, slots, models)
+            )
+        )
+        log = SimpleNamespace(event=lambda *a, **f: None)
+        state = SimpleNamespace(
+            settings=SimpleNamespace(host=member.host),
+            fleet=fleet,
+            loads=ServerLoads(),
+            wait_queue=WaitQueue(),
+            recent_max_host_count=100,
+            is_draining=False,
+            log=log,
+            metrics=SimpleNamespace(event=lambda *a: None),
+        )
+        peers = SimpleNamespace(
+            aggregator_host=ALLOCATOR.host,
+            is_aggregator=lambda now: member == ALLOCATOR,
+            peer=lambda host: SimpleNamespace(member=ALLOCATOR),
+            relays=lambda zone, now: (),
+        )
+        sender = SimpleNamespace(
+            local_member=member,
+            forward=lambda data, members: self._deliver(data, member, members),
+        )
+        self.exchanges[member.address] = exchange = SlotExchange(state, peers, sender)
+        return exchange
+
+    def _deliver(self, data, sender, members):
+        host, _, port = sender.address.rpartition(":")
+        for member in members:
+            if member.address not in self.unreachable:
+                self.exchanges[member.address].handle_datagram(data, (host, int(port)))
+
+
+@pytest.fixture
+def network(monkeypatch):
+    result = _Network()
+    monkeypatch.setattr(slot_exchange, "monotonic_s", lambda: result.now)
+    monkeypatch.setattr(slot_exchange, "REPLY_TIMEOUT_S", 0.01)
+    return result
+
+
+def start(network, slots=1):
+    allocator, host = network.add(ALLOCATOR, slots), network.add(HOST)
+    allocator.refresh(network.now)
+    network.now += ALLOCATOR_WARM_UP_S + 0.01
+    allocator.refresh(network.now)
+    return allocator, host
+
+
+def request(ticket, host=HOST):
+    return SlotRequest(host.host, ticket.number, "lm", "oak", "", 0, 5.0)
+
+
+async def ask(exchange, ticket, host=HOST):
+    return await exchange.ask(ticket, "z", request(ticket, host))
+
+
+@pytest.mark.parametrize("is_own", [False, True])
+def test_a_host_is_granted_a_slot_and_releases_it(network, is_own):
+    allocator, host = start(network)
+    exchange, member = (allocator, ALLOCATOR) if is_own else (host, HOST)
+
+    async def run():
+        with exchange.ticket() as ticket:
+            assert await ask(exchange, ticket, member) is SlotOutcome.GRANTED
+            assert ticket.grant.engine == ENGINE
+            ticket.is_used = True
+        assert allocator.allocator._engines[ENGINE].used == 1
+        exchange.release(ticket, SlotQuality.ON_TIME)
+        assert allocator.allocator._engines[ENGINE].used == 0
+
+    asyncio.run(run())
+
+
+def test_a_new_allocator_grants_nothing_before_it_has_reports(network):
+    allocator, host = network.add(ALLOCATOR), network.add(HOST)
+    allocator.refresh(network.now)
+
+    async def run():
+        with host.ticket() as ticket:
+            assert await ask(host, ticket) is SlotOutcome.UNAVAILABLE
+
+    asyncio.run(run())
+
+
+def test_a_silent_allocator_is_not_asked_again_for_a_while(network):
+    start(network)
+    host = network.exchanges[HOST.address]
+    network.unreachable.add(ALLOCATOR.address)
+
+    async def run():
+        with host.ticket() as ticket:
+            assert await ask(host, ticket) is SlotOutcome.UNAVAILABLE
+            network.unreachable.clear()
+            assert await ask(host, ticket) is SlotOutcome.UNAVAILABLE
+            network.now += slot_exchange.ALLOCATOR_BACKOFF_S
+            assert await ask(host, ticket) is SlotOutcome.GRANTED
+
+    asyncio.run(run())
+
+
+def test_a_waiting_request_is_woken_by_the_slot_that_another_host_frees(network):
+    allocator, host = start(network)
+
+    async def run():
+        with allocator.ticket() as first, host.ticket() as second:
+            assert await ask(allocator, first, ALLOCATOR) is SlotOutcome.GRANTED
+            assert await ask(host, second) is SlotOutcome.QUEUED
+            wait = asyncio.create_task(
+                host._state.wait_queue.wait(0, 0.0, 5.0, second.number)
+            )
+            await asyncio.sleep(0)
+            allocator.release(first, SlotQuality.ON_TIME)
+            await asyncio.wait_for(wait, 1.0)
+            assert second.grant.engine == ENGINE
+
+    asyncio.run(run())
+
+
+def test_slots_of_requests_that_are_given_up_become_free(network):
+    """Covers a request that is granted a slot after it has been given up."""
+    allocator, host = start(network)
+
+    async def run():
+        with host.ticket() as granted, host.ticket() as queued:
+            assert await ask(host, granted) is SlotOutcome.GRANTED
+            assert await ask(host, queued) is SlotOutcome.QUEUED
+            network.unreachable.add(HOST.address)
+        assert allocator.allocator.queue_length == 0
+        assert allocator.allocator._engines[ENGINE].used == 0
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("data", [b"\xff", b"\xffnonsense", b"\xff\x00\x00"])
+def test_unreadable_messages_are_dropped(network, data):
+    allocator, _ = start(network)
+    allocator.handle_datagram(data, ("10.0.0.9", 7))
+    assert allocator.allocator.queue_length == 0
--- /dev/null
+++ b/sequoiapoint/protocol/slots.py
@@ -0,0 +1,171 @@
+"""Messages by which hosts share the batch slots of engines, and their codec.
+
+A host asks the slot allocator of a zone for a slot at an engine, and releases the slot
+when its request has ended.  The messages share a UDP port with the digests.
+"""
+
+import enum
+from dataclasses import dataclass
+from functools import singledispatch
+from pathlib import Path
+from typing import Any
+
+import capnp
+
+from sequoiapoint.protocol.gateway import Incarnation
+
+_SCHEMA = capnp.load(str(Path(__file__).with_name("slots.capnp")))
+PREFIX = b"\xff"
+"""First byte of a datagram with a slot message.  The packed form of a digest begins
+with another byte, as its first word has zero bytes."""
+MAX_PRIORITY = 255
+"""The least urgent priority that a message can carry."""
+NO_SERVER: Incarnation = ("", 0)
+
+
+class SlotOutcome(enum.Enum):
+    """What an allocator says to a request; the value is the name in the schema."""
+
+    GRANTED = "granted"
+    QUEUED = "queued"
+    """All engines that could run the request are full; a grant may follow."""
+    UNAVAILABLE = "unavailable"
+    """The host is not the allocator of its zone, or not yet."""
+
+
+class SlotQuality(enum.Enum):
+    """How the engine ran the request; the value is the name in the schema."""
+
+    ON_TIME = "onTime"
+    LATE = "late"
+    FAILED = "failed"
+    UNREACHABLE = "unreachable"
+    UNUSED = "unused"
+    """The request was not sent to the engine."""
+
+
+@dataclass(frozen=True)
+class SlotRequest:
+    """A request for a slot.
+
+    :param number: Identifies the request within the requesting host's process.
+    :param priority: The priority of its route; 0 is the most urgent.
+    :param remaining_s: Time until its caller's deadline, in seconds.
+    :param excluded: Engines that the host would not use.
+    """
+
+    host: str
+    number: int
+    service: str
+    model: str
+    adapter: str
+    priority: int
+    remaining_s: float
+    excluded: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class SlotReply:
+    """An allocator's reply, or a later grant to a queued request."""
+
+    host: str
+    number: int
+    outcome: SlotOutcome
+    engine: Incarnation = NO_SERVER
+
+
+@dataclass(frozen=True)
+class SlotRelease:
+    """The end of the use of a slot, or the withdrawal of a queued request.
+
+    :param engine: The engine, ``NO_SERVER`` for a withdrawal.
+    """
+
+    host: str
+    number: int
+    engine: Incarnation = NO_SERVER
+    quality: SlotQuality = SlotQuality.UNUSED
+
+
+SlotMessage = SlotRequest | SlotReply | SlotRelease
+
+
+@singledispatch
+def _fields(message: object) -> dict[str, dict[str, Any]]:
+    """Return the fields of a message's group in the schema, by the group's name."""
+    raise TypeError(f"not a slot message: {type(message).__name__}")
+
+
+@_fields.register
+def _(message: SlotRequest) -> dict[str, dict[str, Any]]:
+    fields = {
+        "service": message.service,
+        "model": message.model,
+        "adapter": message.adapter,
+        "priority": min(message.priority, MAX_PRIORITY),
+        "remainingMs": max(0, round(message.remaining_s * 1000)),
+        "excluded": list(message.excluded),
+    }
+    return {"request": fields}
+
+
+@_fields.register
+def _(message: SlotReply) -> dict[str, dict[str, Any]]:
+    server, started_ms = message.engine
+    fields = {
+        "outcome": message.outcome.value,
+        "server": server,
+        "startedMs": started_ms,
+    }
+    return {"reply": fields}
+
+
+@_fields.register
+def _(message: SlotRelease) -> dict[str, dict[str, Any]]:
+    server, started_ms = message.engine
+    fields = {
+        "server": server,
+        "startedMs": started_ms,
+        "quality": message.quality.value,
+    }
+    return {"release": fields}
+
+
+def encode_slot_message(message: SlotMessage) -> bytes:
+    """Encode a message as a datagram."""
+    encoded = _SCHEMA.SlotMessage.new_message(
+        number=message.number, host=message.host, **_fields(message)
+    )
+    return PREFIX + encoded.to_bytes_packed()
+
+
+def decode_slot_message(data: bytes) -> SlotMessage:
+    """Decode a datagram that begins with ``PREFIX``.
+
+    :raises ValueError: The data is not a slot message.
+    """
+    try:
+        message = _SCHEMA.SlotMessage.from_bytes_packed(data[len(PREFIX) :])
+        host, number = message.host, message.number
+        kind = message.which()
+        if kind == "request":
+            group = message.request
+            return SlotRequest(
+                host,
+                number,
+                group.service,
+                group.model,
+                group.adapter,
+                group.priority,
+                group.remainingMs / 1000,
+                tuple(group.excluded),
+            )
+        if kind == "reply":
+            group = message.reply
+            outcome = SlotOutcome(str(group.outcome))
+            return SlotReply(host, number, outcome, (group.server, group.startedMs))
+        group = message.release
+        quality = SlotQuality(str(group.quality))
+        return SlotRelease(host, number, (group.server, group.startedMs), quality)
+    except capnp.KjException as error:
+        raise ValueError(f"not a slot message: {error}") from error
--- /dev/null
+++ b/sequoiapoint/protocol/slots_test.py
@@ -0,0 +1,46 @@
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from sequoiapoint.protocol import digests, slots
+
+TEXT = st.text(max_size=8)
+NUMBER = st.integers(0, 2**63)
+ENGINE = st.tuples(TEXT, st.integers(0, 2**40))
+MESSAGES = st.one_of(
+    st.builds(
+        slots.SlotRequest,
+        TEXT,
+        NUMBER,
+        TEXT,
+        TEXT,
+        TEXT,
+        st.integers(0, slots.MAX_PRIORITY),
+        st.integers(0, 60_000).map(lambda ms: ms / 1000),
+        st.lists(TEXT, max_size=3).map(tuple),
+    ),
+    st.builds(
+        slots.SlotReply, TEXT, NUMBER, st.sampled_from(slots.SlotOutcome), ENGINE
+    ),
+    st.builds(
+        slots.SlotRelease, TEXT, NUMBER, ENGINE, st.sampled_from(slots.SlotQuality)
+    ),
+)
+
+
+@hypothesis.given(MESSAGES)
+def test_slot_message_round_trip(message):
+    data = slots.encode_slot_message(message)
+    assert data.startswith(slots.PREFIX)
+    assert slots.decode_slot_message(data) == message
+
+
+@pytest.mark.parametrize("data", [b"\xff", b"\xffGET / HTTP/1.1", b"\xff" * 40])
+def test_decoding_other_bytes_fails(data):
+    with pytest.raises(ValueError, match="not a slot message"):
+        slots.decode_slot_message(data)
+
+
+def test_a_digest_does_not_begin_like_a_slot_message():
+    digest = digests.Digest("host", "zone", "10.0.0.1:1", 1)
+    assert not digests.encode_digest(digest).startswith(slots.PREFIX)
--- a/sequoiapoint/state/peers.py
+++ b/sequoiapoint/state/peers.py
@@ -5,6 +5,7 @@
 its own zone, so a host's traffic does not grow with the number of hosts elsewhere.
 """
 
+import functools
 import math
 from collections import Counter, deque
 from collections.abc import Iterable, Mapping
@@ -54,9 +55,14 @@
         return Member(self.host, self.zone, self.address)
 
 
+@functools.lru_cache(maxsize=4096)
+def _hash(host: str) -> int:
+    return xxhash.xxh64_intdigest(host.encode())
+
+
 def sorted_by_hash(hosts: Iterable[str]) -> list[str]:
     """Return hosts sorted by hash, an order on which all hosts agree."""
-    return sorted(hosts, key=lambda host: xxhash.xxh64_intdigest(host.encode()))
+    return sorted(hosts, key=_hash)
 
 
 class Peers:
