--- a/sequoiapoint/protocol/event_stream_test.py
+++ b/sequoiapoint/protocol/event_stream_test.py
@@ -24,6 +24,30 @@
     assert splitter.feed(b"id: 9\ndata: b\n\n") == b"id: 9\ndata: b\n\n"
 
 
+def test_an_id_inside_data_does_not_hide_an_earlier_id():
+    splitter = EventSplitter("7")
+    splitter.feed(b"id: 8\ndata: a\n\n")
+    splitter.feed(b"data: see id:5\n\n")
+    assert splitter.last_id == "8"
+
+
+@pytest.mark.parametrize(
+    ("data", "count"),
+    [
+        (b"data: a\r\n\r\ndata: b\r\n\r\n", 2),
+        (b"data: a\r\rdata: b\r\r", 2),
+        (b"data: a\n\ndata: b\r\n\r\n", 2),
+        (b"data: a\r\n\r\ndata: b\n\n", 2),
+        (b"data: a\r\n\ndata: b\n\r\n", 2),
+        (b"data: \r inside\n\n", 1),
+    ],
+)
+def test_events_with_any_line_ends_are_returned_at_once_and_counted(data, count):
+    splitter = EventSplitter()
+    assert splitter.feed(data) == data
+    assert (splitter.count, splitter.has_partial) == (count, False)
+
+
 @hypothesis.given(st.lists(st.integers(1, 40), max_size=60))
 def test_chunks_of_any_size_yield_the_same_bytes_in_order(sizes):
     stream = b"".join(b"id: %d\ndata: %s\n\n" % (n, b"x" * n) for n in range(1, 20))
