Limit the time of a whole request head, not the pauses within it

A head that arrived byte by byte was accepted for as long as its pauses stayed below the limit (72.5 s against 3 s).

--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -139,6 +139,8 @@
         self._active: InboundRequest | None = None
         self._ignores_input = False
         self._is_reading = False
+        self._is_head_complete = False
+        self._head_started_at = 0.0
         self._last_progress_s = monotonic_s()
         self._pause: Callable[[], None] | None = None
         self._resume: Callable[[], None] | None = None
@@ -194,15 +196,17 @@
             self._transport.resume_reading()
 
     def check_timeouts(self, now: float) -> None:
-        """Close an idle connection; reject a request that stops arriving.
+        """Close an idle connection; reject a request that arrives too slowly.
 
-        The timeout of a request restarts whenever data arrives, so it limits the pauses
-        within the request, not the time to receive it.
+        The timeout limits the time to receive the whole head, and each pause within the
+        body.
         """
         if self._ignores_input or self._active is not None:
             return
         limits = self._server.limits
-        waited_s = now - self._last_progress_s
+        is_head_pending = self._is_reading and not self._is_head_complete
+        since = self._head_started_at if is_head_pending else self._last_progress_s
+        waited_s = now - since
         if self._is_reading and waited_s > limits.header_timeout_s:
             self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
         elif not self._is_reading and waited_s > limits.idle_timeout_s:
@@ -245,8 +249,11 @@
         """Parse received data and start the next request."""
         if self._ignores_input:
             return
-        self._is_reading = True
         self._last_progress_s = monotonic_s()
+        if not self._is_reading:
+            self._is_reading = True
+            self._is_head_complete = False
+            self._head_started_at = self._last_progress_s
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -281,6 +288,7 @@
 
     def on_headers_complete(self) -> None:
         """Reject ambiguous framing and excessive body sizes before the body is read."""
+        self._is_head_complete = True
         self.is_http_11 = self._parser.get_http_version() == "1.1"
         names = [name for name, _ in self._headers]
         if names.count(b"host") != 1 and self.is_http_11:
@@ -323,7 +331,8 @@
         self._queue.append((request, self._parser.should_keep_alive()))
 
     def _begin_message(self) -> None:
-        self._arrived_s = monotonic_s()
+        self._arrived_s = self._head_started_at = monotonic_s()
+        self._is_head_complete = False
         self._target = b""
         self._headers: Headers = []
         self._head_bytes = 0
--- a/sequoiapoint/transport/async_http_server_test.py
+++ b/sequoiapoint/transport/async_http_server_test.py
@@ -347,3 +347,27 @@
 
     run(scenario())
     assert calls == ["pause"]
+
+
+def test_a_head_that_arrives_byte_by_byte_is_rejected_after_the_timeout():
+    """The timeout limits the whole head, not the pauses within it."""
+
+    async def drip():
+        async with RecordingServer() as recorder:
+            reader, writer = await recorder.connect()
+            started = asyncio.get_running_loop().time()
+            with contextlib.suppress(ConnectionError):
+                for position in range(len(VALID_REQUEST)):
+                    writer.write(VALID_REQUEST[position : position + 1])
+                    await asyncio.sleep(LIMITS.header_timeout_s / 4)
+                    if reader.at_eof() or reader._buffer:
+                        break
+            elapsed_s = asyncio.get_running_loop().time() - started
+            response = await reader.read(100)
+            writer.close()
+            return elapsed_s, response, recorder.received
+
+    elapsed_s, response, received = run(drip())
+    assert response.startswith(b"HTTP/1.1 408 ")
+    assert not received
+    assert elapsed_s < 5 * LIMITS.header_timeout_s
