Skip the rows of the store's responses that cannot be read, one by one

A short row of a join raised an IndexError that nothing caught, and one bad record of a page lost the page. Rows are counted and logged once; hypothesis feeds the decoders.

--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -85,7 +85,7 @@
         loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload_signal)
         log.event("host_start", zone=settings.zone, store=settings.store)
-        store = StoreClient(settings.store, self._adapter.store, metrics)
+        store = StoreClient(settings.store, self._adapter.store, metrics, log)
         watch = StoreWatch(state, store)
         exchange = PeerExchange(state, store, watch)
         placement = PlacementController(state, store, exchange)
--- a/sequoiapoint/platform/store.py
+++ b/sequoiapoint/platform/store.py
@@ -3,8 +3,8 @@
 import base64
 import json
 import struct
-from collections.abc import Iterator
-from typing import Annotated, Any, Literal
+from collections.abc import Callable, Iterator
+from typing import Annotated, Any, Literal, TypeVar
 from urllib.parse import urlencode
 
 import pydantic
@@ -47,6 +47,9 @@
     )
 
 
+WireModelT = TypeVar("WireModelT", bound=_WireModel)
+
+
 class _Split(_WireModel):
     service: str
     weight: float
@@ -202,6 +205,48 @@
         )
 
 
+class _Newest(_WireModel):
+    items: list[Any]
+    end: pydantic.StrictInt
+    has_more: bool = False
+
+
+class _Item(_WireModel):
+    key: pydantic.StrictStr
+    value: pydantic.StrictStr
+    offset: pydantic.StrictInt
+
+    def record(self) -> StoreRecord:
+        """Convert to the gateway's data model.
+
+        :raises ValueError: The value is not valid base64.
+        """
+        return StoreRecord(self.offset, self.key, base64.b64decode(self.value) or None)
+
+
+class _Join(_WireModel):
+    generation: pydantic.StrictInt
+    parts: list[Any]
+
+
+def _validated(model: type[WireModelT], body: bytes) -> WireModelT:
+    """Decode a response.
+
+    :raises ValueError: The response cannot be read.
+    """
+    try:
+        return model.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        raise ValueError(_reason(error)) from error
+
+
+def _reason(error: ValueError) -> str:
+    if isinstance(error, pydantic.ValidationError):
+        detail = error.errors()[0]
+        return f"{'.'.join(map(str, detail['loc']))}: {detail['msg']}"
+    return str(error)
+
+
 def _get(call: str, **query: object) -> HttpCall:
     return HttpCall("GET", f"{_CALL_PREFIX}{call}?{urlencode(query)}")
 
@@ -241,21 +286,22 @@
         query = {"topic": topic, "part": 0} | ({"after": after} if after else {})
         return _get("newest", **query)
 
-    def decode_newest(self, body: bytes) -> tuple[list[StoreRecord], int, bool]:
+    def decode_newest(
+        self, body: bytes, skip: Callable[[str], None]
+    ) -> tuple[list[StoreRecord], int, bool]:
         """Return the records, the topic's end offset and whether more pages follow.
 
-        :raises ValueError: The response is not JSON, or a value is not valid base64.
-        :raises KeyError: A field is missing.
-        :raises TypeError: A part of the response has another type.
+        :param skip: Called with the reason for each item that cannot be read.
+        :raises ValueError: The response as a whole cannot be read.
         """
-        response = json.loads(body)
-        records = [
-            StoreRecord(
-                item["offset"], item["key"], base64.b64decode(item["value"]) or None
-            )
-            for item in response["items"]
-        ]
-        return records, response["end"], bool(response.get("has-more"))
+        response = _validated(_Newest, body)
+        records = []
+        for item in response.items:
+            try:
+                records.append(_Item.model_validate(item).record())
+            except ValueError as error:
+                skip(_reason(error))
+        return records, response.end, response.has_more
 
     def read_call(self, topic: str, offset: int, wait_s: float) -> HttpCall:
         """Encode a read that waits up to ``wait_s`` seconds for records."""
@@ -300,18 +346,21 @@
         }
         return _post("join", body)
 
-    def decode_join(self, body: bytes) -> GroupMembership:
+    def decode_join(self, body: bytes, skip: Callable[[str], None]) -> GroupMembership:
         """Decode the response to a join.
 
-        :raises ValueError: The response is not JSON.
-        :raises KeyError: A field is missing.
-        :raises IndexError: A row has too few elements.
-        :raises TypeError: A part of the response has another type.
+        :param skip: Called with the reason for each row that cannot be read.
+        :raises ValueError: The response as a whole cannot be read.
         """
-        response = json.loads(body)
-        # Each row contains topic, partition and committed offset.
-        partitions = frozenset(row[1] for row in response["parts"])
-        return GroupMembership(response["generation"], partitions)
+        response = _validated(_Join, body)
+        partitions = set()
+        for row in response.parts:
+            # Each row contains topic, partition and committed offset.
+            if isinstance(row, list) and len(row) > 1 and type(row[1]) is int:
+                partitions.add(row[1])
+            else:
+                skip("a row without a partition number")
+        return GroupMembership(response.generation, frozenset(partitions))
 
     def leave_call(self, group: str, member: str) -> HttpCall:
         """Encode a request to leave a group."""
--- a/sequoiapoint/platform/store_test.py
+++ b/sequoiapoint/platform/store_test.py
@@ -1,9 +1,13 @@
 import base64
+import contextlib
 import json
 import struct
 
+import hypothesis
+import hypothesis.strategies as st
 import pytest
 
+from sequoiapoint.platform.servers import PlatformServerCodec
 from sequoiapoint.platform.store import PlatformStoreCodec
 from sequoiapoint.protocol.gateway import (
     GroupMembership,
@@ -235,7 +239,7 @@
             "end": 6,
         }
     )
-    assert CODEC.decode_newest(body.encode()) == (
+    assert CODEC.decode_newest(body.encode(), pytest.fail) == (
         [StoreRecord(4, "s-1", b"{}")],
         6,
         True,
@@ -286,7 +290,60 @@
         "ttl-ms": 1800,
         "generation": 6,
     }
-    assert CODEC.decode_join(b'{"generation":7,"parts":[["t",0,3]]}') == (
+    assert CODEC.decode_join(b'{"generation":7,"parts":[["t",0,3]]}', pytest.fail) == (
         GroupMembership(7, frozenset({0}))
     )
     assert json.loads(CODEC.leave_call("g", "host-1").body)["member"] == "host-1"
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=6),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(
+            st.sampled_from(["key", "value", "offset", "items", "parts", "end"])
+            | st.text(max_size=4),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=12,
+)
+ROWS = st.lists(JSON, max_size=5)
+
+
+@hypothesis.given(ROWS, ROWS)
+def test_rows_of_a_join_that_cannot_be_read_are_skipped_alone(before, after):
+    skipped = []
+    body = {"generation": 7, "parts": [*before, ["t", 0, 3], *after]}
+    membership = CODEC.decode_join(json.dumps(body).encode(), skipped.append)
+    assert membership.generation == 7
+    assert 0 in membership.partitions
+    readable = [r for r in before + after if isinstance(r, list) and len(r) > 1]
+    assert len(skipped) >= len(before) + len(after) - len(readable)
+
+
+@hypothesis.given(ROWS, ROWS)
+def test_records_of_a_page_that_cannot_be_read_are_skipped_alone(before, after):
+    skipped = []
+    good = {"key": "s-1", "value": "e30=", "offset": 4}
+    body = {"items": [*before, good, *after], "end": 9}
+    records, end, has_more = CODEC.decode_newest(
+        json.dumps(body).encode(), skipped.append
+    )
+    assert StoreRecord(4, "s-1", b"{}") in records
+    assert (end, has_more) == (9, False)
+    assert len(records) + len(skipped) == len(before) + len(after) + 1
+
+
+@hypothesis.given(JSON.map(json.dumps).map(str.encode) | st.binary(max_size=40))
+def test_any_response_is_decoded_or_unreadable(body):
+    for decode in (CODEC.decode_join, CODEC.decode_newest):
+        with contextlib.suppress(ValueError):
+            decode(body, lambda reason: None)
+    with contextlib.suppress(ValueError):
+        CODEC.decode_read("t", 0, body)
+    for key in ("config", "s-1"):
+        CODEC.decode_configuration(StoreRecord(0, key, body))
+        CODEC.decode_server(StoreRecord(0, key, body))
+    PlatformServerCodec().decode_report(body)
--- a/sequoiapoint/protocol/ports.py
+++ b/sequoiapoint/protocol/ports.py
@@ -5,6 +5,7 @@
 implements them.
 """
 
+from collections.abc import Callable
 from typing import Protocol
 
 from sequoiapoint.protocol.gateway import (
@@ -94,8 +95,13 @@
         :param after: The key after which the page starts; None for the first page.
         """
 
-    def decode_newest(self, body: bytes) -> tuple[list[StoreRecord], int, bool]:
-        """Return the records, the topic's end offset and whether more pages follow."""
+    def decode_newest(
+        self, body: bytes, skip: Callable[[str], None]
+    ) -> tuple[list[StoreRecord], int, bool]:
+        """Return the records, the topic's end offset and whether more pages follow.
+
+        Records that cannot be read are left out.
+        """
 
     def read_call(self, topic: str, offset: int, wait_s: float) -> HttpCall:
         """Encode a read that waits up to ``wait_s`` for records."""
@@ -111,8 +117,8 @@
     ) -> HttpCall:
         """Encode a request to join a group or to renew the membership."""
 
-    def decode_join(self, body: bytes) -> GroupMembership:
-        """Decode the response to a join."""
+    def decode_join(self, body: bytes, skip: Callable[[str], None]) -> GroupMembership:
+        """Decode the response to a join, except rows that cannot be read."""
 
     def leave_call(self, group: str, member: str) -> HttpCall:
         """Encode a request to leave a group."""
--- a/sequoiapoint/transport/store_client.py
+++ b/sequoiapoint/transport/store_client.py
@@ -5,6 +5,7 @@
 from sequoiapoint.protocol.ports import HttpCall, StoreCodec
 from sequoiapoint.transport.async_http_client import ConnectionPool, Response, call
 from sequoiapoint.transport.clock import monotonic_s
+from sequoiapoint.transport.decision_log import DecisionLog
 from sequoiapoint.transport.metrics import Metrics
 
 CALL_TIMEOUT_S = 1.0
@@ -21,10 +22,14 @@
     :param codec: Encodes the calls and decodes the responses.
     """
 
-    def __init__(self, address: str, codec: StoreCodec, metrics: Metrics) -> None:
+    def __init__(
+        self, address: str, codec: StoreCodec, metrics: Metrics, log: DecisionLog
+    ) -> None:
         self._address = address
         self._codec = codec
         self._metrics = metrics
+        self._log = log
+        self._logged_skips: set[str] = set()
         self._pool = ConnectionPool(address)
         self.last_success_at = 0.0
         self.last_failure_at = -1e9
@@ -52,8 +57,10 @@
             if isinstance(response, Failure):
                 return response
             try:
-                page, end_offset, has_more = self._codec.decode_newest(response.body)
-            except (ValueError, KeyError, TypeError) as error:
+                page, end_offset, has_more = self._codec.decode_newest(
+                    response.body, self._note_skipped
+                )
+            except ValueError as error:
                 return self._failure("unreadable_answer", "newest", str(error))
             records += page
             # The pages are not a snapshot.  Records written between them are not lost,
@@ -93,8 +100,8 @@
         if isinstance(response, Failure):
             return response
         try:
-            return self._codec.decode_join(response.body)
-        except (ValueError, KeyError, TypeError) as error:
+            return self._codec.decode_join(response.body, self._note_skipped)
+        except ValueError as error:
             return self._failure("unreadable_answer", "join", str(error))
 
     async def leave(self, group: str, member: str) -> Failure | None:
@@ -122,6 +129,13 @@
         self._metrics.event(f"store_{step}_ok")
         return response
 
+    def _note_skipped(self, reason: str) -> None:
+        """Count a part of a response that cannot be read, and log it once."""
+        self._metrics.event("store_row_unreadable")
+        if reason not in self._logged_skips:
+            self._logged_skips.add(reason)
+            self._log.event("store_row_unreadable", peer=self._address, reason=reason)
+
     def _failure(self, reason: str, step: str, detail: str = "") -> Failure:
         return Failure(FailureKind.REFUSED, reason, step, self._address, detail)
 
