--- a/sequoiapoint/protocol/jsonc.py
+++ b/sequoiapoint/protocol/jsonc.py
@@ -20,6 +20,7 @@
 ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
 Location = tuple[str | int, ...]
 
+_SYNTAX_ERROR_INDEX = re.compile(r"at index (\d+)")
 _SYNTAX_ERROR_LINE = re.compile(r"^(.*?)\s*at: line (\d+) column (\d+)(.*)$")
 
 
@@ -77,7 +78,7 @@
     try:
         tree = json5.loads(text, loader=ModelLoader())
     except JSON5DecodeError as error:
-        return LoadResult(None, tuple(_syntax_errors(str(error), file)))
+        return LoadResult(None, tuple(_syntax_errors(str(error), text, file)))
     lines: dict[Location, int] = {}
     duplicates: list[SourceError] = []
     value = _read_node(tree.value, (), lines, duplicates, file)
@@ -92,19 +93,24 @@
     return LoadResult(validated, ())
 
 
-def _syntax_errors(message: str, file: str) -> list[SourceError]:
+def _syntax_errors(message: str, text: str, file: str) -> list[SourceError]:
     """Split the parser's message into errors.
 
-    :return: One error for each line of the message that names a position; if none does,
-        one error on line 1 with the complete message.
+    :return: One error for each line of the message that names a position.  If none
+        does, one error with the complete message, on the line of the index that it
+        names or else on the last line, as the text ends too early.
     """
     errors = []
-    for text in message.splitlines():
-        match = _SYNTAX_ERROR_LINE.match(text.strip())
+    for line in message.splitlines():
+        match = _SYNTAX_ERROR_LINE.match(line.strip())
         if match:
             description = f"{match[1]} at column {match[3]}"
             errors.append(SourceError(file, int(match[2]), description))
-    return errors or [SourceError(file, 1, message.strip())]
+    if errors:
+        return errors
+    index = _SYNTAX_ERROR_INDEX.search(message)
+    end = int(index[1]) if index else len(text.rstrip())
+    return [SourceError(file, text.count("\n", 0, end) + 1, message.strip())]
 
 
 def _read_node(
--- a/sequoiapoint/protocol/jsonc_test.py
+++ b/sequoiapoint/protocol/jsonc_test.py
@@ -37,6 +37,20 @@
     assert any(e.line == line and message in e.message for e in loaded.errors)
 
 
+@pytest.mark.parametrize(
+    ("text", "line"),
+    [
+        ('{\n // comment\n "a": @\n}', 3),
+        ('{\n\n"a": 1', 3),
+        ('{\n/* open\n "a": 1}', 2),
+        ("", 1),
+    ],
+)
+def test_syntax_errors_contain_the_line_number(text, line):
+    loaded = load_text(text, "f", Settings)
+    assert [error.line for error in loaded.errors] == [line]
+
+
 def test_all_errors_are_reported():
     text = VALID.replace('"zone": "a"', '"zone": 1').replace('"site"', '"sight"')
     lines = [str(e) for e in load_text(text, "f", Settings).errors]
