--- a/sequoiapoint/node/caller_app.py
+++ b/sequoiapoint/node/caller_app.py
@@ -319,12 +319,6 @@
     return raw + EVENT_END
 
 
-def _forwarded_headers(request: Request) -> dict[str, str]:
-    """Return the headers to forward to a service."""
-    names = (name for name in FORWARDED_HEADERS if name in request.headers)
-    return {name: request.headers[name] for name in names}
-
-
 def _default_service_class(document: Document) -> str:
     """Return the name of the default service class for chat requests.
 
--- a/sequoiapoint/node/entry_host.py
+++ b/sequoiapoint/node/entry_host.py
@@ -53,8 +53,6 @@
 MAX_PEERS_QUERIED = 3
 DRAIN_NOTICE_S = 1.0
 """How long a draining host accepts requests, so that load balancers notice first."""
-DRAIN_LINGER_S = 0.5
-"""How long connections stay open after the last response, for requests in transit."""
 
 
 class EntryHost:
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -128,7 +128,6 @@
         self._is_informational = False
         self._is_head_request = False
         self._has_surplus_bytes = False
-        self._received_eof = False
         self._may_reuse = True
         self._idle_limit_s = DEFAULT_IDLE_TIMEOUT_S
         self._idle_since = 0.0
@@ -204,7 +203,6 @@
 
     def eof_received(self) -> bool:
         """End the response; without framing, the end of the connection completes it."""
-        self._received_eof = True
         if self._exchange is not None:
             is_complete = self._exchange.head.done() and not self._is_framed
             self._may_reuse = False
--- a/standins/virtual/backends.py
+++ b/standins/virtual/backends.py
@@ -16,8 +16,6 @@
 
 _incarnations = itertools.count(1)
 
-IsWanted = Callable[[str], bool]
-
 
 @dataclass
 class Copy:
--- a/standins/virtual/run.py
+++ b/standins/virtual/run.py
@@ -107,7 +107,6 @@
         self._slowest_in_force_s = 0.0
         self._readable_since: dict[VirtualHost, float] = {}
         self._accepted_bases: list[tuple[int, int]] = []
-        self._log_up_since = 0.0
         self._incarnation_count = 0
 
     def result(self) -> Result:
@@ -241,7 +240,6 @@
 
     def _end_log_outage(self) -> None:
         self._log.is_down = False
-        self._log_up_since = self._world.clock.now
 
     def _change_older_system_memory(self) -> None:
         engine = self._rng.choice(list(self._engines.values()))
