Read the store by one host a zone; try it in turn while it is out of reach

The standby read the store too, and each starting host asked it for all records.

Calls must fail for 0.5 s; only the aggregator reads, its standby if it cannot, and the others try at four a second a zone if no new offset arrives. A starting host waits up to a second for a replica from its zone.

--- a/sequoiapoint/node/host_registry.py
+++ b/sequoiapoint/node/host_registry.py
@@ -41,6 +41,12 @@
         self._peers = peers
         self._local_member = local_member
         self._on_first_read = on_first_read
+        self._has_been_read = False
+
+    @property
+    def has_been_read(self) -> bool:
+        """Tell whether the other registered hosts are known."""
+        return self._has_been_read
 
     async def run(self) -> None:
         """Register this host, then read the registry.
@@ -56,10 +62,9 @@
             HOST_TOPIC, self._local_member.host, value.encode()
         ):
             await asyncio.sleep(RETRY_DELAY_S)
-        has_read_once = False
         while True:
             now = monotonic_s()
-            if has_read_once and not self._peers.is_aggregator(now):
+            if self._has_been_read and not self._peers.is_aggregator(now):
                 await asyncio.sleep(REGISTRY_READ_INTERVAL_S)
                 continue
             response = await self._store.newest(HOST_TOPIC)
@@ -68,12 +73,12 @@
                 continue
             # Hosts found by the first read are presumed live; a later read only makes
             # their addresses known.
-            last_heard_at = now - LIVENESS_TIMEOUT_S if has_read_once else now
+            last_heard_at = now - LIVENESS_TIMEOUT_S if self._has_been_read else now
             for record in response[0]:
                 self._add_peer(record.key, record.value, last_heard_at)
-            if not has_read_once:
+            if not self._has_been_read:
                 self._on_first_read()
-            has_read_once = True
+            self._has_been_read = True
             await asyncio.sleep(REGISTRY_READ_INTERVAL_S)
 
     def _add_peer(self, host: str, value: bytes | None, last_heard_at: float) -> None:
--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -87,6 +87,7 @@
             state, store, self.peers, self._local_member, self.schedule_digest
         )
         watch.on_advance = self._notify_zone
+        watch.expects_replica = self._expects_replica
 
     async def start(self) -> None:
         """Listen for digests over UDP and for calls of other hosts over TCP."""
@@ -124,6 +125,13 @@
         if self.peers.is_aggregator(monotonic_s()):
             self.schedule_digest()
 
+    def _expects_replica(self) -> bool:
+        """Tell whether another host of the zone will soon deliver the topics."""
+        is_alone = self._registry.has_been_read and self.peers.is_aggregator(
+            monotonic_s()
+        )
+        return not is_alone
+
     # Sending
 
     async def _run_periodic(self) -> None:
--- a/sequoiapoint/node/peer_exchange_test.py
+++ b/sequoiapoint/node/peer_exchange_test.py
@@ -36,6 +36,7 @@
         self.state = SimpleNamespace(
             settings=settings,
             started_ms=1,
+            rng=random.Random(3),
             is_draining=False,
             loads=ServerLoads(),
             fleet=Fleet(),
--- a/sequoiapoint/node/store_watch.py
+++ b/sequoiapoint/node/store_watch.py
@@ -40,6 +40,11 @@
 """Interval at which missing entries that have not come back are removed."""
 STORE_RECOVERY_S = 3.0
 """Time without a failure of the store after which a removal takes effect at once."""
+MAX_REPLICA_WAIT_S = 1.0
+"""Maximum time for which a starting host waits for a replica of a topic from its zone's
+aggregator: two digest intervals."""
+REPLICA_CHECK_INTERVAL_S = 0.02
+"""Interval at which a starting host checks whether it has a replica."""
 RELAY_CHECK_INTERVAL_S = 0.1
 """Interval at which a host checks whether a relay still reads the store for it."""
 
@@ -51,6 +56,7 @@
     :param pause_s: Pause between two reads, in seconds.
     :param on_change: Called with each change, whether from the store or a peer.
     :param reads_via_relay: Tells whether a relay reads the store for this host.
+    :param expects_replica: Tells whether a starting host should wait for a relay.
     :ivar content: This host's replica of the topic.
     """
 
@@ -63,6 +69,7 @@
         pause_s: float,
         on_change: Callable[[TopicChange], None],
         reads_via_relay: Callable[[], bool],
+        expects_replica: Callable[[], bool],
     ) -> None:
         self._state = state
         self._store = store
@@ -71,6 +78,7 @@
         self._pause_s = pause_s
         self._on_change = on_change
         self._reads_via_relay = reads_via_relay
+        self._expects_replica = expects_replica
         self._is_store_lost = False
         self.content = KeyedTopic()
 
@@ -81,7 +89,8 @@
 
     async def run(self) -> None:
         """Read the topic until the process stops."""
-        needs_snapshot = True
+        await self._await_replica()
+        needs_snapshot = not self.content.is_known
         backoff_s = FIRST_BACKOFF_S
         while True:
             if not needs_snapshot and self._reads_via_relay():
@@ -112,6 +121,18 @@
         else:
             self._on_change(self.content.apply(state.records))
 
+    async def _await_replica(self) -> None:
+        """Wait a short time for a replica from the zone's aggregator.
+
+        The store is asked for all records only if there is no such replica.
+        """
+        try:
+            async with asyncio.timeout(MAX_REPLICA_WAIT_S):
+                while not self.content.is_known and self._expects_replica():
+                    await asyncio.sleep(REPLICA_CHECK_INTERVAL_S)
+        except TimeoutError:
+            pass
+
     async def _load_snapshot(self) -> Failure | None:
         response = await self._store.newest(self._topic)
         if isinstance(response, Failure):
@@ -150,6 +171,7 @@
     """Watches the topics of a gateway host and applies their changes.
 
     :ivar reads_via_relay: Tells whether a relay reads the store for this host.
+    :ivar expects_replica: Tells whether a starting host should wait for a relay.
     :ivar on_advance: Called when a topic has advanced to a new offset.
     """
 
@@ -160,6 +182,7 @@
         self._logged_unreadable: set[tuple[str, str]] = set()
         self._store_lost_at = -math.inf
         self.reads_via_relay: Callable[[], bool] = lambda: False
+        self.expects_replica: Callable[[], bool] = lambda: False
         self.on_advance: Callable[[], None] = lambda: None
         self.configuration = TopicWatch(
             state,
@@ -169,6 +192,7 @@
             0.0,
             self._on_configuration,
             lambda: self.reads_via_relay(),
+            lambda: self.expects_replica(),
         )
         self.servers = TopicWatch(
             state,
@@ -178,6 +202,7 @@
             SERVER_PAUSE_SHARE * state.settings.bounds.server_drain_s,
             self._on_servers,
             lambda: self.reads_via_relay(),
+            lambda: self.expects_replica(),
         )
 
     async def run(self) -> None:
--- a/sequoiapoint/node/topic_exchange.py
+++ b/sequoiapoint/node/topic_exchange.py
@@ -1,9 +1,9 @@
 """Replication of the store's topics between hosts, over TCP.
 
-The relays of a zone read the store.  The other hosts of the zone fetch changes along a
-tree whose root is their aggregator, and read the store themselves if the aggregator
-falls silent or cannot reach the store.  A relay that lags behind other hosts fetches
-from them as well.
+The aggregator of a zone reads the store.  The other hosts of the zone fetch changes
+along a tree whose root is their aggregator, and read the store themselves if the
+aggregator falls silent or cannot reach the store.  An aggregator that lags behind other
+hosts fetches from them as well.
 """
 
 import asyncio
@@ -11,6 +11,7 @@
 from urllib.parse import parse_qs, urlencode, urlsplit
 
 from sequoiapoint.coordination import distribution_tree
+from sequoiapoint.coordination.store_reading import StoreReading, ZoneView
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.store_watch import StoreWatch, TopicWatch
 from sequoiapoint.protocol.digests import (
@@ -70,6 +71,7 @@
         # By topic: a peer's end offset, and since when this host has lagged behind it.
         self._lags: dict[str, tuple[int, float]] = {}
         self._reader = ""
+        self._reading = StoreReading(state.rng.random)
         self._advanced = asyncio.Event()
         self._avoided_until: dict[str, float] = {}
         watch.reads_via_relay = self.reads_via_relay
@@ -113,10 +115,9 @@
     def reads_via_relay(self) -> bool:
         """Tell whether a relay reads the store for this host; log a new reader."""
         now = monotonic_s()
-        aggregator = self._peers.aggregator(now, MAX_AGGREGATOR_AGE_S)
         reader = self._state.settings.host
-        if aggregator is not None and not self._peers.is_relay(now):
-            reader = aggregator.host if aggregator.digest.is_store_reachable else reader
+        if not self._reading.reads_itself(self._zone_view(now), now):
+            reader = self._peers.aggregator_host
         if reader != self._reader:
             self._reader = reader
             is_own = reader == self._state.settings.host
@@ -124,11 +125,27 @@
             self._state.log.event("store_reader", outcome, reader=reader)
         return reader != self._state.settings.host
 
+    def _zone_view(self, now: float) -> ZoneView:
+        if self._peers.is_aggregator(now):
+            return ZoneView(is_aggregator=True)
+        aggregator = self._peers.aggregator(now, MAX_AGGREGATOR_AGE_S)
+        if aggregator is None or aggregator.digest is None:
+            return ZoneView(is_aggregator=False)
+        return ZoneView(
+            is_aggregator=False,
+            is_standby=self._peers.is_relay(now),
+            is_aggregator_heard=True,
+            is_store_reachable=aggregator.digest.is_store_reachable,
+            server_end=aggregator.digest.server_end,
+            hosts=max(1, len(self._peers.listed_members())),
+        )
+
     async def _fetch_if_lagging(self, watch: TopicWatch) -> None:
         now = monotonic_s()
         aggregator = self._peers.aggregator(now, MAX_AGGREGATOR_AGE_S)
         if (
             self.reads_via_relay()
+            and aggregator is not None
             and self._known_end(aggregator, watch) > watch.content.end
         ):
             await self._fetch_along_tree(watch, aggregator, now)
--- a/sequoiapoint/transport/store_client.py
+++ b/sequoiapoint/transport/store_client.py
@@ -1,5 +1,7 @@
 """The client for all calls to the platform's store."""
 
+import math
+
 from sequoiapoint.protocol.errors import Failure, FailureKind
 from sequoiapoint.protocol.gateway import GroupMembership, StoreRecord
 from sequoiapoint.protocol.ports import HttpCall, StoreCodec
@@ -11,6 +13,9 @@
 CALL_TIMEOUT_S = 1.0
 """Timeout of a call, in addition to the time that it may wait at the store.  The store
 usually responds within a few milliseconds, at its slowest within a few hundred."""
+UNREACHABLE_AFTER_S = 0.5
+"""Time for which calls must fail until the store counts as unreachable: a few retries
+of a relay."""
 EXPIRED_STATUS = 410
 """The status with which the store reports that it has deleted the records."""
 
@@ -31,8 +36,8 @@
         self._log = log
         self._logged_skips: set[str] = set()
         self._pool = ConnectionPool(address)
-        self.last_success_at = 0.0
-        self.last_failure_at = -1e9
+        self._failing_since: float | None = None
+        self.last_failure_at = -math.inf
 
     @property
     def codec(self) -> StoreCodec:
@@ -41,11 +46,16 @@
 
     @property
     def is_reachable(self) -> bool:
-        """Tell whether the store handled the last completed call.
+        """Tell whether the store handles calls.
 
-        A status of 200 or ``EXPIRED_STATUS`` counts as handled, any other does not.
+        A status of 200 or ``EXPIRED_STATUS`` counts as handled, any other does not.  A
+        single failed call does not show that the store is unreachable: calls must have
+        failed for ``UNREACHABLE_AFTER_S``.
         """
-        return self.last_success_at > self.last_failure_at
+        return (
+            self._failing_since is None
+            or monotonic_s() - self._failing_since < UNREACHABLE_AFTER_S
+        )
 
     async def newest(self, topic: str) -> tuple[list[StoreRecord], int] | Failure:
         """Return the latest record of each key and the offset from which to read on."""
@@ -115,20 +125,25 @@
         response = await call(self._pool, self._address, request, timeout_s)
         now = monotonic_s()
         if isinstance(response, Failure):
-            self.last_failure_at = now
+            self._note_failure(now)
             self._metrics.event(f"store_{step}_{response.reason}")
             return response
         if response.status == EXPIRED_STATUS:
-            self.last_success_at = now
+            self._failing_since = None
             return self._failure("expired", step)
         if response.status != 200:
-            self.last_failure_at = now
+            self._note_failure(now)
             self._metrics.event(f"store_{step}_{response.status}")
             return self._failure(f"status_{response.status}", step)
-        self.last_success_at = now
+        self._failing_since = None
         self._metrics.event(f"store_{step}_ok")
         return response
 
+    def _note_failure(self, now: float) -> None:
+        self.last_failure_at = now
+        if self._failing_since is None:
+            self._failing_since = now
+
     def _note_skipped(self, reason: str) -> None:
         """Count a part of a response that cannot be read, and log it once."""
         self._metrics.event("store_row_unreadable")
