Ask for slots again less often; prefer standbys as leaders

Queued requests are woken by grants and ask again only every half a second or when other engines can run them; the leader is a standby, not an aggregator, where there is one.

--- a/sequoiapoint/coordination/slot_allocator.py
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -31,7 +31,7 @@
 Key = tuple[str, str, str]
 """A service, model and adapter."""
 
-QUEUE_TTL_S = 0.6
+QUEUE_TTL_S = 1.2
 """Time for which a request stays queued after its host has last asked."""
 GRANT_IN_FLIGHT_S = 1.0
 """Age from which a grant that its host does not report counts as ended.  A host that is
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -3,7 +3,12 @@
 from sequoiapoint.coordination import server_choice, waiting
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.slot_exchange import SlotExchange, SlotTicket
-from sequoiapoint.protocol.gateway import CallerRequest, Route, ServerEntry
+from sequoiapoint.protocol.gateway import (
+    CallerRequest,
+    Incarnation,
+    Route,
+    ServerEntry,
+)
 from sequoiapoint.protocol.slots import SlotOutcome, SlotQuality, SlotRequest
 from sequoiapoint.transport.clock import monotonic_s
 
@@ -18,6 +23,9 @@
 MAX_ZONES_ASKED = 3
 """Number of zones whose allocators are asked for a slot, one after the other, before a
 request waits for one of them."""
+REPEAT_INTERVAL_S = 0.5
+"""Interval at which a queued request asks for a slot again; less than half of the time
+for which allocators keep it queued."""
 MAX_WAIT_INTERVAL_S = 0.1
 """Maximum time between two selections for a waiting request.  The end of a server's
 back-off period wakes no request."""
@@ -45,6 +53,8 @@
         self._state = state
         self._slots = slots
         self._ticket: SlotTicket | None = None
+        self._asked_servers: set[Incarnation] = set()
+        self._asked_at = 0.0
         self._request = request
         self._route = route
         self._deadline = deadline
@@ -76,6 +86,7 @@
         :return: None if the request should be given up: too little time remains, the
             limit on its wait has passed, or too many connections have failed.
         """
+        self._asked_servers = set()
         with self._slots.ticket() as ticket:
             entry = await self._select(ticket)
             if entry is not None:
@@ -127,7 +138,7 @@
         serving = self._serving(now)
         if not self.is_engine or not self._slots.is_active:
             return self._choose(serving, now)
-        if ticket.grant is None and serving:
+        if ticket.grant is None and serving and self._is_ask_due(serving, now):
             unallocated_zones = await self._ask_zones(ticket, serving, now)
             if ticket.grant is None:
                 # The engines of zones whose allocators are out of reach.
@@ -137,6 +148,18 @@
                 return entry
         return self._granted_server(ticket)
 
+    def _is_ask_due(self, serving: list[ServerEntry], now: float) -> bool:
+        """Tell whether to ask for a slot (again).
+
+        Queued requests are woken by a grant.  They ask again only if there are other
+        engines to run them, and now and then because messages may be lost.
+        """
+        servers = {entry.incarnation for entry in serving}
+        if servers == self._asked_servers and now - self._asked_at < REPEAT_INTERVAL_S:
+            return False
+        self._asked_servers, self._asked_at = servers, now
+        return True
+
     def _granted_server(self, ticket: SlotTicket) -> ServerEntry | None:
         if ticket.grant is None:
             return None
--- a/sequoiapoint/state/peers.py
+++ b/sequoiapoint/state/peers.py
@@ -272,13 +272,16 @@
     def leader_candidates(self, count: int, now: float) -> list[str]:
         """Return the hosts that may become the leader, in order of precedence.
 
-        These are relays, because relays receive digests from all zones; hosts of this
-        zone are added only if there are too few relays.
+        These are relays, because relays receive digests from all zones.  The standbys
+        come first, as aggregators have enough to do; hosts of this zone are added only
+        if there are too few relays.
         """
-        members = self.all_relays(now)
-        if len(members) < count:
-            members += tuple(self._live_members(self._own.zone, now))
-        return sorted_by_hash({member.host for member in members})[:count]
+        by_zone = [self.relays(zone, now) for zone in self.zones(now)]
+        standbys = sorted_by_hash(r.host for relays in by_zone for r in relays[1:])
+        aggregators = sorted_by_hash(r.host for relays in by_zone for r in relays[:1])
+        own = sorted_by_hash(m.host for m in self._live_members(self._own.zone, now))
+        ranked = dict.fromkeys([*standbys, *aggregators, *own])
+        return list(ranked)[:count]
 
     def is_relay(self, now: float) -> bool:
         """Tell whether this host is a relay of its zone."""
