Place further copies by the requests of a copy, and let resting models make room

A copy is wanted by requests a copy (6.4, at most 0.35 of the slots), a fifth of the engines may evict at the same time, and a copy that has rested for 15 s makes room while requests wait.

--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -14,18 +14,30 @@
 from sequoiapoint.protocol.gateway import EngineSpec, OrderAction
 from sequoiapoint.state.engine_ledger import EngineRecord
 
-SCALE_OUT_UTILISATION = 0.1
-"""Utilisation of a model's copies, as a share of their engines' batch slots, above
-which it gets another copy.  The first event of a stream becomes late long before all
-slots are taken, because prompts are processed between the tokens of all requests."""
-SHORTAGE_SCALE_OUT_UTILISATION = 0.25
-"""The same while requests above the lowest priority wait for a model without a copy."""
+SCALE_OUT_REQUESTS = 6.4
+"""Number of a model's requests for each of its copies above which it gets another copy.
+The first event of a stream becomes late long before the slots of a large batch are
+taken, because prompts are processed between the tokens of all requests."""
+MAX_SCALE_OUT_UTILISATION = 0.35
+"""The same as a share of the batch slots, for engines with few slots.  They are shared
+by the two or three models of an engine."""
+SHORTAGE_FACTOR = 2.5
+"""Factor on the number of requests for each copy while requests above the lowest
+priority wait for a model without a copy."""
+MAX_SHORTAGE_UTILISATION = 0.6
+"""The largest share of the batch slots for which a model gets no further copy then."""
 MAX_DEGRADED_UTILISATION = 0.4
 """Maximum utilisation of a model's remaining copies after one is evicted for the first
 copy of another model; its requests are then late, but are served."""
-MAX_SURPLUS_UTILISATION = 0.05
-"""Maximum utilisation of the remaining copies for a copy to count as surplus: half of
-the utilisation at which the copy would be loaded again."""
+SURPLUS_SHARE = 0.5
+"""Maximum utilisation of the remaining copies for a copy to count as surplus, as a
+share of the utilisation at which the copy would be loaded again."""
+LONG_IDLE_S = 15.0
+"""Time without requests after which the only copy of a model may be evicted for a
+further copy of a model that requests wait for.  Its next request waits for a load from
+the engine's memory or disk."""
+MAX_EVICTING_SHARE = 0.2
+"""Share of the engines that may evict models for further copies at the same time."""
 RECENT_REQUEST_S = 8.0
 """Time after its last request for which a model counts as recently requested."""
 MIN_IDLE_S = 3.0
@@ -103,11 +115,14 @@
     """The model's requests can wait for a load, and it is unused at the moment."""
     OTHER_COPIES_SUFFICE = 3
     """The other copies can serve the model's requests on time."""
-    OTHER_COPIES_OVERLOADED = 4
+    LONG_IDLE = 4
+    """The copy is the only one of a model that has not been requested for a long time,
+    and requests wait for the other model."""
+    OTHER_COPIES_OVERLOADED = 5
     """The other copies can serve the model's requests, but late."""
-    OUTWEIGHED = 5
+    OUTWEIGHED = 6
     """The other model has far more requests, and this model's requests can wait."""
-    IDLE = 6
+    IDLE = 7
     """The copy is the only one of a model that is not requested at the moment."""
 
 
@@ -196,7 +211,10 @@
             r.entry.server: spec.memory_mb - r.used_mb(spec) for r in records
         }
         self._copy_values: dict[str, float] = {}
-        self._is_evicting = any(record.evicting_model for record in records)
+        max_evicting = max(1, int(MAX_EVICTING_SHARE * len(records)))
+        self._evictions_left = max_evicting - sum(
+            bool(record.evicting_model) for record in records
+        )
         serving = [r for r in records if self._serves(r)]
         max_busy = (
             max(1, int(MAX_BUSY_SHARE * len(serving))) if serving else len(records)
@@ -205,19 +223,25 @@
         self._additional_copies_left = math.ceil(max_busy / 2)
         self.free = [r for r in records if not r.is_busy and not r.has_order_in_flight]
         self._copy_counts = dict.fromkeys(spec.models, 0)
-        self._scale_out_utilisation = SCALE_OUT_UTILISATION
+        self._scale_out_utilisation = min(
+            MAX_SCALE_OUT_UTILISATION, SCALE_OUT_REQUESTS / spec.slots
+        )
+        max_surplus_utilisation = SURPLUS_SHARE * self._scale_out_utilisation
         for record in records:
             for name in record.held:
                 if name != record.evicting_model and name in self._copy_counts:
                     self._copy_counts[name] += 1
         if any(self._has_first_copy_priority(name) for name in self._copy_counts):
-            self._scale_out_utilisation = SHORTAGE_SCALE_OUT_UTILISATION
+            self._scale_out_utilisation = min(
+                MAX_SHORTAGE_UTILISATION,
+                SHORTAGE_FACTOR * SCALE_OUT_REQUESTS / spec.slots,
+            )
         self._targets = {name: self._target(name) for name in self._copy_counts}
         self._surplus = {
             name: EvictionReason.SURPLUS
             for name, copies in self._copy_counts.items()
             if copies > self._targets[name]
-            and self._utilisation(name, copies - 1) <= MAX_SURPLUS_UTILISATION
+            and self._utilisation(name, copies - 1) <= max_surplus_utilisation
         }
         self._non_surplus = [
             name
@@ -356,7 +380,7 @@
             is_store_load = name not in record.in_host_memory | record.on_disk
             order = PlannedOrder(record, OrderAction.LOAD, name, "", is_store_load)
             return cost, order
-        if self._is_evicting and self._copy_counts[name] > 0:
+        if self._evictions_left <= 0 and self._copy_counts[name] > 0:
             return None
         ranked = [
             (reasons[other], self._copy_value(other), other)
@@ -434,6 +458,8 @@
                 if incoming_utilisation > self._scale_out_utilisation
                 else None
             )
+        if is_unused and incoming_demand.waiting > 0 and demand.idle_s > LONG_IDLE_S:
+            return EvictionReason.LONG_IDLE
         is_idle = is_unused and demand.idle_s > MIN_IDLE_S
         return EvictionReason.IDLE if is_first and is_idle else None
 
--- a/sequoiapoint/coordination/model_placement_test.py
+++ b/sequoiapoint/coordination/model_placement_test.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 
 from sequoiapoint.coordination import model_placement
@@ -192,3 +194,80 @@
             else:
                 del order.record.held[order.model]
     assert all(record.used_mb(SPEC) <= SPEC.memory_mb for record in engines)
+
+
+FEW_SLOTS = 12
+LARGE_SPEC = EngineSpec(
+    slots=FEW_SLOTS,
+    memory_mb=200.0,
+    adapter_slots=8,
+    store_loads_per_s=14.0,
+    models={
+        name: ModelSpec(name, 60.0, 5.8, 0.6, 1.2, (), 1.0)
+        for name in (f"m{n}" for n in range(113))
+    },
+)
+
+
+def large_engines(evicting=0):
+    """Return 47 engines: 28 with hot models, the others with models that rest."""
+    engines = []
+    for number in range(47):
+        first = 3 * number % 12 if number < 28 else 12 + 3 * (number - 28)
+        names = [f"m{first + offset}" for offset in range(3)]
+        record = engine(f"e-{number}", *names)
+        if number >= 47 - evicting:
+            record.evicting_model, record.busy_until = names[0], 1.0
+        engines.append(record)
+    return engines
+
+
+def plan_large(engines, demand):
+    orders = model_placement.plan_models(engines, LARGE_SPEC, demand, 50)
+    return [(o.record.entry.server, o.action.value, o.model) for o in orders]
+
+
+HOT_WAITS = DemandStats(60.0, 40, 0.0, goal_s=0.3)
+HOT_SERVED = DemandStats(16.0, 0, 0.0, goal_s=0.3)
+HOT_DEMAND = {f"m{n}": HOT_SERVED for n in range(12)}
+
+
+@pytest.mark.parametrize(
+    ("idle_s", "evicts"),
+    [
+        (model_placement.LONG_IDLE_S + 1.0, True),
+        (model_placement.LONG_IDLE_S - 1.0, False),
+    ],
+)
+def test_models_that_rest_make_room_for_a_model_that_requests_wait_for(idle_s, evicts):
+    """Replays scale-1 of the large deployment.
+
+    A quarter of the engines held only models that nobody had asked for and ran two of
+    twelve requests, while hundreds of requests waited for the models of the others.
+    """
+    resting = DemandStats(0.0, 0, idle_s, goal_s=None)
+    demand = {f"m{n}": resting for n in range(12, 113)} | HOT_DEMAND
+    orders = plan_large(large_engines(), demand | {"m0": HOT_WAITS})
+    evicted = {model for _, action, model in orders if action == "evict"}
+    assert bool(evicted - HOT_DEMAND.keys()) is evicts
+
+
+@pytest.mark.parametrize(("evicting", "plans"), [(0, True), (8, True), (9, False)])
+def test_an_eviction_does_not_hold_up_further_copies_elsewhere(evicting, plans):
+    """Replays demand that moves to other models: one eviction at a time is too slow."""
+    demand = HOT_DEMAND | {"m0": HOT_WAITS}
+    orders = plan_large(large_engines(evicting), demand)
+    assert any(action == "evict" for _, action, _ in orders) is plans
+
+
+@pytest.mark.parametrize(
+    ("slots", "requests", "lacks"),
+    [(64, 6.0, False), (64, 7.0, True), (12, 4.0, False), (12, 5.0, True)],
+)
+def test_a_further_copy_is_loaded_by_the_requests_of_a_copy(slots, requests, lacks):
+    """Engines with few slots would otherwise load copies for every second request."""
+    spec = replace(LARGE_SPEC, slots=slots)
+    engines = [engine("a", "m0"), engine("b")]
+    demand = {"m0": DemandStats(requests, 0, 0.0, goal_s=0.3)}
+    orders = model_placement.plan_models(engines, spec, demand, 10)
+    assert ("m0" in {order.model for order in orders}) is lacks
