--- a/sequoiapoint/node/digest_sender.py
+++ b/sequoiapoint/node/digest_sender.py
@@ -29,7 +29,12 @@
         self._store = store
         self._watch = watch
         settings = state.settings
-        self.local_member = Member(settings.host, settings.zone, settings.peer_address)
+        self.local_member = Member(
+            settings.host,
+            settings.zone,
+            settings.peer_address,
+            round(1000 * settings.cpu_share * settings.cpu_speed),
+        )
         self.transport: asyncio.DatagramTransport | None = None
         self.fence = 0
         self._fan_out = FanOutQueue(settings.link_mbps)
@@ -52,7 +57,7 @@
         :param fields: Further fields of the digest.
         """
         return Digest(
-            *vars(self.local_member).values(),
+            **vars(self.local_member),
             started_ms=self._state.started_ms,
             is_leaving=self._state.is_draining,
             configuration_end=self._watch.configuration.content.end,
--- a/sequoiapoint/node/host_registry.py
+++ b/sequoiapoint/node/host_registry.py
@@ -56,7 +56,11 @@
         whether they have become the aggregator.
         """
         value = json.dumps(
-            {"address": self._local_member.address, "zone": self._local_member.zone}
+            {
+                "address": self._local_member.address,
+                "zone": self._local_member.zone,
+                "capacity": self._local_member.capacity,
+            }
         )
         while await self._store.put(
             HOST_TOPIC, self._local_member.host, value.encode()
@@ -87,7 +91,10 @@
         try:
             known = json.loads(value)
             self._peers.add(
-                Member(host, known["zone"], known["address"]), last_heard_at
+                Member(
+                    host, known["zone"], known["address"], int(known.get("capacity", 0))
+                ),
+                last_heard_at,
             )
         except (ValueError, KeyError, TypeError) as error:
             self._state.log.event("record_unreadable", key=host, reason=str(error))
--- a/sequoiapoint/node/peer_exchange_test.py
+++ b/sequoiapoint/node/peer_exchange_test.py
@@ -10,7 +10,6 @@
 from sequoiapoint.coordination.quarantine import Quarantine
 from sequoiapoint.node import digest_sender, peer_exchange, topic_exchange
 from sequoiapoint.node.peer_exchange import DIGEST_INTERVAL_S, PeerExchange
-from sequoiapoint.protocol.digests import Member
 from sequoiapoint.protocol.gateway import ServerEntry, ServerState
 from sequoiapoint.state.demand import LocalDemand
 from sequoiapoint.state.fleet import Fleet
@@ -31,7 +30,12 @@
     def __init__(self, network, name, zone):
         self.address = f"10.0.{len(network.hosts)}.1:7"
         settings = SimpleNamespace(
-            host=name, zone=zone, peer_address=self.address, link_mbps=network.link_mbps
+            host=name,
+            zone=zone,
+            peer_address=self.address,
+            link_mbps=network.link_mbps,
+            cpu_share=0.5,
+            cpu_speed=1.0 + (len(network.hosts) % 7 == 0),
         )
         self.state = SimpleNamespace(
             settings=settings,
@@ -108,9 +112,7 @@
         for host in self.hosts:
             for other in self.hosts:
                 if other is not host:
-                    member = Member(
-                        other.state.settings.host, other.zone, other.address
-                    )
+                    member = other.exchange._sender.local_member
                     host.exchange.peers.add(member, self.now)
 
     def run(self, seconds):
--- a/sequoiapoint/protocol/digest.capnp
+++ b/sequoiapoint/protocol/digest.capnp
@@ -37,6 +37,7 @@
   host @0 :Text;
   zone @1 :Text;
   address @2 :Text;
+  capacity @3 :UInt32;          # Thousandths of a core.
 }
 
 enum Scope {
@@ -67,6 +68,7 @@
   relays @16 :List(Member);     # Aggregators and their successors, of each zone.
   isDemandReport @17 :Bool;     # Whether the demands replace those of the last report.
   isHeartbeat @18 :Bool;        # Whether the lists of the sender's last digest stand.
+  capacity @19 :UInt32;         # The sender's, in thousandths of a core.
 }
 
 struct Record {
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -35,11 +35,15 @@
 
 @dataclass(frozen=True)
 class Member:
-    """A gateway host and its address for digests and calls from other hosts."""
+    """A gateway host and its address for digests and calls from other hosts.
+
+    :param capacity: The host's processor capacity in thousandths of a core.
+    """
 
     host: str
     zone: str
     address: str
+    capacity: int = 0
 
 
 @dataclass(frozen=True)
@@ -65,6 +69,7 @@
     :param is_demand_report: Whether the demands replace those of the last report.
     :param is_heartbeat: Whether the digest carries no counts, members and relays, and
         those of the sender's last digest remain valid.
+    :param capacity: The sender's processor capacity in thousandths of a core.
     """
 
     host: str
@@ -86,11 +91,12 @@
     relays: tuple[Member, ...] = ()
     is_demand_report: bool = False
     is_heartbeat: bool = False
+    capacity: int = 0
 
     @property
     def sender(self) -> Member:
         """Return the host that sent the digest."""
-        return Member(self.host, self.zone, self.address)
+        return Member(self.host, self.zone, self.address, self.capacity)
 
 
 def _encode_members(members: Iterable[Member]) -> list[dict[str, str]]:
@@ -98,7 +104,7 @@
 
 
 def _decode_members(members: Iterable[Any]) -> tuple[Member, ...]:
-    return tuple(Member(m.host, m.zone, m.address) for m in members)
+    return tuple(Member(m.host, m.zone, m.address, m.capacity) for m in members)
 
 
 def encode_digest(digest: Digest) -> bytes:
@@ -150,6 +156,7 @@
         relays=_encode_members(digest.relays),
         isDemandReport=digest.is_demand_report,
         isHeartbeat=digest.is_heartbeat,
+        capacity=digest.capacity,
     )
     return message.to_bytes_packed()
 
@@ -200,6 +207,7 @@
             relays=_decode_members(message.relays),
             is_demand_report=message.isDemandReport,
             is_heartbeat=message.isHeartbeat,
+            capacity=message.capacity,
         )
     except capnp.KjException as error:
         raise ValueError(f"not a digest: {error}") from error
--- a/sequoiapoint/protocol/gateway_settings.py
+++ b/sequoiapoint/protocol/gateway_settings.py
@@ -52,6 +52,10 @@
     """Address of the platform's store."""
     link_mbps: float = pydantic.Field(default=1000.0, gt=0)
     """Rate of the host's network link, in Mbit/s."""
+    cpu_share: float = pydantic.Field(default=1.0, gt=0)
+    """Share of a processor core that the host may use."""
+    cpu_speed: float = pydantic.Field(default=1.0, gt=0)
+    """Factor on the speed of that core."""
     bounds: Bounds = Bounds()
     log_level: str = pydantic.Field(
         default="info", pattern="^(debug|info|warning|error)$"
--- a/sequoiapoint/state/peers.py
+++ b/sequoiapoint/state/peers.py
@@ -40,9 +40,7 @@
     :param report: Its newest digest with the counts of its own requests.
     """
 
-    host: str
-    zone: str
-    address: str
+    member: Member
     last_heard_at: float
     digest: Digest | None = None
     digest_at: float = -math.inf
@@ -50,19 +48,33 @@
     report_at: float = -math.inf
 
     @property
-    def member(self) -> Member:
-        """Return the host's name, zone and address."""
-        return Member(self.host, self.zone, self.address)
+    def host(self) -> str:
+        """Return the host's name."""
+        return self.member.host
+
+    @property
+    def zone(self) -> str:
+        """Return the host's zone."""
+        return self.member.zone
+
+    @property
+    def address(self) -> str:
+        """Return the host's address for digests and calls."""
+        return self.member.address
 
 
 @functools.lru_cache(maxsize=4096)
-def _hash(host: str) -> int:
-    return xxhash.xxh64_intdigest(host.encode())
+def _rank(member: Member) -> tuple[int, int]:
+    return (-member.capacity, xxhash.xxh64_intdigest(member.host.encode()))
 
 
-def sorted_by_hash(hosts: Iterable[str]) -> list[str]:
-    """Return hosts sorted by hash, an order on which all hosts agree."""
-    return sorted(hosts, key=_hash)
+def ranked(members: Iterable[Member]) -> list[Member]:
+    """Return hosts in the order on which all hosts agree.
+
+    Hosts with more processor capacity come first, since relays and the leader have more
+    to do than the others; hosts with the same capacity are sorted by hash.
+    """
+    return sorted(set(members), key=_rank)
 
 
 class Peers:
@@ -90,9 +102,9 @@
         """
         known = self._peers.get(member.host)
         if known is None or known.address != member.address:
-            self._peers[member.host] = Peer(
-                member.host, member.zone, member.address, last_heard_at
-            )
+            self._peers[member.host] = Peer(member, last_heard_at)
+        else:
+            known.member = member
 
     def merge(self, digest: Digest, now: float) -> bool:
         """Merge a digest.
@@ -107,7 +119,7 @@
             or known.digest is None
             or known.digest.started_ms != digest.started_ms
         )
-        peer = Peer(digest.host, digest.zone, digest.address, now, digest, now)
+        peer = Peer(digest.sender, now, digest, now)
         if digest.scope is Scope.HOST:
             peer.report, peer.report_at = digest, now
         elif known is not None and not is_new:
@@ -144,9 +156,7 @@
             heard_at, known = self._cluster_totals
             if known.host != digest.host:
                 is_recent = now - heard_at < RELAY_FAILOVER_S
-                if is_recent and sorted_by_hash((known.host, digest.host))[0] == (
-                    known.host
-                ):
+                if is_recent and _rank(known.sender) < _rank(digest.sender):
                     return
                 self._aggregator_change = "precedes" if is_recent else "other_silent"
             elif digest.is_heartbeat:
@@ -175,7 +185,7 @@
             # The host was draining, and is presumed to have restarted since.  This may
             # be wrong: totals sent before the aggregator learned of the draining also
             # list the host.
-            self._peers[member.host] = Peer(*vars(member).values(), now)
+            self._peers[member.host] = Peer(member, now)
 
     # Known and live hosts
 
@@ -237,10 +247,7 @@
         return members + ([self._own] if zone == self._own.zone else [])
 
     def _select_relays(self, members: Iterable[Member]) -> tuple[Member, ...]:
-        by_host = {member.host: member for member in members}
-        return tuple(
-            by_host[host] for host in sorted_by_hash(by_host)[:RELAYS_PER_ZONE]
-        )
+        return tuple(ranked(members)[:RELAYS_PER_ZONE])
 
     def own_relays(self, now: float) -> tuple[Member, ...]:
         """Return the relays of this host's zone, in order of precedence."""
@@ -277,11 +284,11 @@
         if there are too few relays.
         """
         by_zone = [self.relays(zone, now) for zone in self.zones(now)]
-        standbys = sorted_by_hash(r.host for relays in by_zone for r in relays[1:])
-        aggregators = sorted_by_hash(r.host for relays in by_zone for r in relays[:1])
-        own = sorted_by_hash(m.host for m in self._live_members(self._own.zone, now))
-        ranked = dict.fromkeys([*standbys, *aggregators, *own])
-        return list(ranked)[:count]
+        standbys = ranked(r for relays in by_zone for r in relays[1:])
+        aggregators = ranked(r for relays in by_zone for r in relays[:1])
+        own = ranked(self._live_members(self._own.zone, now))
+        candidates = dict.fromkeys(m.host for m in [*standbys, *aggregators, *own])
+        return list(candidates)[:count]
 
     def is_relay(self, now: float) -> bool:
         """Tell whether this host is a relay of its zone."""
@@ -306,7 +313,7 @@
         """Return the hosts that the aggregator lists, in the order of all hosts."""
         if self._cluster_totals is None:
             return []
-        return sorted_by_hash(m.host for m in self._cluster_totals[1].members)
+        return [member.host for member in ranked(self._cluster_totals[1].members)]
 
     @property
     def aggregator_change(self) -> str:
--- a/sequoiapoint/state/peers_test.py
+++ b/sequoiapoint/state/peers_test.py
@@ -50,3 +50,11 @@
     peers.merge(digest("ccc"), 0.0)
     assert peers.leader(0.1).host == "bb"
     assert peers.leader(LIVENESS_TIMEOUT_S + 1) is None
+
+
+def test_relays_are_the_hosts_of_a_zone_with_the_most_capacity():
+    peers = Peers(Member("own", "z", "10.0.0.9:1", 500))
+    for host, capacity in (("a", 500), ("bb", 2150), ("ccc", 500), ("dddd", 2150)):
+        peers.merge(digest(host, capacity=capacity), 0.0)
+    assert {relay.host for relay in peers.own_relays(0.1)} == {"bb", "dddd"}
+    assert peers.leader_candidates(1, 0.1) == [peers.own_relays(0.1)[1].host]
