--- a/sequoiapoint/coordination/distribution_tree_test.py
+++ b/sequoiapoint/coordination/distribution_tree_test.py
@@ -1,8 +1,9 @@
+import random
 from collections import Counter
 
 import pytest
 
-from sequoiapoint.coordination.distribution_tree import FAN_OUT, source
+from sequoiapoint.coordination.distribution_tree import FAN_OUT, alternative, source
 from sequoiapoint.coordination.fan_out import BYTES_PER_MBIT
 
 CONFIGURATION_BYTES = 45_000
@@ -58,3 +59,30 @@
         started_at = max(known_at[parent], link_free_at.get(parent, 0.0))
         known_at[host] = link_free_at[parent] = started_at + transfer_s
     assert max(known_at.values()) <= in_force_within_s
+
+
+def test_the_zone_has_a_change_soon_although_its_aggregator_is_overloaded():
+    """Replays scale-1 of the large deployment: an aggregator that answers 6 fetches.
+
+    Hosts whose source did not deliver all turned to the aggregator, and the last one
+    had the configuration after eight seconds.
+    """
+    rng = random.Random(5)
+    names = members(37)
+    aggregator, answers_left = names[0], 6
+    known, rounds = {aggregator}, 0
+    while len(known) < len(names):
+        rounds += 1
+        before = set(known)
+        for host in set(names) - before:
+            first = source(host, aggregator, names)
+            for tried in (first, alternative(host, first, names, rng.random)):
+                if tried == aggregator:
+                    answers_left -= 1
+                if tried in before and (tried != aggregator or answers_left >= 0):
+                    known.add(host)
+    assert rounds <= 5
+
+
+def test_a_lone_host_has_no_alternative():
+    assert alternative("h-0", "h-1", ["h-0", "h-1"], random.random) is None
--- a/sequoiapoint/coordination/store_reading.py
+++ b/sequoiapoint/coordination/store_reading.py
@@ -15,6 +15,9 @@
 it."""
 PROBE_DURATION_S = 0.3
 """Time for which a host that tries the store starts reads."""
+MAX_LAG_S = 1.5
+"""Time for which a host waits for a change from its zone; the shortest limit for
+applying a configuration or a server's leaving is two seconds."""
 STALL_S = 1.0
 """Time without a new offset after which the zone counts as cut off from the store:
 servers write their entries about once a second."""
@@ -30,6 +33,8 @@
     :param is_store_reachable: Whether the aggregator reaches the store.
     :param server_end: The aggregator's offset in the topic of servers.
     :param hosts: Number of hosts in the zone.
+    :param lag_s: Time for which this host has lacked a change that the aggregator has
+        announced, in seconds.
     """
 
     is_aggregator: bool
@@ -38,6 +43,7 @@
     is_store_reachable: bool = False
     server_end: int = -1
     hosts: int = 1
+    lag_s: float = 0.0
 
 
 class StoreReading:
@@ -58,6 +64,8 @@
             self._known_end, self._advanced_at = view.server_end, now
         if view.is_aggregator or not view.is_aggregator_heard:
             return True
+        if view.lag_s > MAX_LAG_S:
+            return True
         if view.is_store_reachable:
             self._probe_at = None
             return False
--- a/sequoiapoint/coordination/store_reading_test.py
+++ b/sequoiapoint/coordination/store_reading_test.py
@@ -4,6 +4,7 @@
 import pytest
 
 from sequoiapoint.coordination.store_reading import (
+    MAX_LAG_S,
     PROBE_DURATION_S,
     PROBES_PER_S,
     STALL_S,
@@ -30,6 +31,8 @@
         ({"is_store_reachable": False}, False),
         ({"is_store_reachable": False, "is_standby": True}, True),
         ({"is_standby": True}, False),
+        ({"lag_s": MAX_LAG_S - 0.1}, False),
+        ({"lag_s": MAX_LAG_S + 0.1}, True),
     ],
 )
 def test_who_reads_the_store(changes, expected):
--- a/sequoiapoint/node/topic_exchange.py
+++ b/sequoiapoint/node/topic_exchange.py
@@ -50,8 +50,6 @@
 with pauses between the reads."""
 MAX_HOLD_S = 0.5
 """Time for which a host holds another host's fetch until it has the change itself."""
-SOURCE_BACKOFF_S = 5.0
-"""Time for which the aggregator replaces a host that failed to deliver a change."""
 TOPIC_PATH = "/topics/"
 
 
@@ -73,7 +71,8 @@
         self._reader = ""
         self._reading = StoreReading(state.rng.random)
         self._advanced = asyncio.Event()
-        self._avoided_until: dict[str, float] = {}
+        # By topic: an announced end offset that this host lacks, and since when.
+        self._awaited: dict[str, tuple[int, float]] = {}
         watch.reads_via_relay = self.reads_via_relay
 
     async def start(self) -> None:
@@ -105,11 +104,7 @@
         """Schedule a fetch if this host lags behind a digest; note store outages."""
         if digest.scope is Scope.FLEET and not digest.is_store_reachable:
             self._watch.note_store_lost(monotonic_s())
-        is_ahead = any(
-            _known_end(digest, watch, self._watch) > watch.content.end
-            for watch in (self._watch.configuration, self._watch.servers)
-        )
-        if is_ahead and self.reads_via_relay():
+        if self._is_behind(digest) and self.reads_via_relay():
             self._fetch_requested.set()
 
     def reads_via_relay(self) -> bool:
@@ -138,6 +133,24 @@
             is_store_reachable=aggregator.digest.is_store_reachable,
             server_end=aggregator.digest.server_end,
             hosts=max(1, len(self._peers.listed_members())),
+            lag_s=self._lag_s(aggregator.digest, now),
+        )
+
+    def _lag_s(self, announced: Digest, now: float) -> float:
+        """Return how long this host has lacked an announced change."""
+        for watch in (self._watch.configuration, self._watch.servers):
+            awaited_end, _ = self._awaited.get(watch.topic, (-1, now))
+            if watch.content.end >= awaited_end:
+                end = _known_end(announced, watch, self._watch)
+                self._awaited[watch.topic] = (end, now)
+                if watch.content.end >= end:
+                    del self._awaited[watch.topic]
+        return max((now - since for _, since in self._awaited.values()), default=0.0)
+
+    def _is_behind(self, announced: Digest) -> bool:
+        return any(
+            _known_end(announced, watch, self._watch) > watch.content.end
+            for watch in (self._watch.configuration, self._watch.servers)
         )
 
     async def _fetch_if_lagging(self, watch: TopicWatch) -> None:
@@ -148,7 +161,7 @@
             and aggregator is not None
             and self._known_end(aggregator, watch) > watch.content.end
         ):
-            await self._fetch_along_tree(watch, aggregator, now)
+            await self._fetch_along_tree(watch, aggregator)
             return
         ahead = [
             peer
@@ -171,25 +184,18 @@
         )
         await self._fetch(watch, nearest)
 
-    async def _fetch_along_tree(
-        self, watch: TopicWatch, aggregator: Peer, now: float
-    ) -> None:
-        """Fetch a change from this host's source, or else from the aggregator."""
-        name = distribution_tree.source(
-            self._state.settings.host, aggregator.host, self._peers.listed_members()
+    async def _fetch_along_tree(self, watch: TopicWatch, aggregator: Peer) -> None:
+        """Fetch a change from this host's source, or else from another host."""
+        own, members = self._state.settings.host, self._peers.listed_members()
+        known = watch.content.end
+        first = distribution_tree.source(own, aggregator.host, members)
+        second = distribution_tree.alternative(
+            own, first, members, self._state.rng.random
         )
-        source = self._peers.peer(name)
-        if (
-            source is not None
-            and name != aggregator.host
-            and now >= self._avoided_until.get(name, 0.0)
-        ):
-            known = watch.content.end
-            await self._fetch(watch, source)
-            if watch.content.end > known:
-                return
-            self._avoided_until[name] = now + SOURCE_BACKOFF_S
-        await self._fetch(watch, aggregator)
+        for name in (first, second):
+            source = None if name is None else self._peers.peer(name)
+            if source is not None and watch.content.end <= known:
+                await self._fetch(watch, source)
 
     def _known_end(self, peer: Peer, watch: TopicWatch) -> int:
         return _known_end(peer.digest, watch, self._watch)
