--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -156,6 +156,10 @@
 ) -> list[PlannedOrder]:
     """Plan at most one model order for each engine.
 
+    A model gets as many further copies at once as it lacks, the model with the largest
+    gain first each time: copies that are loaded one after the other, for seconds each,
+    come too late for a burst.
+
     :param records: Engines that accept new work.
     :param demand_by_model: Demand by model.
     :param store_loads_left: Number of loads that the weight store's rate limit still
@@ -164,13 +168,22 @@
     """
     planner = _Planner(records, spec, demand_by_model, now)
     orders: list[PlannedOrder] = []
-    for name in planner.models_lacking_copies():
-        order = planner.plan_copy(name)
-        if order is None or (order.is_store_load and store_loads_left <= 0):
+    lacking = planner.models_lacking_copies()
+    while lacking and planner.free:
+        name = lacking.pop(0)
+        option = planner.plan_copy(name)
+        if option is None or (option.is_store_load and store_loads_left <= 0):
             continue
-        store_loads_left -= order.is_store_load
-        planner.commit(name, order)
-        orders.append(order)
+        if option.record in planner.free:
+            store_loads_left -= option.is_store_load
+            planner.commit(name, option)
+            orders.append(option)
+        else:
+            # Waiting for the best engine is the cheapest way to this copy.
+            planner.reserve(name, option.record)
+        if planner.lacks_copies(name):
+            lacking.append(name)
+            lacking.sort(key=planner.gain, reverse=True)
     return orders
 
 
@@ -195,6 +208,7 @@
         self._demand_by_model = demand_by_model
         self._now = now
         self._committed_s: dict[str, float] = {}
+        self._reserved: set[tuple[str, str]] = set()
         self._models_in_demand = {
             name
             for name, demand in demand_by_model.items()
@@ -220,7 +234,8 @@
             max(1, int(MAX_BUSY_SHARE * len(serving))) if serving else len(records)
         )
         self._orders_left = max_busy - sum(record.is_busy for record in serving)
-        self._additional_copies_left = math.ceil(max_busy / 2)
+        max_busy_of_all = max(1, int(MAX_BUSY_SHARE * len(records)))
+        self._additional_copies_left = math.ceil(max_busy_of_all / 2)
         self.free = [r for r in records if not r.is_busy and not r.has_order_in_flight]
         self._copy_counts = dict.fromkeys(spec.models, 0)
         self._scale_out_utilisation = min(
@@ -287,9 +302,9 @@
         The weights in the gain favour a first copy over an additional one.
         """
         gains = {
-            name: self._gain(name)
-            for name, copies in self._copy_counts.items()
-            if copies < self._targets[name]
+            name: self.gain(name)
+            for name in self._copy_counts
+            if self.lacks_copies(name)
         }
         smallest_mb = min(
             (self._spec.models[name].size_mb for name in gains), default=math.inf
@@ -305,7 +320,7 @@
         demand = self._demand_of(name)
         return demand.goal_s is not None and demand.idle_s <= RECENT_REQUEST_S
 
-    def _gain(self, name: str) -> float:
+    def gain(self, name: str) -> float:
         """Return the weighted number of requests that another copy would serve."""
         demand, copies = self._demand_of(name), self._copy_counts[name]
         if copies == 0:
@@ -324,9 +339,22 @@
             self._orders_left -= 1
         if self._copy_counts[name] > 0:
             self._additional_copies_left -= 1
+        self.reserve(name, order.record)
+
+    def reserve(self, name: str, record: EngineRecord) -> None:
+        """Count a copy at an engine as planned."""
+        self._copy_counts[name] += 1
+        self._reserved.add((name, record.entry.server))
+
+    def lacks_copies(self, name: str) -> bool:
+        """Tell whether a model should have more copies than exist or are planned."""
+        return self._copy_counts[name] < self._targets[name]
 
     def plan_copy(self, name: str) -> PlannedOrder | None:
-        """Return the order to load a model, or to evict one to make room for it."""
+        """Return the order to load a model, or to evict one to make room for it.
+
+        The order may be for an engine that is busy.
+        """
         if self._copy_counts[name] > 0 and self._additional_copies_left <= 0:
             return None
         is_urgent_first_copy = (
@@ -338,7 +366,7 @@
         reasons = self._evictable_models(name)
         size_mb = self._spec.models[name].size_mb
         for record in self._records:
-            if name in record.held:
+            if name in record.held or (name, record.entry.server) in self._reserved:
                 continue
             has_free_memory = self._free_mb[record.entry.server] >= size_mb
             if not has_free_memory and reasons.keys().isdisjoint(record.held):
@@ -349,10 +377,7 @@
             option = self._cheapest_order(name, record, reasons)
             if option is not None and (best is None or option[0] < best[0]):
                 best = option
-        if best is None or best[1].record not in self.free:
-            # If the best engine is busy, waiting for it is the cheapest option.
-            return None
-        return best[1]
+        return None if best is None else best[1]
 
     def _available_in_s(self, record: EngineRecord) -> float:
         """Return the time until an engine accepts another model order, in seconds."""
--- a/sequoiapoint/coordination/model_placement_test.py
+++ b/sequoiapoint/coordination/model_placement_test.py
@@ -271,3 +271,20 @@
     demand = {"m0": DemandStats(requests, 0, 0.0, goal_s=0.3)}
     orders = model_placement.plan_models(engines, spec, demand, 10)
     assert ("m0" in {order.model for order in orders}) is lacks
+
+
+def test_a_burst_for_one_model_gets_several_copies_at_once():
+    """Replays trouble-1 of the large deployment: 112 requests waited for three copies.
+
+    One copy was planned at a time, and none while the engine that could load it soonest
+    was busy for some seconds.
+    """
+    engines = [engine(f"e-{n}", "m0", "m1") for n in range(3)]
+    engines += [engine(f"r-{n}", f"m{20 + n}") for n in range(44)]
+    engines[3].loading_model, engines[3].busy_until = "m20", 4.0
+    engines[3].in_host_memory = frozenset({"m0"})
+    demand = {"m0": DemandStats(29.0, 112, 0.0, goal_s=0.3)}
+    orders = plan_large(engines, demand)
+    copies = [server for server, action, model in orders if model == "m0"]
+    assert len(copies) >= 4
+    assert len(copies) == len(set(copies))
