--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -14,18 +14,30 @@
 from sequoiapoint.protocol.gateway import EngineSpec, OrderAction
 from sequoiapoint.state.engine_ledger import EngineRecord
 
-SCALE_OUT_UTILISATION = 0.1
-"""Utilisation of a model's copies, as a share of their engines' batch slots, above
-which it gets another copy.  The first event of a stream becomes late long before all
-slots are taken, because prompts are processed between the tokens of all requests."""
-SHORTAGE_SCALE_OUT_UTILISATION = 0.25
-"""The same while requests above the lowest priority wait for a model without a copy."""
+SCALE_OUT_REQUESTS = 6.4
+"""Number of a model's requests for each of its copies above which it gets another copy.
+The first event of a stream becomes late long before the slots of a large batch are
+taken, because prompts are processed between the tokens of all requests."""
+MAX_SCALE_OUT_UTILISATION = 0.35
+"""The same as a share of the batch slots, for engines with few slots.  They are shared
+by the two or three models of an engine."""
+SHORTAGE_FACTOR = 2.5
+"""Factor on the number of requests for each copy while requests above the lowest
+priority wait for a model without a copy."""
+MAX_SHORTAGE_UTILISATION = 0.6
+"""The largest share of the batch slots for which a model gets no further copy then."""
 MAX_DEGRADED_UTILISATION = 0.4
 """Maximum utilisation of a model's remaining copies after one is evicted for the first
 copy of another model; its requests are then late, but are served."""
-MAX_SURPLUS_UTILISATION = 0.05
-"""Maximum utilisation of the remaining copies for a copy to count as surplus: half of
-the utilisation at which the copy would be loaded again."""
+SURPLUS_SHARE = 0.5
+"""Maximum utilisation of the remaining copies for a copy to count as surplus, as a
+share of the utilisation at which the copy would be loaded again."""
+LONG_IDLE_S = 15.0
+"""Time without requests after which the only copy of a model may be evicted for a
+further copy of a model that requests wait for.  Its next request waits for a load from
+the engine's memory or disk."""
+MAX_EVICTING_SHARE = 0.2
+"""Share of the engines that may evict models for further copies at the same time."""
 RECENT_REQUEST_S = 8.0
 """Time after its last request for which a model counts as recently requested."""
 MIN_IDLE_S = 3.0
@@ -103,11 +115,14 @@
     """The model's requests can wait for a load, and it is unused at the moment."""
     OTHER_COPIES_SUFFICE = 3
     """The other copies can serve the model's requests on time."""
-    OTHER_COPIES_OVERLOADED = 4
+    LONG_IDLE = 4
+    """The copy is the only one of a model that has not been requested for a long time,
+    and requests wait for the other model."""
+    OTHER_COPIES_OVERLOADED = 5
     """The other copies can serve the model's requests, but late."""
-    OUTWEIGHED = 5
+    OUTWEIGHED = 6
     """The other model has far more requests, and this model's requests can wait."""
-    IDLE = 6
+    IDLE = 7
     """The copy is the only one of a model that is not requested at the moment."""
 
 
@@ -141,6 +156,10 @@
 ) -> list[PlannedOrder]:
     """Plan at most one model order for each engine.
 
+    A model gets as many further copies at once as it lacks, the model with the largest
+    gain first each time: copies that are loaded one after the other, for seconds each,
+    come too late for a burst.
+
     :param records: Engines that accept new work.
     :param demand_by_model: Demand by model.
     :param store_loads_left: Number of loads that the weight store's rate limit still
@@ -149,13 +168,22 @@
     """
     planner = _Planner(records, spec, demand_by_model, now)
     orders: list[PlannedOrder] = []
-    for name in planner.models_lacking_copies():
-        order = planner.plan_copy(name)
-        if order is None or (order.is_store_load and store_loads_left <= 0):
+    lacking = planner.models_lacking_copies()
+    while lacking and planner.free:
+        name = lacking.pop(0)
+        option = planner.plan_copy(name)
+        if option is None or (option.is_store_load and store_loads_left <= 0):
             continue
-        store_loads_left -= order.is_store_load
-        planner.commit(name, order)
-        orders.append(order)
+        if option.record in planner.free:
+            store_loads_left -= option.is_store_load
+            planner.commit(name, option)
+            orders.append(option)
+        else:
+            # Waiting for the best engine is the cheapest way to this copy.
+            planner.reserve(name, option.record)
+        if planner.lacks_copies(name):
+            lacking.append(name)
+            lacking.sort(key=planner.gain, reverse=True)
     return orders
 
 
@@ -180,6 +208,7 @@
         self._demand_by_model = demand_by_model
         self._now = now
         self._committed_s: dict[str, float] = {}
+        self._reserved: set[tuple[str, str]] = set()
         self._models_in_demand = {
             name
             for name, demand in demand_by_model.items()
@@ -196,28 +225,38 @@
             r.entry.server: spec.memory_mb - r.used_mb(spec) for r in records
         }
         self._copy_values: dict[str, float] = {}
-        self._is_evicting = any(record.evicting_model for record in records)
+        max_evicting = max(1, int(MAX_EVICTING_SHARE * len(records)))
+        self._evictions_left = max_evicting - sum(
+            bool(record.evicting_model) for record in records
+        )
         serving = [r for r in records if self._serves(r)]
         max_busy = (
             max(1, int(MAX_BUSY_SHARE * len(serving))) if serving else len(records)
         )
         self._orders_left = max_busy - sum(record.is_busy for record in serving)
-        self._additional_copies_left = math.ceil(max_busy / 2)
+        max_busy_of_all = max(1, int(MAX_BUSY_SHARE * len(records)))
+        self._additional_copies_left = math.ceil(max_busy_of_all / 2)
         self.free = [r for r in records if not r.is_busy and not r.has_order_in_flight]
         self._copy_counts = dict.fromkeys(spec.models, 0)
-        self._scale_out_utilisation = SCALE_OUT_UTILISATION
+        self._scale_out_utilisation = min(
+            MAX_SCALE_OUT_UTILISATION, SCALE_OUT_REQUESTS / spec.slots
+        )
+        max_surplus_utilisation = SURPLUS_SHARE * self._scale_out_utilisation
         for record in records:
             for name in record.held:
                 if name != record.evicting_model and name in self._copy_counts:
                     self._copy_counts[name] += 1
         if any(self._has_first_copy_priority(name) for name in self._copy_counts):
-            self._scale_out_utilisation = SHORTAGE_SCALE_OUT_UTILISATION
+            self._scale_out_utilisation = min(
+                MAX_SHORTAGE_UTILISATION,
+                SHORTAGE_FACTOR * SCALE_OUT_REQUESTS / spec.slots,
+            )
         self._targets = {name: self._target(name) for name in self._copy_counts}
         self._surplus = {
             name: EvictionReason.SURPLUS
             for name, copies in self._copy_counts.items()
             if copies > self._targets[name]
-            and self._utilisation(name, copies - 1) <= MAX_SURPLUS_UTILISATION
+            and self._utilisation(name, copies - 1) <= max_surplus_utilisation
         }
         self._non_surplus = [
             name
@@ -263,9 +302,9 @@
         The weights in the gain favour a first copy over an additional one.
         """
         gains = {
-            name: self._gain(name)
-            for name, copies in self._copy_counts.items()
-            if copies < self._targets[name]
+            name: self.gain(name)
+            for name in self._copy_counts
+            if self.lacks_copies(name)
         }
         smallest_mb = min(
             (self._spec.models[name].size_mb for name in gains), default=math.inf
@@ -281,7 +320,7 @@
         demand = self._demand_of(name)
         return demand.goal_s is not None and demand.idle_s <= RECENT_REQUEST_S
 
-    def _gain(self, name: str) -> float:
+    def gain(self, name: str) -> float:
         """Return the weighted number of requests that another copy would serve."""
         demand, copies = self._demand_of(name), self._copy_counts[name]
         if copies == 0:
@@ -300,9 +339,22 @@
             self._orders_left -= 1
         if self._copy_counts[name] > 0:
             self._additional_copies_left -= 1
+        self.reserve(name, order.record)
+
+    def reserve(self, name: str, record: EngineRecord) -> None:
+        """Count a copy at an engine as planned."""
+        self._copy_counts[name] += 1
+        self._reserved.add((name, record.entry.server))
+
+    def lacks_copies(self, name: str) -> bool:
+        """Tell whether a model should have more copies than exist or are planned."""
+        return self._copy_counts[name] < self._targets[name]
 
     def plan_copy(self, name: str) -> PlannedOrder | None:
-        """Return the order to load a model, or to evict one to make room for it."""
+        """Return the order to load a model, or to evict one to make room for it.
+
+        The order may be for an engine that is busy.
+        """
         if self._copy_counts[name] > 0 and self._additional_copies_left <= 0:
             return None
         is_urgent_first_copy = (
@@ -314,7 +366,7 @@
         reasons = self._evictable_models(name)
         size_mb = self._spec.models[name].size_mb
         for record in self._records:
-            if name in record.held:
+            if name in record.held or (name, record.entry.server) in self._reserved:
                 continue
             has_free_memory = self._free_mb[record.entry.server] >= size_mb
             if not has_free_memory and reasons.keys().isdisjoint(record.held):
@@ -325,10 +377,7 @@
             option = self._cheapest_order(name, record, reasons)
             if option is not None and (best is None or option[0] < best[0]):
                 best = option
-        if best is None or best[1].record not in self.free:
-            # If the best engine is busy, waiting for it is the cheapest option.
-            return None
-        return best[1]
+        return None if best is None else best[1]
 
     def _available_in_s(self, record: EngineRecord) -> float:
         """Return the time until an engine accepts another model order, in seconds."""
@@ -356,7 +405,7 @@
             is_store_load = name not in record.in_host_memory | record.on_disk
             order = PlannedOrder(record, OrderAction.LOAD, name, "", is_store_load)
             return cost, order
-        if self._is_evicting and self._copy_counts[name] > 0:
+        if self._evictions_left <= 0 and self._copy_counts[name] > 0:
             return None
         ranked = [
             (reasons[other], self._copy_value(other), other)
@@ -434,6 +483,8 @@
                 if incoming_utilisation > self._scale_out_utilisation
                 else None
             )
+        if is_unused and incoming_demand.waiting > 0 and demand.idle_s > LONG_IDLE_S:
+            return EvictionReason.LONG_IDLE
         is_idle = is_unused and demand.idle_s > MIN_IDLE_S
         return EvictionReason.IDLE if is_first and is_idle else None
 
--- a/sequoiapoint/coordination/slot_allocator.py
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -18,6 +18,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from sequoiapoint.coordination import waiting
 from sequoiapoint.protocol.gateway import Incarnation
 from sequoiapoint.protocol.slots import (
     NO_SERVER,
@@ -31,7 +32,7 @@
 Key = tuple[str, str, str]
 """A service, model and adapter."""
 
-QUEUE_TTL_S = 0.6
+QUEUE_TTL_S = 1.2
 """Time for which a request stays queued after its host has last asked."""
 GRANT_IN_FLIGHT_S = 1.0
 """Age from which a grant that its host does not report counts as ended.  A host that is
@@ -110,12 +111,14 @@
     request: SlotRequest
     asked_at: float
     deadline: float
+    goal_at: float
     order: int
 
-    @property
-    def rank(self) -> tuple[int, float, int]:
+    def rank(self, now: float) -> tuple[int, bool, float, int]:
         """Return a key that sorts the most urgent request first."""
-        return (self.request.priority, self.deadline, self.order)
+        priority = self.request.priority
+        key = waiting.urgency(priority, self.goal_at, self.deadline, now)
+        return (*key, self.order)
 
 
 @dataclass
@@ -188,11 +191,11 @@
             for name, host in self._hosts.items()
             if now - host.heard_at <= REPORT_TTL_S
         }
-        for key, waiting in list(self._queue.items()):
-            for identity, queued in list(waiting.items()):
+        for key, requests in list(self._queue.items()):
+            for identity, queued in list(requests.items()):
                 if now - queued.asked_at > QUEUE_TTL_S or queued.deadline <= now:
-                    del waiting[identity]
-            if not waiting:
+                    del requests[identity]
+            if not requests:
                 del self._queue[key]
         self._recount()
 
@@ -228,10 +231,12 @@
             self._withdraw(request.host, request.number)
             return self._grant(engine, request, now)
         identity = (request.host, request.number)
-        waiting = self._queue.setdefault(key, {})
-        known = waiting.get(identity)
+        requests = self._queue.setdefault(key, {})
+        known = requests.get(identity)
         order = next(self._order) if known is None else known.order
-        waiting[identity] = _Queued(request, now, now + request.remaining_s, order)
+        requests[identity] = _Queued(
+            request, now, now + request.remaining_s, now + request.goal_s, order
+        )
         return SlotReply(request.host, request.number, SlotOutcome.QUEUED)
 
     def release(self, release: SlotRelease, now: float) -> list[SlotReply]:
@@ -253,9 +258,9 @@
         return self._grant_queued(self._engines.values(), now)
 
     def _withdraw(self, host: str, number: int) -> None:
-        for key, waiting in list(self._queue.items()):
-            if waiting.pop((host, number), None) is not None:
-                if not waiting:
+        for key, requests in list(self._queue.items()):
+            if requests.pop((host, number), None) is not None:
+                if not requests:
                     del self._queue[key]
                 return
 
@@ -277,14 +282,14 @@
         """Return the most urgent queued request that an engine can run."""
         candidates = (
             queued
-            for key, waiting in self._queue.items()
+            for key, requests in self._queue.items()
             if engine.holds(key)
-            for queued in waiting.values()
+            for queued in requests.values()
             if engine.incarnation[0] not in queued.request.excluded
             and now - queued.asked_at <= QUEUE_TTL_S
             and queued.deadline > now
         )
-        return min(candidates, key=lambda queued: queued.rank, default=None)
+        return min(candidates, key=lambda queued: queued.rank(now), default=None)
 
     def _grant(self, engine: Engine, request: SlotRequest, now: float) -> SlotReply:
         engine.used += 1
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -3,7 +3,12 @@
 from sequoiapoint.coordination import server_choice, waiting
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.slot_exchange import SlotExchange, SlotTicket
-from sequoiapoint.protocol.gateway import CallerRequest, Route, ServerEntry
+from sequoiapoint.protocol.gateway import (
+    CallerRequest,
+    Incarnation,
+    Route,
+    ServerEntry,
+)
 from sequoiapoint.protocol.slots import SlotOutcome, SlotQuality, SlotRequest
 from sequoiapoint.transport.clock import monotonic_s
 
@@ -18,6 +23,9 @@
 MAX_ZONES_ASKED = 3
 """Number of zones whose allocators are asked for a slot, one after the other, before a
 request waits for one of them."""
+REPEAT_INTERVAL_S = 0.5
+"""Interval at which a queued request asks for a slot again; less than half of the time
+for which allocators keep it queued."""
 MAX_WAIT_INTERVAL_S = 0.1
 """Maximum time between two selections for a waiting request.  The end of a server's
 back-off period wakes no request."""
@@ -40,11 +48,15 @@
         slots: SlotExchange,
         request: CallerRequest,
         route: Route,
+        arrived_s: float,
         deadline: float,
     ) -> None:
         self._state = state
+        self._arrived_s = arrived_s
         self._slots = slots
         self._ticket: SlotTicket | None = None
+        self._asked_servers: set[Incarnation] = set()
+        self._asked_at = 0.0
         self._request = request
         self._route = route
         self._deadline = deadline
@@ -76,6 +88,7 @@
         :return: None if the request should be given up: too little time remains, the
             limit on its wait has passed, or too many connections have failed.
         """
+        self._asked_servers = set()
         with self._slots.ticket() as ticket:
             entry = await self._select(ticket)
             if entry is not None:
@@ -113,6 +126,7 @@
                         state.replan_requested.set()
                 await state.wait_queue.wait(
                     self._route.priority,
+                    self._arrived_s + self._route.goal_s,
                     self._deadline,
                     MAX_WAIT_INTERVAL_S,
                     ticket.number,
@@ -127,16 +141,26 @@
         serving = self._serving(now)
         if not self.is_engine or not self._slots.is_active:
             return self._choose(serving, now)
-        if ticket.grant is None and serving:
+        if ticket.grant is None and serving and self._is_ask_due(serving, now):
             unallocated_zones = await self._ask_zones(ticket, serving, now)
             if ticket.grant is None:
                 # The engines of zones whose allocators are out of reach.
                 remaining = [e for e in serving if e.zone in unallocated_zones]
-                entry = self._choose(remaining, monotonic_s())
-                self.reason = self.reason if remaining else "servers_full"
-                return entry
+                return self._choose(remaining, monotonic_s())
         return self._granted_server(ticket)
 
+    def _is_ask_due(self, serving: list[ServerEntry], now: float) -> bool:
+        """Tell whether to ask for a slot (again).
+
+        Queued requests are woken by a grant.  They ask again only if there are other
+        engines to run them, and now and then because messages may be lost.
+        """
+        servers = {entry.incarnation for entry in serving}
+        if servers == self._asked_servers and now - self._asked_at < REPEAT_INTERVAL_S:
+            return False
+        self._asked_servers, self._asked_at = servers, now
+        return True
+
     def _granted_server(self, ticket: SlotTicket) -> ServerEntry | None:
         if ticket.grant is None:
             return None
@@ -170,6 +194,7 @@
             request.adapter,
             self._route.priority,
             self._deadline - now,
+            max(0.0, self._arrived_s + self._route.goal_s - now),
             tuple(avoided) if len(avoided) < len(serving) else (),
         )
         unallocated = set()
@@ -205,7 +230,9 @@
             if not self.is_engine
             or fleet.holds(entry, request.model, request.adapter, now)
         ]
-        if ready and not serving:
+        if serving:
+            self.reason = "servers_full"
+        elif ready:
             self.reason = "model_not_loaded"
         return serving
 
