--- a/sequoiapoint/state/peers.py
+++ b/sequoiapoint/state/peers.py
@@ -125,7 +125,8 @@
         elif known is not None and not is_new:
             peer.report, peer.report_at = known.report, known.report_at
         self._peers[digest.host] = peer
-        self._record_leader(digest, now)
+        was_leader = known is not None and known.digest and known.digest.fence > 0
+        self._record_leader(digest, bool(was_leader), now)
         if digest.scope is Scope.ZONE:
             self._zone_totals.setdefault(digest.zone, {})[digest.host] = (now, digest)
             self._relays[digest.zone] = (now, digest.relays)
@@ -133,16 +134,17 @@
             self._merge_cluster_totals(digest, now)
         return is_new
 
-    def _record_leader(self, digest: Digest, now: float) -> None:
+    def _record_leader(self, digest: Digest, was_leader: bool, now: float) -> None:
         """Record when another leader was last heard.
 
-        A leader that drains has given up the lease for good, so its successor need not
-        wait for it.
+        A leader that announces the loss of its lease may have sent orders until then.
+        One that drains has given up the lease for good, so its successor need not wait
+        for it.
         """
         if digest.is_leaving:
             if self._other_leader is not None and self._other_leader[0] == digest.host:
                 self._other_leader = None
-        elif digest.fence > 0:
+        elif digest.fence > 0 or was_leader:
             self._other_leader = (digest.host, now)
 
     def _merge_cluster_totals(self, digest: Digest, now: float) -> None:
