Ask for slots at the engines that a host knows to be suitable

The host now names the engines.

Requests are not sent again in the last quarter of a second before their deadline, and the log names the allocator of an answered request.

--- a/sequoiapoint/coordination/slot_allocator.py
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -29,9 +29,6 @@
     SlotRequest,
 )
 
-Key = tuple[str, str, str]
-"""A service, model and adapter."""
-
 QUEUE_TTL_S = 1.2
 """Time for which a request stays queued after its host has last asked."""
 GRANT_IN_FLIGHT_S = 1.0
@@ -62,30 +59,26 @@
 class Engine:
     """An engine of the zone.
 
-    :param held: Its resident models, each with the resident adapters.
     :param used: Number of requests there, of all hosts.
     :param penalty: Moving average of the penalties of its requests.
     :param unreachable_count: Number of failures to connect in a row.
     """
 
     incarnation: Incarnation
-    service: str
     slots: int
-    held: Mapping[str, frozenset[str]]
     used: int = 0
     penalty: float = 0.0
     unreachable_count: int = 0
     avoided_until: float = -math.inf
 
-    def holds(self, key: Key) -> bool:
-        """Tell whether the engine can run requests for a model and adapter."""
-        service, model, adapter = key
-        adapters = self.held.get(model)
-        return (
-            service == self.service
-            and adapters is not None
-            and (not adapter or adapter in adapters)
-        )
+    @property
+    def server(self) -> str:
+        """Return the engine's server id."""
+        return self.incarnation[0]
+
+    def has_free_slot(self, now: float) -> bool:
+        """Tell whether a request may be sent to the engine."""
+        return self.used < self.slots and self.avoided_until <= now
 
     def record_quality(self, quality: SlotQuality, now: float) -> None:
         """Update what is known of the engine's health with the end of a request."""
@@ -140,14 +133,15 @@
 
     def __init__(self) -> None:
         self._engines: dict[Incarnation, Engine] = {}
+        self._by_server: dict[str, Engine] = {}
         self._hosts: dict[str, _Host] = {}
-        self._queue: dict[Key, dict[tuple[str, int], _Queued]] = {}
+        self._queue: dict[tuple[str, int], _Queued] = {}
         self._order = itertools.count()
 
     @property
     def queue_length(self) -> int:
         """Return the number of queued requests."""
-        return sum(map(len, self._queue.values()))
+        return len(self._queue)
 
     # Engines and counts
 
@@ -157,10 +151,11 @@
         for engine in engines:
             known = self._engines.get(engine.incarnation)
             if known is not None:
-                known.held, known.slots = engine.held, engine.slots
+                known.slots = engine.slots
                 engine = known
             updated[engine.incarnation] = engine
         self._engines = updated
+        self._by_server = {engine.server: engine for engine in updated.values()}
         self._recount()
 
     def set_report(
@@ -191,12 +186,11 @@
             for name, host in self._hosts.items()
             if now - host.heard_at <= REPORT_TTL_S
         }
-        for key, requests in list(self._queue.items()):
-            for identity, queued in list(requests.items()):
-                if now - queued.asked_at > QUEUE_TTL_S or queued.deadline <= now:
-                    del requests[identity]
-            if not requests:
-                del self._queue[key]
+        self._queue = {
+            identity: queued
+            for identity, queued in self._queue.items()
+            if now - queued.asked_at <= QUEUE_TTL_S and queued.deadline > now
+        }
         self._recount()
 
     def _recount(self) -> None:
@@ -225,23 +219,20 @@
             return SlotReply(
                 request.host, request.number, SlotOutcome.GRANTED, grant.engine
             )
-        key = (request.service, request.model, request.adapter)
-        engine = self._best_engine(key, request, now)
+        identity = (request.host, request.number)
+        known = self._queue.pop(identity, None)
+        engine = self._best_engine(request, now)
         if engine is not None:
-            self._withdraw(request.host, request.number)
             return self._grant(engine, request, now)
-        identity = (request.host, request.number)
-        requests = self._queue.setdefault(key, {})
-        known = requests.get(identity)
         order = next(self._order) if known is None else known.order
-        requests[identity] = _Queued(
+        self._queue[identity] = _Queued(
             request, now, now + request.remaining_s, now + request.goal_s, order
         )
         return SlotReply(request.host, request.number, SlotOutcome.QUEUED)
 
     def release(self, release: SlotRelease, now: float) -> list[SlotReply]:
         """Record the end of a request, and return the grants that this allows."""
-        self._withdraw(release.host, release.number)
+        self._queue.pop((release.host, release.number), None)
         engine = self._engines.get(release.engine)
         if engine is not None:
             engine.record_quality(release.quality, now)
@@ -257,24 +248,17 @@
         """Return the grants that are possible since engines or counts have changed."""
         return self._grant_queued(self._engines.values(), now)
 
-    def _withdraw(self, host: str, number: int) -> None:
-        for key, requests in list(self._queue.items()):
-            if requests.pop((host, number), None) is not None:
-                if not requests:
-                    del self._queue[key]
-                return
-
     def _grant_queued(self, engines: Iterable[Engine], now: float) -> list[SlotReply]:
         if not self._queue:
             return []
         replies = []
         for engine in list(engines):
-            while engine.used < engine.slots and engine.avoided_until <= now:
+            while engine.has_free_slot(now):
                 queued = self._most_urgent(engine, now)
                 if queued is None:
                     break
                 request = queued.request
-                self._withdraw(request.host, request.number)
+                del self._queue[(request.host, request.number)]
                 replies.append(self._grant(engine, request, now))
         return replies
 
@@ -282,10 +266,8 @@
         """Return the most urgent queued request that an engine can run."""
         candidates = (
             queued
-            for key, requests in self._queue.items()
-            if engine.holds(key)
-            for queued in requests.values()
-            if engine.incarnation[0] not in queued.request.excluded
+            for queued in self._queue.values()
+            if engine.server in queued.request.candidates
             and now - queued.asked_at <= QUEUE_TTL_S
             and queued.deadline > now
         )
@@ -299,15 +281,12 @@
             request.host, request.number, SlotOutcome.GRANTED, engine.incarnation
         )
 
-    def _best_engine(self, key: Key, request: SlotRequest, now: float) -> Engine | None:
+    def _best_engine(self, request: SlotRequest, now: float) -> Engine | None:
         """Return the engine with the lowest cost that has a free slot."""
         candidates = [
             engine
-            for engine in self._engines.values()
-            if engine.used < engine.slots
-            and engine.holds(key)
-            and engine.avoided_until <= now
-            and engine.incarnation[0] not in request.excluded
+            for server in request.candidates
+            if (engine := self._by_server.get(server)) and engine.has_free_slot(now)
         ]
         if not candidates:
             return None
--- a/sequoiapoint/coordination/slot_allocator_test.py
+++ b/sequoiapoint/coordination/slot_allocator_test.py
@@ -19,8 +19,8 @@
 SLOTS = 12
 
 
-def engine(name, held=("oak",), slots=SLOTS):
-    return Engine((name, 1), "lm", slots, {model: frozenset() for model in held})
+def engine(name, slots=SLOTS):
+    return Engine((name, 1), slots)
 
 
 def allocator(*engines):
@@ -29,9 +29,11 @@
     return result
 
 
-def ask(number, host="h", model="oak", priority=0, remaining_s=10.0, **fields):
-    fields = {"goal_s": 0.3, "excluded": ()} | fields
-    return SlotRequest(host, number, "lm", model, "", priority, remaining_s, **fields)
+COPIES = tuple(str(n) for n in range(8))
+
+
+def ask(number, host="h", candidates=("e-1", *COPIES), priority=0, remaining_s=10.0):
+    return SlotRequest(host, number, candidates, priority, remaining_s, goal_s=0.3)
 
 
 def test_no_more_requests_are_granted_than_the_engine_has_slots():
@@ -53,17 +55,17 @@
 
 
 @pytest.mark.parametrize(
-    ("request_fields", "outcome"),
+    ("candidates", "outcome"),
     [
-        ({}, SlotOutcome.GRANTED),
-        ({"model": "elm"}, SlotOutcome.QUEUED),
-        ({"excluded": ("e-1",)}, SlotOutcome.QUEUED),
+        (("e-1",), SlotOutcome.GRANTED),
+        (("e-2", "e-1"), SlotOutcome.GRANTED),
+        (("e-2",), SlotOutcome.QUEUED),
+        ((), SlotOutcome.QUEUED),
     ],
 )
-def test_a_slot_is_granted_at_an_engine_that_can_run_the_request(
-    request_fields, outcome
-):
-    assert allocator().request(ask(1, **request_fields), 0.0).outcome is outcome
+def test_a_slot_is_granted_at_an_engine_that_can_run_the_request(candidates, outcome):
+    request = ask(1, candidates=candidates)
+    assert allocator().request(request, 0.0).outcome is outcome
 
 
 def test_a_repeated_request_is_granted_the_same_slot():
@@ -71,14 +73,22 @@
     assert slots.request(ask(1), 0.0) == slots.request(ask(1), 0.1)
 
 
-def test_a_model_that_becomes_resident_serves_the_requests_that_wait_for_it():
+def test_a_new_engine_serves_the_requests_that_wait_for_it():
     slots = allocator(engine("e-1"))
-    slots.request(ask(1, model="elm"), 0.0)
+    slots.request(ask(1, candidates=("e-2",)), 0.0)
     assert not slots.grant_queued(0.1)
-    slots.set_engines([engine("e-1", ("oak", "elm"))])
+    slots.set_engines([engine("e-1"), engine("e-2")])
     assert [grant.number for grant in slots.grant_queued(0.2)] == [1]
 
 
+def test_a_request_that_asks_again_is_granted_a_slot_at_its_new_candidates():
+    """Replays an adapter that becomes resident while its request is queued."""
+    slots = allocator(engine("e-1"), engine("e-2"))
+    assert slots.request(ask(1, candidates=()), 0.0).outcome is SlotOutcome.QUEUED
+    assert slots.request(ask(1, candidates=("e-2",)), 0.1).engine == ("e-2", 1)
+    assert slots.queue_length == 0
+
+
 @pytest.mark.parametrize(
     ("end", "at"),
     [
@@ -125,11 +135,12 @@
     """Each of 195 hosts alone meets an engine too seldom to find out that it fails."""
     slots = allocator(engine("e-1"), engine("e-2"), engine("e-3"))
     for number in range(times):
-        grant = slots.request(
-            ask(number, f"h-{number}", excluded=("e-2", "e-3")), number * 0.01
-        )
+        grant = slots.request(ask(number, f"h-{number}", ("e-1",)), number * 0.01)
         slots.release(released(grant, quality), number * 0.01)
-    granted = {slots.request(ask(n), 0.2).engine[0] for n in range(100, 106)}
+    every = ("e-1", "e-2", "e-3")
+    granted = {
+        slots.request(ask(n, candidates=every), 0.2).engine[0] for n in range(100, 106)
+    }
     assert granted == expected
 
 
@@ -244,7 +255,7 @@
             if now - load.arrived_at[other] > limit_s:
                 slots.release(withdrawn(request.host, other), now)
                 del queued[other]
-        request = ask(number, f"h-{rng.randrange(load.HOSTS)}", goal_s=goal_s)
+        request = ask(number, f"h-{rng.randrange(load.HOSTS)}")
         reply = slots.request(request, now)
         if reply.outcome is SlotOutcome.GRANTED:
             start(reply, now)
--- a/sequoiapoint/coordination/waiting.py
+++ b/sequoiapoint/coordination/waiting.py
@@ -26,6 +26,9 @@
 MAX_PENDING_PROMPT_TOKENS = 4_000
 """Maximum number of unprocessed prompt tokens at an engine, from all hosts.  It
 processes them in a tenth of a second, during which its streams make no progress."""
+MIN_RETRY_TIME_S = 0.25
+"""Minimum remaining time for which a request is sent again: a slow link's queue and a
+quick response."""
 MIN_FIRST_EVENT_S = 0.03
 """Time from the choice of a server with a free slot to the first event."""
 RETRY_AFTER_S = 0.4
@@ -83,6 +86,17 @@
     return (priority, goal_at - now < MIN_FIRST_EVENT_S, deadline)
 
 
+def may_send_again(remaining_s: float) -> bool:
+    """Tell whether a request may be sent to a second server.
+
+    Answers callers that leave at their deadline while servers fail: a request that is
+    sent again just before it reaches the second server after its caller has left.
+
+    :param remaining_s: Time until its caller's deadline.
+    """
+    return remaining_s >= MIN_RETRY_TIME_S
+
+
 def is_full(load: float, slots: int, is_engine: bool) -> bool:
     """Tell whether a server should be sent no more requests.
 
--- a/sequoiapoint/coordination/waiting_test.py
+++ b/sequoiapoint/coordination/waiting_test.py
@@ -85,3 +85,16 @@
         for priority, goal_s, deadline_s in (first, second)
     ]
     assert keys == sorted(keys)
+
+
+@pytest.mark.parametrize(
+    ("remaining_s", "expected"), [(5.0, True), (0.3, True), (0.2, False), (-0.1, False)]
+)
+def test_a_request_is_not_sent_again_just_before_its_caller_leaves(
+    remaining_s, expected
+):
+    """Replays trouble-1 of the large deployment.
+
+    A request reached a second server 0.55 s after its caller's deadline.
+    """
+    assert waiting.may_send_again(remaining_s) is expected
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -281,7 +281,7 @@
             return _AttemptOutcome.UNKNOWN, exchange_outcome.value
         is_error = head.status >= 500
         may_repeat = self._route.may_repeat and self._has_attempts_left()
-        has_time = self._remaining_s() > MIN_ATTEMPT_TIME_S
+        has_time = waiting.may_send_again(self._remaining_s())
         if is_error and may_repeat and has_time and self._try_acquire_retry():
             self._has_reserved_retry = True
             return _AttemptOutcome.UNKNOWN, f"server_error_{head.status}"
@@ -427,7 +427,9 @@
                 return False
         if outcome is _AttemptOutcome.BROKEN_STREAM and not self._route.is_resumable:
             return False
-        if not self._has_attempts_left() or self._remaining_s() < MIN_ATTEMPT_TIME_S:
+        if not self._has_attempts_left():
+            return False
+        if not waiting.may_send_again(self._remaining_s()):
             return False
         if self._has_reserved_retry:
             self._has_reserved_retry = False
@@ -512,4 +514,6 @@
 
     def log_end(self, outcome: str, **fields: object) -> None:
         """Log and count the end of the request."""
+        if self._selector.allocator:
+            fields["allocator"] = self._selector.allocator
         self._record.log_end(outcome, self._selector.waited_s, **fields)
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -96,6 +96,13 @@
                 self._ticket = ticket
             return entry
 
+    @property
+    def allocator(self) -> str:
+        """Return the host that granted the slot of the last attempt, "" for none."""
+        if self._ticket is None or self._ticket.granted_by is None:
+            return ""
+        return self._ticket.granted_by.host
+
     def release(self, quality: SlotQuality) -> None:
         """Release the slot of the last attempt, if it was granted one."""
         if self._ticket is not None:
@@ -144,6 +151,8 @@
         if ticket.grant is None and serving and self._is_ask_due(serving, now):
             unallocated_zones = await self._ask_zones(ticket, serving, now)
             if ticket.grant is None:
+                if unallocated_zones:
+                    self._asked_servers = set()
                 # The engines of zones whose allocators are out of reach.
                 remaining = [e for e in serving if e.zone in unallocated_zones]
                 return self._choose(remaining, monotonic_s())
@@ -179,30 +188,28 @@
 
         :return: The zones whose allocators cannot be reached.
         """
-        state, request = self._state, self._request
-        avoided = [
-            e.server
+        state = self._state
+        preferred = [
+            e
             for e in serving
-            if e.server in self.tried_servers
-            or state.loads.get_or_create(e.incarnation).is_avoided(now)
+            if e.server not in self.tried_servers
+            and not state.loads.get_or_create(e.incarnation).is_avoided(now)
         ]
-        slot_request = SlotRequest(
-            state.settings.host,
-            ticket.number,
-            self.service,
-            request.model,
-            request.adapter,
-            self._route.priority,
-            self._deadline - now,
-            max(0.0, self._arrived_s + self._route.goal_s - now),
-            tuple(avoided) if len(avoided) < len(serving) else (),
-        )
+        candidates = preferred or serving
         unallocated = set()
         zones = server_choice.zones_by_load(
-            serving, self._running(serving, now), state.settings.zone
+            candidates, self._running(candidates, now), state.settings.zone
         )
         asked = 0
         for zone in zones:
+            slot_request = SlotRequest(
+                state.settings.host,
+                ticket.number,
+                tuple(e.server for e in candidates if e.zone == zone),
+                self._route.priority,
+                self._deadline - now,
+                max(0.0, self._arrived_s + self._route.goal_s - now),
+            )
             outcome = await self._slots.ask(ticket, zone, slot_request)
             if outcome is SlotOutcome.UNAVAILABLE:
                 unallocated.add(zone)
--- a/sequoiapoint/node/slot_exchange.py
+++ b/sequoiapoint/node/slot_exchange.py
@@ -275,7 +275,7 @@
             return
         fleet = self._state.fleet
         self.allocator.set_engines(
-            Engine(entry.incarnation, entry.service, entry.slots, fleet.held_by(entry))
+            Engine(entry.incarnation, entry.slots)
             for entry in fleet.entries.values()
             if entry.zone == self._own.zone and entry.state is ServerState.READY
         )
--- a/sequoiapoint/node/slot_exchange_test.py
+++ b/sequoiapoint/node/slot_exchange_test.py
@@ -83,7 +83,7 @@
 
 
 def request(ticket, host=HOST):
-    return SlotRequest(host.host, ticket.number, "lm", "oak", "", 0, 5.0, 0.3)
+    return SlotRequest(host.host, ticket.number, ("e-1",), 0, 5.0, 0.3)
 
 
 async def ask(exchange, ticket, host=HOST):
--- a/sequoiapoint/protocol/slots.capnp
+++ b/sequoiapoint/protocol/slots.capnp
@@ -20,23 +20,20 @@
   host @1 :Text;              # The requesting host.
   union {
     request :group {
-      service @2 :Text;
-      model @3 :Text;
-      adapter @4 :Text;
-      priority @5 :UInt8;
-      remainingMs @6 :UInt32;
-      excluded @7 :List(Text);
-      goalMs @14 :UInt32;
+      candidates @2 :List(Text);
+      priority @3 :UInt8;
+      remainingMs @4 :UInt32;
+      goalMs @5 :UInt32;
     }
     reply :group {
-      outcome @8 :Outcome;
-      server @9 :Text;
-      startedMs @10 :Int64;
+      outcome @6 :Outcome;
+      server @7 :Text;
+      startedMs @8 :Int64;
     }
     release :group {
-      server @11 :Text;       # Empty to withdraw a queued request.
-      startedMs @12 :Int64;
-      quality @13 :Quality;
+      server @9 :Text;        # Empty to withdraw a queued request.
+      startedMs @10 :Int64;
+      quality @11 :Quality;
     }
   }
 }
--- a/sequoiapoint/protocol/slots.py
+++ b/sequoiapoint/protocol/slots.py
@@ -49,22 +49,20 @@
     """A request for a slot.
 
     :param number: Identifies the request within the requesting host's process.
+    :param candidates: Engines of the zone that can run it, as far as the host knows.
+        Hosts learn of adapters that their requests wait for before the allocator does.
     :param priority: The priority of its route; 0 is the most urgent.
     :param remaining_s: Time until its caller's deadline, in seconds.
     :param goal_s: Time in which its first event is on time, in seconds; 0 if it is late
         already.
-    :param excluded: Engines that the host would not use.
     """
 
     host: str
     number: int
-    service: str
-    model: str
-    adapter: str
+    candidates: tuple[str, ...]
     priority: int
     remaining_s: float
     goal_s: float
-    excluded: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -102,13 +100,10 @@
 @_fields.register
 def _(message: SlotRequest) -> dict[str, dict[str, Any]]:
     fields = {
-        "service": message.service,
-        "model": message.model,
-        "adapter": message.adapter,
+        "candidates": list(message.candidates),
         "priority": min(message.priority, MAX_PRIORITY),
         "remainingMs": max(0, round(message.remaining_s * 1000)),
         "goalMs": max(0, round(message.goal_s * 1000)),
-        "excluded": list(message.excluded),
     }
     return {"request": fields}
 
@@ -157,13 +152,10 @@
             return SlotRequest(
                 host,
                 number,
-                group.service,
-                group.model,
-                group.adapter,
+                tuple(group.candidates),
                 group.priority,
                 group.remainingMs / 1000,
                 group.goalMs / 1000,
-                tuple(group.excluded),
             )
         if kind == "reply":
             group = message.reply
--- a/sequoiapoint/protocol/slots_test.py
+++ b/sequoiapoint/protocol/slots_test.py
@@ -12,13 +12,10 @@
         slots.SlotRequest,
         TEXT,
         NUMBER,
-        TEXT,
-        TEXT,
-        TEXT,
+        st.lists(TEXT, max_size=3).map(tuple),
         st.integers(0, slots.MAX_PRIORITY),
         st.integers(0, 60_000).map(lambda ms: ms / 1000),
         st.integers(0, 60_000).map(lambda ms: ms / 1000),
-        st.lists(TEXT, max_size=3).map(tuple),
     ),
     st.builds(
         slots.SlotReply, TEXT, NUMBER, st.sampled_from(slots.SlotOutcome), ENGINE
