--- a/sequoiapoint/coordination/server_choice.py
+++ b/sequoiapoint/coordination/server_choice.py
@@ -10,7 +10,7 @@
 
 import bisect
 import itertools
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence, Set
 from dataclasses import dataclass
 
 from sequoiapoint.protocol.gateway import ServerEntry
@@ -90,6 +90,21 @@
     return sorted(lowest, key=lambda zone: (zone != own_zone, lowest[zone]))
 
 
+def zones_to_choose_alone(
+    silent_zones: Set[str], is_queued: bool, own_zone: str
+) -> Set[str]:
+    """Return the zones in which a host chooses an engine without a grant.
+
+    Answers an availability zone that is cut off: its allocator is silent and its
+    engines are out of reach, and a request that waits in another zone's queue should
+    not try them for a second each.
+
+    :param silent_zones: Zones whose allocators cannot be reached.
+    :param is_queued: Whether an allocator of another zone has queued the request.
+    """
+    return silent_zones & {own_zone} if is_queued else silent_zones
+
+
 def _draw_by_free_capacity(
     eligible: Sequence[Candidate], own_zone: str, random: Callable[[], float]
 ) -> Candidate:
--- a/sequoiapoint/coordination/server_choice_test.py
+++ b/sequoiapoint/coordination/server_choice_test.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from sequoiapoint.coordination.server_choice import Candidate, choose
+from sequoiapoint.coordination.server_choice import (
+    Candidate,
+    choose,
+    zones_by_load,
+    zones_to_choose_alone,
+)
 from sequoiapoint.protocol.gateway import ServerEntry, ServerState
 
 
@@ -103,3 +108,28 @@
         choose(servers, "north", rng.random, 86).entry.server for _ in range(600)
     )
     assert counts["near"] > 2 * counts["far"] > 0
+
+
+@pytest.mark.parametrize(
+    ("silent", "is_queued", "expected"),
+    [
+        ({"z1"}, True, set()),
+        ({"z0", "z1"}, True, {"z0"}),
+        ({"z0", "z1"}, False, {"z0", "z1"}),
+        (set(), False, set()),
+    ],
+)
+def test_a_zone_that_is_cut_off_is_not_tried_while_another_has_queued_the_request(
+    silent, is_queued, expected
+):
+    zones = zones_to_choose_alone(silent, is_queued, "z0")
+    assert zones == expected
+
+
+def test_the_own_zone_is_asked_first_and_then_the_zones_with_free_engines():
+    entries = [
+        ServerEntry(f"s-{n}", "lm", "10.0.0.1:1", zone, ServerState.READY, 1, 12)
+        for n, zone in enumerate(("z1", "z0", "z2", "z2"))
+    ]
+    running = {"s-0": 2.0, "s-1": 11.0, "s-2": 9.0, "s-3": 1.0}
+    assert zones_by_load(entries, running, "z0") == ["z0", "z2", "z1"]
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -149,12 +149,13 @@
         if not self.is_engine or not self._slots.is_active:
             return self._choose(serving, now)
         if ticket.grant is None and serving and self._is_ask_due(serving, now):
-            unallocated_zones = await self._ask_zones(ticket, serving, now)
-            if ticket.grant is None:
-                if unallocated_zones:
-                    self._asked_servers = set()
-                # The engines of zones whose allocators are out of reach.
-                remaining = [e for e in serving if e.zone in unallocated_zones]
+            silent_zones, is_queued = await self._ask_zones(ticket, serving, now)
+            if ticket.grant is None and silent_zones:
+                self._asked_servers = set()
+                zones = server_choice.zones_to_choose_alone(
+                    silent_zones, is_queued, self._state.settings.zone
+                )
+                remaining = [e for e in serving if e.zone in zones]
                 return self._choose(remaining, monotonic_s())
         return self._granted_server(ticket)
 
@@ -183,10 +184,11 @@
 
     async def _ask_zones(
         self, ticket: SlotTicket, serving: list[ServerEntry], now: float
-    ) -> set[str]:
+    ) -> tuple[set[str], bool]:
         """Ask the allocators of the zones with suitable engines, until one grants.
 
-        :return: The zones whose allocators cannot be reached.
+        :return: The zones whose allocators cannot be reached, and whether any other
+            allocator has granted a slot or queued the request.
         """
         state = self._state
         preferred = [
@@ -196,7 +198,7 @@
             and not state.loads.get_or_create(e.incarnation).is_avoided(now)
         ]
         candidates = preferred or serving
-        unallocated = set()
+        silent_zones = set()
         zones = server_choice.zones_by_load(
             candidates, self._running(candidates, now), state.settings.zone
         )
@@ -212,12 +214,12 @@
             )
             outcome = await self._slots.ask(ticket, zone, slot_request)
             if outcome is SlotOutcome.UNAVAILABLE:
-                unallocated.add(zone)
+                silent_zones.add(zone)
                 continue
             asked += 1
             if ticket.grant is not None or asked >= MAX_ZONES_ASKED:
                 break
-        return unallocated
+        return silent_zones, asked > 0
 
     def _running(self, entries: list[ServerEntry], now: float) -> dict[str, float]:
         """Return the estimated number of requests at each server."""
