--- a/sequoiapoint/state/peers.py
+++ b/sequoiapoint/state/peers.py
@@ -27,6 +27,9 @@
 RELAYS_PER_ZONE = 2
 """Number of hosts that receive the reports of their zone: the aggregator and its
 standby."""
+RELAYS_TTL_S = 0.05
+"""Time for which the relays of the own zone are not determined again while no digest
+arrives.  They are asked for with each request and many times a second besides."""
 REPORT_TTL_S = 1.6
 """Maximum age of a report that counts in the totals: three digest intervals."""
 
@@ -64,8 +67,12 @@
 
 
 @functools.lru_cache(maxsize=4096)
+def _hash(host: str) -> int:
+    return xxhash.xxh64_intdigest(host.encode())
+
+
 def _rank(member: Member) -> tuple[int, int]:
-    return (-member.capacity, xxhash.xxh64_intdigest(member.host.encode()))
+    return (-member.capacity, _hash(member.host))
 
 
 def ranked(members: Iterable[Member]) -> list[Member]:
@@ -74,7 +81,7 @@
     Hosts with more processor capacity come first, since relays and the leader have more
     to do than the others; hosts with the same capacity are sorted by hash.
     """
-    return sorted(set(members), key=_rank)
+    return sorted({member.host: member for member in members}.values(), key=_rank)
 
 
 class Peers:
@@ -92,6 +99,8 @@
         self._aggregator_change = ""
         self._host_counts: deque[tuple[float, int]] = deque()
         self._other_leader: tuple[str, float] | None = None
+        self._own_relays: tuple[float, tuple[Member, ...]] | None = None
+        self._listed_members: list[str] = []
 
     # Updates from the store and from digests
 
@@ -100,6 +109,7 @@
 
         :param last_heard_at: The time at which the host is known to have been live.
         """
+        self._own_relays = None
         known = self._peers.get(member.host)
         if known is None or known.address != member.address:
             self._peers[member.host] = Peer(member, last_heard_at)
@@ -111,6 +121,7 @@
 
         :return: Whether the host, or its process, is new.
         """
+        self._own_relays = None
         known = self._peers.get(digest.host)
         if known and known.digest and known.digest.started_ms > digest.started_ms:
             return False
@@ -154,6 +165,7 @@
         one of them that precedes the others in the order of all hosts, and change only
         when it has been silent for ``RELAY_FAILOVER_S``.
         """
+        was_heartbeat = digest.is_heartbeat
         if self._cluster_totals is not None:
             heard_at, known = self._cluster_totals
             if known.host != digest.host:
@@ -166,6 +178,8 @@
         else:
             self._aggregator_change = "first"
         self._cluster_totals = (now, digest)
+        if not was_heartbeat:
+            self._listed_members = [member.host for member in ranked(digest.members)]
         for member in digest.members:
             if member.host != self._own.host:
                 self._merge_listed_member(member, now)
@@ -253,7 +267,12 @@
 
     def own_relays(self, now: float) -> tuple[Member, ...]:
         """Return the relays of this host's zone, in order of precedence."""
-        return self._select_relays(self._live_members(self._own.zone, now))
+        if self._own_relays is None or not (
+            0.0 <= now - self._own_relays[0] < RELAYS_TTL_S
+        ):
+            members = self._live_members(self._own.zone, now)
+            self._own_relays = (now, self._select_relays(members))
+        return self._own_relays[1]
 
     def relays(self, zone: str, now: float) -> tuple[Member, ...]:
         """Return a zone's relays, in order of precedence.
@@ -313,9 +332,7 @@
 
     def listed_members(self) -> list[str]:
         """Return the hosts that the aggregator lists, in the order of all hosts."""
-        if self._cluster_totals is None:
-            return []
-        return [member.host for member in ranked(self._cluster_totals[1].members)]
+        return self._listed_members
 
     @property
     def aggregator_change(self) -> str:
