--- a/sequoiapoint/coordination/demand_history.py
+++ b/sequoiapoint/coordination/demand_history.py
@@ -7,17 +7,38 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Mapping, Set
+from collections.abc import Iterable, Mapping, Sequence, Set
+from dataclasses import dataclass
 
 from sequoiapoint.coordination.model_placement import DemandStats
 from sequoiapoint.protocol.gateway import ModelDemand
 
 SMOOTHING_S = 1.0
 """Time constant of the smoothing, and so the time in which a shift of demand shows."""
+UNPLACED_AFTER_S = 0.5
+"""Time for which requests have to wait for a model or adapter that no engine holds
+before it is reported; most adapters load within milliseconds."""
 ADAPTER_RECENT_S = 5.0
 """Time after its last request for which an adapter counts as recently requested."""
 
 
+@dataclass(frozen=True)
+class UnplacedDemand:
+    """Requests that wait for a model or adapter that no engine holds.
+
+    :param adapter: The adapter, "" if the requests need the model alone.
+    :param waiting: Number of waiting requests in the latest reports.
+    :param waiting_s: Time since which there have been such requests, in seconds.
+    :param model_copies: Number of engines that hold the model.
+    """
+
+    model: str
+    adapter: str
+    waiting: int
+    waiting_s: float
+    model_copies: int
+
+
 class DemandHistory:
     """Past and current demand by service and model.
 
@@ -36,6 +57,7 @@
         self._adapter_last_requested_at: dict[tuple[str, str, str], float] = {}
         self._adapters_waiting: dict[str, dict[tuple[str, str], int]] = {}
         self._adapters_in_use: dict[str, set[tuple[str, str]]] = {}
+        self._waiting_since: dict[tuple[str, str, str], tuple[float, int]] = {}
 
     def update(self, total: Iterable[ModelDemand], now: float) -> None:
         """Update the history with the demand summed over all hosts."""
@@ -45,6 +67,7 @@
         self._waiting.clear()
         self._adapters_waiting = {}
         self._adapters_in_use = {}
+        waited_before, self._waiting_since = self._waiting_since, {}
         for demand in total:
             key = (demand.service, demand.model)
             running_totals[key] += demand.running
@@ -58,6 +81,10 @@
             )
             if demand.adapter:
                 self._update_adapter(demand, now)
+            if demand.waiting:
+                key = (demand.service, demand.model, demand.adapter)
+                since, _ = waited_before.get(key, (now, 0))
+                self._waiting_since[key] = (since, demand.waiting)
         for key in self._running.keys() | running_totals.keys():
             smoothed = self._running.get(key, 0.0)
             self._running[key] = smoothed + weight * (running_totals[key] - smoothed)
@@ -86,6 +113,24 @@
         """Return the adapters with running requests, as pairs of model and adapter."""
         return self._adapters_in_use.get(service, set())
 
+    def unplaced(
+        self, service: str, held: Sequence[Mapping[str, Set[str]]], now: float
+    ) -> list[UnplacedDemand]:
+        """Return what requests wait for and no engine holds, the longest wait first.
+
+        :param held: For each engine, its resident models with their adapters.
+        """
+        unplaced = []
+        for (name, model, adapter), (since, waiting) in self._waiting_since.items():
+            if name != service or now - since < UNPLACED_AFTER_S:
+                continue
+            copies = [adapters[model] for adapters in held if model in adapters]
+            if not copies or (adapter and not any(adapter in c for c in copies)):
+                unplaced.append(
+                    UnplacedDemand(model, adapter, waiting, now - since, len(copies))
+                )
+        return sorted(unplaced, key=lambda demand: -demand.waiting_s)
+
     def adapters_in_latest_reports(self, service: str) -> list[tuple[str, str]]:
         """Return the adapters in the latest reports, as pairs of model and adapter."""
         return [
--- a/sequoiapoint/node/placement_controller.py
+++ b/sequoiapoint/node/placement_controller.py
@@ -212,6 +212,18 @@
                 for m in by_demand[:MAX_LOGGED_MODELS]
             ),
         )
+        unplaced = self._demand.unplaced(service, [r.usable() for r in records], now)
+        for demand_of_pair in unplaced[:MAX_LOGGED_MODELS]:
+            self._state.log.event(
+                "demand_unplaced",
+                service=service,
+                model=demand_of_pair.model,
+                adapter=demand_of_pair.adapter,
+                waiting=demand_of_pair.waiting,
+                waiting_ms=round(demand_of_pair.waiting_s * 1000),
+                model_copies=demand_of_pair.model_copies,
+                unplaced=len(unplaced),
+            )
 
     def _update_records(self, service: str, now: float) -> list[EngineRecord]:
         """Update the records of a service's engines and return those of ready engines.
--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -402,3 +402,11 @@
     (refused,) = site.gateways[0].events("request_refused")
     assert "none-7" in refused
     assert "outcome=no_route" in refused
+
+
+def test_a_refusal_names_the_model_and_adapter_that_were_asked_for(site):
+    site.gateways[0].send_request("/talk/x", "talk-7", b"", "unknown/a3")
+    site.wait(lambda: len(site.gateways[0].events("request_refused")) == 1, 1.0)
+    (refused,) = site.gateways[0].events("request_refused")
+    assert "outcome=unknown_model" in refused
+    assert "model=unknown adapter=a3" in refused
