Let the gain of a model's first copy grow with the time its requests wait

An overdue first copy also waited for the quickest engine while a free one was there. Change: the gain of a first copy grows with the time since which its requests have not been served; from 4 s on a free engine is used at once, one more engine may be busy, and patient requests may evict what urgent ones may.

--- a/sequoiapoint/coordination/demand_history.py
+++ b/sequoiapoint/coordination/demand_history.py
@@ -18,6 +18,9 @@
 UNPLACED_AFTER_S = 0.5
 """Time for which requests have to wait for a model or adapter that no engine holds
 before it is reported; most adapters load within milliseconds."""
+UNSERVED_MEMORY_S = 8.0
+"""Time after its last request for which a model that was not served is remembered, so
+that callers who come back later do not start to wait anew."""
 ADAPTER_RECENT_S = 5.0
 """Time after its last request for which an adapter counts as recently requested."""
 
@@ -57,6 +60,7 @@
         self._adapter_last_requested_at: dict[tuple[str, str, str], float] = {}
         self._adapters_waiting: dict[str, dict[tuple[str, str], int]] = {}
         self._adapters_in_use: dict[str, set[tuple[str, str]]] = {}
+        self._unserved_since: dict[tuple[str, str], float] = {}
         self._waiting_since: dict[tuple[str, str, str], tuple[float, int]] = {}
 
     def update(self, total: Iterable[ModelDemand], now: float) -> None:
@@ -85,10 +89,27 @@
                 key = (demand.service, demand.model, demand.adapter)
                 since, _ = waited_before.get(key, (now, 0))
                 self._waiting_since[key] = (since, demand.waiting)
+        self._update_unserved(running_totals, now)
         for key in self._running.keys() | running_totals.keys():
             smoothed = self._running.get(key, 0.0)
             self._running[key] = smoothed + weight * (running_totals[key] - smoothed)
 
+    def _update_unserved(
+        self, running_totals: Mapping[tuple[str, str], int], now: float
+    ) -> None:
+        """Track since when a model's requests have waited with none being served.
+
+        A pause between two callers, or between a refusal and the retry, does not end
+        this time.
+        """
+        for key, waiting in self._waiting.items():
+            if waiting:
+                self._unserved_since.setdefault(key, now)
+        for key in list(self._unserved_since):
+            idle_s = now - self._last_requested_at[key]
+            if running_totals.get(key) or idle_s > UNSERVED_MEMORY_S:
+                del self._unserved_since[key]
+
     def _update_adapter(self, demand: ModelDemand, now: float) -> None:
         model_and_adapter = (demand.model, demand.adapter)
         self._adapter_last_requested_at[(demand.service, *model_and_adapter)] = now
@@ -159,6 +180,7 @@
                 adapters[model],
                 self._min_goals.get((service, model)),
                 self._min_priorities.get((service, model), 0) == least_urgent,
+                now - self._unserved_since.get((service, model), now),
             )
             for model in models
         }
--- a/sequoiapoint/coordination/demand_history_test.py
+++ b/sequoiapoint/coordination/demand_history_test.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from sequoiapoint.coordination import demand_history
 from sequoiapoint.coordination.demand_history import DemandHistory, UnplacedDemand
 from sequoiapoint.protocol.gateway import ModelDemand
 
@@ -34,3 +35,20 @@
     assert history.unplaced("lm", [], 10.3) == []
     history.update([waits("oak"), waits("elm")], 10.6)
     assert [d.model for d in history.unplaced("lm", [], 10.6)] == ["elm"]
+
+
+def unserved_s(history, now):
+    return history.demand_by_model("lm", ["oak"], 0, now)["oak"].unserved_s
+
+
+def test_the_unserved_time_lasts_over_a_retry_and_ends_when_a_request_is_served():
+    history = DemandHistory(0.0)
+    history.update([waits("oak")], 10.0)
+    history.update([], 12.0)
+    history.update([waits("oak")], 14.0)
+    assert unserved_s(history, 14.0) == 4.0
+    history.update([ModelDemand("lm", "oak", "", 1, 3, 0.3, 0)], 15.0)
+    assert unserved_s(history, 15.0) == 0.0
+    history.update([waits("oak")], 16.0)
+    history.update([], 16.0 + demand_history.UNSERVED_MEMORY_S + 0.1)
+    assert unserved_s(history, 25.0) == 0.0
--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -57,6 +57,16 @@
 FIRST_COPY_WEIGHT = 8.0
 """Weight of a request that waits for a model without a copy, relative to an additional
 request at the copies of a model in demand."""
+OVERDUE_S = 4.0
+"""Time for which requests have waited for a model that no engine holds after which it
+is overdue: a load from the weight store still completes within the time for which
+patient requests wait."""
+UNSERVED_DOUBLING_S = 2.5
+"""Time for which a model's requests have been waiting without a copy that doubles the
+gain of its first copy."""
+MAX_OVERDUE_BUSY_SHARE = 0.6
+"""Share of the engines with models in demand that may load or evict models at the same
+time for a model that is overdue; the others still accept orders for adapters."""
 MIN_RESIDENCY_S = 4.0
 """Minimum time for which a new copy is kept, so that two models do not repeatedly evict
 each other."""
@@ -84,6 +94,8 @@
     :param goal_s: Shortest latency goal of its requests, None if there were none.
     :param is_least_urgent: Whether its requests have the lowest priority of all
         requests to the service.
+    :param unserved_s: Time since which its requests have waited while none of them was
+        sent to a server, in seconds.
     """
 
     running: float
@@ -92,6 +104,12 @@
     requested_adapter_count: int = 0
     goal_s: float | None = 0.0
     is_least_urgent: bool = False
+    unserved_s: float = 0.0
+
+    @property
+    def is_overdue(self) -> bool:
+        """Tell whether its requests have waited too long for a first copy."""
+        return self.waiting > 0 and self.unserved_s >= OVERDUE_S
 
     @property
     def can_wait_for_load(self) -> bool:
@@ -230,10 +248,11 @@
             bool(record.evicting_model) for record in records
         )
         serving = [r for r in records if self._serves(r)]
-        max_busy = (
-            max(1, int(MAX_BUSY_SHARE * len(serving))) if serving else len(records)
+        busy = sum(record.is_busy for record in serving)
+        self._orders_left = _max_busy(MAX_BUSY_SHARE, serving, records) - busy
+        self._overdue_orders_left = (
+            _max_busy(MAX_OVERDUE_BUSY_SHARE, serving, records) - busy
         )
-        self._orders_left = max_busy - sum(record.is_busy for record in serving)
         max_busy_of_all = max(1, int(MAX_BUSY_SHARE * len(records)))
         self._additional_copies_left = math.ceil(max_busy_of_all / 2)
         self.free = [r for r in records if not r.is_busy and not r.has_order_in_flight]
@@ -280,6 +299,10 @@
             and not demand.is_least_urgent
         )
 
+    def _is_overdue(self, name: str) -> bool:
+        """Tell whether requests have waited too long for a model's first copy."""
+        return self._copy_counts[name] == 0 and self._demand_of(name).is_overdue
+
     def _target(self, name: str) -> int:
         """Return how many copies a model should have."""
         demand = self._demand_of(name)
@@ -321,11 +344,22 @@
         return demand.goal_s is not None and demand.idle_s <= RECENT_REQUEST_S
 
     def gain(self, name: str) -> float:
-        """Return the weighted number of requests that another copy would serve."""
+        """Return the weighted number of requests that another copy would serve.
+
+        The gain of a first copy grows with the time for which its requests have waited:
+        otherwise a model with few requests is never loaded while models with many
+        requests always lack another copy.
+        """
         demand, copies = self._demand_of(name), self._copy_counts[name]
         if copies == 0:
             is_low_priority = demand.can_wait_for_load and demand.is_least_urgent
-            return demand.waiting * (1.0 if is_low_priority else FIRST_COPY_WEIGHT)
+            has_low_weight = is_low_priority and not demand.is_overdue
+            weight = 1.0 if has_low_weight else FIRST_COPY_WEIGHT
+            return (
+                demand.waiting
+                * weight
+                * (1.0 + demand.unserved_s / UNSERVED_DOUBLING_S)
+            )
         capacity = copies * self._scale_out_utilisation * self._spec.slots
         return max(0.0, demand.requests - capacity) / (1.0 + copies)
 
@@ -337,6 +371,7 @@
         )
         if self._serves(order.record):
             self._orders_left -= 1
+            self._overdue_orders_left -= 1
         if self._copy_counts[name] > 0:
             self._additional_copies_left -= 1
         self.reserve(name, order.record)
@@ -353,16 +388,19 @@
     def plan_copy(self, name: str) -> PlannedOrder | None:
         """Return the order to load a model, or to evict one to make room for it.
 
-        The order may be for an engine that is busy.
+        The order may be for an engine that is busy, unless the model is overdue and an
+        engine that is not busy can be used.
         """
         if self._copy_counts[name] > 0 and self._additional_copies_left <= 0:
             return None
+        is_overdue = self._is_overdue(name)
         is_urgent_first_copy = (
             self._copy_counts[name] == 0
             and not self._demand_of(name).can_wait_for_load
             and self._demand_of(name).waiting > 0
         )
-        best: tuple[float, PlannedOrder] | None = None
+        orders_left = self._overdue_orders_left if is_overdue else self._orders_left
+        best: tuple[bool, float, PlannedOrder] | None = None
         reasons = self._evictable_models(name)
         size_mb = self._spec.models[name].size_mb
         for record in self._records:
@@ -371,13 +409,17 @@
             has_free_memory = self._free_mb[record.entry.server] >= size_mb
             if not has_free_memory and reasons.keys().isdisjoint(record.held):
                 continue
-            exceeds_busy_limit = self._orders_left <= 0 and self._serves(record)
+            exceeds_busy_limit = orders_left <= 0 and self._serves(record)
             if exceeds_busy_limit and not is_urgent_first_copy:
                 continue
             option = self._cheapest_order(name, record, reasons)
-            if option is not None and (best is None or option[0] < best[0]):
-                best = option
-        return None if best is None else best[1]
+            if option is None:
+                continue
+            cost, order = option
+            has_to_wait = is_overdue and record not in self.free
+            if best is None or (has_to_wait, cost) < best[:2]:
+                best = (has_to_wait, cost, order)
+        return None if best is None else best[2]
 
     def _available_in_s(self, record: EngineRecord) -> float:
         """Return the time until an engine accepts another model order, in seconds."""
@@ -466,7 +508,10 @@
             self._scale_out_utilisation, incoming_utilisation / 2
         ):
             return EvictionReason.OTHER_COPIES_SUFFICE
-        if incoming_demand.can_wait_for_load and incoming_demand.is_least_urgent:
+        is_low_priority = (
+            incoming_demand.can_wait_for_load and incoming_demand.is_least_urgent
+        )
+        if is_low_priority and not self._is_overdue(incoming):
             return None
         if (
             is_first
@@ -489,6 +534,13 @@
         return EvictionReason.IDLE if is_first and is_idle else None
 
 
+def _max_busy(
+    share: float, serving: Sequence[EngineRecord], records: Sequence[EngineRecord]
+) -> int:
+    """Return how many of the engines with models in demand may be busy at once."""
+    return max(1, int(share * len(serving))) if serving else len(records)
+
+
 def load_seconds(record: EngineRecord, spec: EngineSpec, name: str) -> float:
     """Return the time that an engine takes to load a model, in seconds."""
     model = spec.models[name]
--- a/sequoiapoint/coordination/model_placement_test.py
+++ b/sequoiapoint/coordination/model_placement_test.py
@@ -288,3 +288,77 @@
     copies = [server for server, action, model in orders if model == "m0"]
     assert len(copies) >= 4
     assert len(copies) == len(set(copies))
+
+
+SMALL_SPEC = EngineSpec(
+    slots=64,
+    memory_mb=200.0,
+    adapter_slots=5,
+    store_loads_per_s=1.2,
+    models={m: ModelSpec(m, 60.0, 6.4, 0.6, 1.3, (), 1.0) for m in MODELS},
+)
+REQUEST_BUDGET_S = 20.0
+"""Time budget of a patient request, including the retry after a refusal."""
+
+
+def seconds_until_loaded(rare, is_least_urgent):
+    """Replay a burst for two models while requests wait for models without a copy.
+
+    :return: For each of the models in ``rare``, the time until it can be served.
+    """
+    engines = [engine("a", "m0", "m1", "m2"), engine("b", "m0", "m1", "m3")]
+    engines += [engine("c", "m0", "m1", "m4"), engine("d", "m1", "m8", "m9")]
+    loaded_at = {}
+    now = 0.0
+    while now < 60.0 and len(loaded_at) < len(rare):
+        for record in engines:
+            if record.is_busy and now >= record.busy_until:
+                if record.loading_model in rare:
+                    loaded_at.setdefault(record.loading_model, now)
+                record.held.pop(record.evicting_model, None)
+                record.loading_model = record.evicting_model = ""
+        # The hot models change every ten seconds, and always lack another copy.
+        hot = int(now / 10.0)
+        demand = {f"m{(8 + hot) % 12}": DemandStats(50.0, 25, 0.0, goal_s=0.3)}
+        demand["m0"] = DemandStats(60.0, 20, 0.0, goal_s=0.3)
+        demand["m1"] = DemandStats(45.0, 12, 0.0, goal_s=0.3)
+        demand |= {
+            name: DemandStats(0.0, 2, 0.0, 0, 5.0, is_least_urgent, unserved_s=now)
+            for name in rare
+            if name not in loaded_at
+        }
+        for order in model_placement.plan_models(engines, SMALL_SPEC, demand, 6, now):
+            record = order.record
+            if order.action is OrderAction.LOAD:
+                record.held[order.model] = set()
+                record.loading_model = order.model
+                record.busy_until = now + 6.4
+            else:
+                record.evicting_model = order.model
+                record.busy_until = now + 0.2
+        now += 0.2
+    return loaded_at
+
+
+@pytest.mark.parametrize("is_least_urgent", [False, True])
+@pytest.mark.parametrize("rare", [("m5",), ("m5", "m6"), ("m5", "m6", "m7")])
+def test_a_model_that_patient_requests_wait_for_is_not_left_out_by_hot_models(
+    rare, is_least_urgent
+):
+    """Guards against models that are never served.
+
+    Replays scale-1 of Tollcross: for 45 s the only engine that may load at a time went
+    to further copies of hot models, and all requests for three models were refused.
+    """
+    loaded_at = seconds_until_loaded(rare, is_least_urgent)
+    assert set(loaded_at) == set(rare)
+    assert max(loaded_at.values()) <= REQUEST_BUDGET_S
+
+
+@pytest.mark.parametrize(("unserved_s", "plans"), [(3.0, False), (5.0, True)])
+def test_an_overdue_model_is_loaded_while_another_engine_is_busy(unserved_s, plans):
+    engines = [engine("a", "m0", "m1", loading_model="m1", busy_until=6.0)]
+    engines += [engine(name, "m0", "m2", "m3") for name in "bcd"]
+    waits = DemandStats(0.0, 1, 0.0, 0, 5.0, False, unserved_s)
+    orders = plan(engines, m0=HOT, m1=HOT, m2=WARM, m3=WARM, m5=waits)
+    assert bool(orders) is plans
