Let adapters take turns in the slots of an engine

Callers saw: requests for some adapters of a model in demand were refused for tens of seconds, while others of the same model were served. Cause: adapters were loaded in the order of their waiting requests, and an adapter that requests also waited for was never evicted, so that in a burst the resident ones stayed. One eviction of an adapter in use blocked its engine for a second, and only the least loaded engine was considered. Change: the adapter that has waited longest comes first; after half a second a resident one yields; other engines are tried; an unused adapter still yields while the slot of another is not free.

--- a/sequoiapoint/coordination/adapter_placement.py
+++ b/sequoiapoint/coordination/adapter_placement.py
@@ -2,10 +2,13 @@
 
 Adapters load within milliseconds, but an engine has few adapter slots.  Adapters are
 loaded for waiting requests, and spare slots are filled with adapters of models in
-demand before these adapters are requested.
+demand before these adapters are requested.  If more adapters are requested than there
+are slots, they take turns: the adapter whose requests have waited longest comes first,
+and one that has had its turn yields its slot even if requests wait for it too.
 """
 
 from collections.abc import Mapping, Sequence, Set
+from dataclasses import dataclass
 
 from sequoiapoint.coordination.model_placement import DemandStats, PlannedOrder
 from sequoiapoint.protocol.gateway import EngineSpec, OrderAction
@@ -13,37 +16,57 @@
 
 MAX_CONCURRENT_ADAPTER_LOADS = 4
 """Maximum number of concurrent adapter loads at an engine, set by its protocol."""
+ADAPTER_TURN_S = 0.5
+"""Time for which an adapter that requests wait for keeps its slot; less than half of
+the time for which the requests of an urgent stream wait."""
+
+
+@dataclass(frozen=True)
+class AdapterDemand:
+    """Requests that wait for one adapter.
+
+    :param waiting: Number of waiting requests.
+    :param unserved_s: Time since which requests have waited while none was sent to a
+        server, in seconds.
+    """
+
+    waiting: int
+    unserved_s: float = 0.0
 
 
 def plan_adapters(
     records: Sequence[EngineRecord],
     spec: EngineSpec,
-    waiting: Mapping[tuple[str, str], int],
+    waiting: Mapping[tuple[str, str], AdapterDemand],
     in_use: Set[tuple[str, str]],
     loads: Mapping[str, float],
+    now: float = 0.0,
 ) -> list[PlannedOrder]:
     """Plan orders for adapters that requests wait for, at most one for each engine.
 
     An engine accepts no adapter orders while it loads or evicts a model.
 
-    :param waiting: Number of waiting requests by model and adapter.
+    :param waiting: Waiting requests by model and adapter.
     :param in_use: Adapters with running requests.  They are evicted last, because their
         slot only becomes free when these requests have ended.
     :param loads: Load by server, for the choice among engines that hold the model.
+    :param now: The time, in seconds.
     """
     free = [r for r in records if not r.is_busy and not r.has_order_in_flight]
     orders = []
-    for (model, adapter), _ in sorted(waiting.items(), key=lambda item: -item[1]):
+    for requested in sorted(
+        waiting, key=lambda p: (-waiting[p].unserved_s, -waiting[p].waiting)
+    ):
+        model, adapter = requested
         if any(adapter in r.held.get(model, ()) for r in records):
             continue
         eligible = [r for r in free if model in r.held]
-        if not eligible:
-            continue
-        record = min(eligible, key=lambda r: _adapter_cost(r, spec, loads))
-        order = _adapter_order(record, spec, (model, adapter), waiting.keys(), in_use)
-        if order is not None:
-            free.remove(record)
-            orders.append(order)
+        for record in sorted(eligible, key=lambda r: _adapter_cost(r, spec, loads)):
+            order = _adapter_order(record, spec, requested, waiting, in_use, now)
+            if order is not None:
+                free.remove(record)
+                orders.append(order)
+                break
     return orders
 
 
@@ -98,26 +121,35 @@
     record: EngineRecord,
     spec: EngineSpec,
     requested: tuple[str, str],
-    waiting: Set[tuple[str, str]],
+    waiting: Mapping[tuple[str, str], AdapterDemand],
     in_use: Set[tuple[str, str]],
+    now: float,
 ) -> PlannedOrder | None:
+    """Return the order that brings an adapter to an engine, None if there is none."""
     if len(record.loading_adapters) >= MAX_CONCURRENT_ADAPTER_LOADS:
         return None
     if _has_adapter_slot(record, spec, requested[0]):
         return PlannedOrder(record, OrderAction.LOAD, *requested)
-    if record.evicting_adapters:
-        return None
     held = [
         (model, adapter)
         for model, adapters in record.held.items()
         for adapter in adapters
-        if (model, adapter) not in waiting
-        and (model, adapter) not in record.loading_adapters
+        if (model, adapter) not in record.loading_adapters
     ]
-    if not held:
+    victims = [pair for pair in held if pair not in waiting]
+    if not victims and waiting[requested].unserved_s >= ADAPTER_TURN_S:
+        victims = [pair for pair in held if _has_had_its_turn(record, pair, now)]
+    if record.evicting_adapters:
+        # Its slot is not free yet; only an adapter that yields at once makes room.
+        victims = [pair for pair in victims if pair not in in_use]
+    if not victims:
         return None
     victim = min(
-        held,
+        victims,
         key=lambda pair: (pair in in_use, record.adapter_last_requested.get(pair, 0.0)),
     )
     return PlannedOrder(record, OrderAction.EVICT, *victim, replacement=requested)
+
+
+def _has_had_its_turn(record: EngineRecord, pair: tuple[str, str], now: float) -> bool:
+    return now - record.adapter_load_accepted_at.get(pair, 0.0) >= ADAPTER_TURN_S
--- a/sequoiapoint/coordination/demand_history.py
+++ b/sequoiapoint/coordination/demand_history.py
@@ -7,9 +7,10 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence, Set
+from collections.abc import Hashable, Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass
 
+from sequoiapoint.coordination.adapter_placement import AdapterDemand
 from sequoiapoint.coordination.model_placement import DemandStats
 from sequoiapoint.protocol.gateway import ModelDemand
 
@@ -31,17 +32,49 @@
 
     :param adapter: The adapter, "" if the requests need the model alone.
     :param waiting: Number of waiting requests in the latest reports.
-    :param waiting_s: Time since which there have been such requests, in seconds.
+    :param unserved_s: Time since which there have been such requests, in seconds.
     :param model_copies: Number of engines that hold the model.
     """
 
     model: str
     adapter: str
     waiting: int
-    waiting_s: float
+    unserved_s: float
     model_copies: int
 
 
+class _UnservedTimes:
+    """Times since which requests have waited with none of them being served.
+
+    A pause between two callers, or between a refusal and the retry, does not end such a
+    time.  The keys are those of models or of adapters.
+    """
+
+    def __init__(self) -> None:
+        self._since: dict[Hashable, float] = {}
+        self._last_requested_at: dict[Hashable, float] = {}
+
+    def update(
+        self,
+        running: Mapping[Hashable, int],
+        waiting: Mapping[Hashable, int],
+        now: float,
+    ) -> None:
+        """Update the times with the present numbers of requests by key."""
+        self._last_requested_at |= dict.fromkeys(running, now)
+        for key, count in waiting.items():
+            if count:
+                self._since.setdefault(key, now)
+        for key in list(self._since):
+            idle_s = now - self._last_requested_at[key]
+            if running.get(key) or idle_s > UNSERVED_MEMORY_S:
+                del self._since[key]
+
+    def elapsed_s(self, key: Hashable, now: float) -> float:
+        """Return the time for which a key's requests have not been served."""
+        return now - self._since.get(key, now)
+
+
 class DemandHistory:
     """Past and current demand by service and model.
 
@@ -58,10 +91,10 @@
         self._min_goals: dict[tuple[str, str], float] = {}
         self._min_priorities: dict[tuple[str, str], int] = {}
         self._adapter_last_requested_at: dict[tuple[str, str, str], float] = {}
-        self._adapters_waiting: dict[str, dict[tuple[str, str], int]] = {}
         self._adapters_in_use: dict[str, set[tuple[str, str]]] = {}
-        self._unserved_since: dict[tuple[str, str], float] = {}
-        self._waiting_since: dict[tuple[str, str, str], tuple[float, int]] = {}
+        self._pairs_waiting: dict[tuple[str, str, str], int] = {}
+        self._unserved_models = _UnservedTimes()
+        self._unserved_pairs = _UnservedTimes()
 
     def update(self, total: Iterable[ModelDemand], now: float) -> None:
         """Update the history with the demand summed over all hosts."""
@@ -69,9 +102,9 @@
         self._updated_at = now
         running_totals: Counter[tuple[str, str]] = Counter()
         self._waiting.clear()
-        self._adapters_waiting = {}
         self._adapters_in_use = {}
-        waited_before, self._waiting_since = self._waiting_since, {}
+        self._pairs_waiting = {}
+        pairs_running: dict[tuple[str, str, str], int] = {}
         for demand in total:
             key = (demand.service, demand.model)
             running_totals[key] += demand.running
@@ -85,38 +118,19 @@
             )
             if demand.adapter:
                 self._update_adapter(demand, now)
+            pair = (demand.service, demand.model, demand.adapter)
+            pairs_running[pair] = demand.running
             if demand.waiting:
-                key = (demand.service, demand.model, demand.adapter)
-                since, _ = waited_before.get(key, (now, 0))
-                self._waiting_since[key] = (since, demand.waiting)
-        self._update_unserved(running_totals, now)
+                self._pairs_waiting[pair] = demand.waiting
+        self._unserved_models.update(running_totals, self._waiting, now)
+        self._unserved_pairs.update(pairs_running, self._pairs_waiting, now)
         for key in self._running.keys() | running_totals.keys():
             smoothed = self._running.get(key, 0.0)
             self._running[key] = smoothed + weight * (running_totals[key] - smoothed)
 
-    def _update_unserved(
-        self, running_totals: Mapping[tuple[str, str], int], now: float
-    ) -> None:
-        """Track since when a model's requests have waited with none being served.
-
-        A pause between two callers, or between a refusal and the retry, does not end
-        this time.
-        """
-        for key, waiting in self._waiting.items():
-            if waiting:
-                self._unserved_since.setdefault(key, now)
-        for key in list(self._unserved_since):
-            idle_s = now - self._last_requested_at[key]
-            if running_totals.get(key) or idle_s > UNSERVED_MEMORY_S:
-                del self._unserved_since[key]
-
     def _update_adapter(self, demand: ModelDemand, now: float) -> None:
         model_and_adapter = (demand.model, demand.adapter)
         self._adapter_last_requested_at[(demand.service, *model_and_adapter)] = now
-        if demand.waiting:
-            self._adapters_waiting.setdefault(demand.service, {})[model_and_adapter] = (
-                demand.waiting
-            )
         if demand.running:
             self._adapters_in_use.setdefault(demand.service, set()).add(
                 model_and_adapter
@@ -126,9 +140,17 @@
         """Return the smoothed number of a model's running requests."""
         return self._running.get((service, model), 0.0)
 
-    def adapters_waiting(self, service: str) -> Mapping[tuple[str, str], int]:
-        """Return the number of waiting requests by model and adapter."""
-        return self._adapters_waiting.get(service, {})
+    def adapters_waiting(
+        self, service: str, now: float
+    ) -> Mapping[tuple[str, str], AdapterDemand]:
+        """Return the waiting requests by model and adapter."""
+        return {
+            (model, adapter): AdapterDemand(
+                waiting, self._unserved_pairs.elapsed_s((name, model, adapter), now)
+            )
+            for (name, model, adapter), waiting in self._pairs_waiting.items()
+            if name == service and adapter
+        }
 
     def adapters_in_use(self, service: str) -> Set[tuple[str, str]]:
         """Return the adapters with running requests, as pairs of model and adapter."""
@@ -142,15 +164,16 @@
         :param held: For each engine, its resident models with their adapters.
         """
         unplaced = []
-        for (name, model, adapter), (since, waiting) in self._waiting_since.items():
-            if name != service or now - since < UNPLACED_AFTER_S:
+        for (name, model, adapter), waiting in self._pairs_waiting.items():
+            unserved_s = self._unserved_pairs.elapsed_s((name, model, adapter), now)
+            if name != service or unserved_s < UNPLACED_AFTER_S:
                 continue
             copies = [adapters[model] for adapters in held if model in adapters]
             if not copies or (adapter and not any(adapter in c for c in copies)):
                 unplaced.append(
-                    UnplacedDemand(model, adapter, waiting, now - since, len(copies))
+                    UnplacedDemand(model, adapter, waiting, unserved_s, len(copies))
                 )
-        return sorted(unplaced, key=lambda demand: -demand.waiting_s)
+        return sorted(unplaced, key=lambda demand: -demand.unserved_s)
 
     def adapters_in_latest_reports(self, service: str) -> list[tuple[str, str]]:
         """Return the adapters in the latest reports, as pairs of model and adapter."""
@@ -180,7 +203,7 @@
                 adapters[model],
                 self._min_goals.get((service, model)),
                 self._min_priorities.get((service, model), 0) == least_urgent,
-                now - self._unserved_since.get((service, model), now),
+                self._unserved_models.elapsed_s((service, model), now),
             )
             for model in models
         }
--- a/sequoiapoint/coordination/demand_history_test.py
+++ b/sequoiapoint/coordination/demand_history_test.py
@@ -28,10 +28,11 @@
     assert unplaced == ([expected] if expected else [])
 
 
-def test_a_short_wait_or_one_that_has_ended_is_not_reported():
+def test_a_short_wait_or_one_that_was_served_is_not_reported():
     history = DemandHistory(0.0)
     history.update([waits("oak"), waits("elm")], 10.0)
-    history.update([waits("elm")], 10.3)
+    served = ModelDemand("lm", "oak", "", 1, 0, 0.3, 0)
+    history.update([served, waits("elm")], 10.3)
     assert history.unplaced("lm", [], 10.3) == []
     history.update([waits("oak"), waits("elm")], 10.6)
     assert [d.model for d in history.unplaced("lm", [], 10.6)] == ["elm"]
--- a/sequoiapoint/node/placement_controller.py
+++ b/sequoiapoint/node/placement_controller.py
@@ -160,9 +160,10 @@
         for order in adapter_placement.plan_adapters(
             plannable,
             spec,
-            self._demand.adapters_waiting(service),
+            self._demand.adapters_waiting(service, now),
             self._demand.adapters_in_use(service),
             loads,
+            now,
         ):
             self._start_order(order, spec, now)
         self._log_demand(service, records, demand, now)
@@ -220,7 +221,7 @@
                 model=demand_of_pair.model,
                 adapter=demand_of_pair.adapter,
                 waiting=demand_of_pair.waiting,
-                waiting_ms=round(demand_of_pair.waiting_s * 1000),
+                unserved_ms=round(demand_of_pair.unserved_s * 1000),
                 model_copies=demand_of_pair.model_copies,
                 unplaced=len(unplaced),
             )
