Check that a server still accepts requests at the moment of sending

Cause: a server was chosen, then a connection was opened, which may take a second, and the request was sent without another look at the server's entry. Change: after the connection is there the entry is looked at again; if the process left, the request goes back to the choice without using up an attempt or the retry budget. Test: fails before for a server that drains and for one that is removed.

--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -58,6 +58,10 @@
 class _AttemptOutcome(enum.Enum):
     """Outcome of one attempt; the value is written to the log."""
 
+    NOT_CONNECTED = "not_connected"
+    """Nothing was sent, as no connection could be established."""
+    SERVER_LEFT = "server_left"
+    """Nothing was sent, as the server stopped accepting requests after the choice."""
     DELIVERED = "delivered"
     NOT_RUN = "not_run"
     UNKNOWN = "unknown"
@@ -172,10 +176,11 @@
                 state.wait_queue.notify()
             if outcome is _AttemptOutcome.DELIVERED:
                 return
-            if outcome is None:
-                # No connection was established, so nothing has been sent.
+            if outcome is _AttemptOutcome.NOT_CONNECTED:
                 self._selector.connect_failures += 1
                 continue
+            if outcome is _AttemptOutcome.SERVER_LEFT:
+                continue
             self._selector.tried_servers.add(entry.server)
             if not self._may_retry(outcome):
                 self._send_failure()
@@ -183,12 +188,11 @@
 
     # Sending
 
-    async def _attempt(
-        self, entry: ServerEntry, fingerprint: str
-    ) -> _AttemptOutcome | None:
+    async def _attempt(self, entry: ServerEntry, fingerprint: str) -> _AttemptOutcome:
         """Make one attempt.
 
-        :return: Its outcome, None if no connection could be established.
+        The server may leave while a connection to it is opened, which can take a
+        second; the request then goes back to the choice of a server.
         """
         state = self._state
         pool = state.pools.get_or_create(entry)
@@ -198,8 +202,14 @@
         if isinstance(connection, Failure):
             load.note_connect_failure(now)
             self._slot_quality = SlotQuality.UNREACHABLE
-            self._log_attempt(entry, "not_connected", connection.reason)
-            return None
+            outcome = _AttemptOutcome.NOT_CONNECTED
+            self._log_attempt(entry, outcome.value, connection.reason)
+            return outcome
+        if not state.fleet.is_ready(entry):
+            connection.close()
+            outcome = _AttemptOutcome.SERVER_LEFT
+            self._log_attempt(entry, outcome.value, "left_before_sending")
+            return outcome
         pace = _StreamPace(now, self._route)
         if self._record.attempts == 0:
             state.retry_window(self._selector.service).record_request(now)
--- /dev/null
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -0,0 +1,144 @@
+"""One request's attempts, with test doubles for connections and the caller."""
+
+import asyncio
+import random
+from dataclasses import replace
+from types import SimpleNamespace
+
+import pytest
+
+from sequoiapoint.node.gateway_state import GatewayState
+from sequoiapoint.node.request_forwarder import RequestForwarder
+from sequoiapoint.platform.servers import PlatformServerCodec
+from sequoiapoint.protocol.gateway import (
+    CallerRequest,
+    Repeatability,
+    Route,
+    ServerEntry,
+    ServerState,
+    ServiceSpec,
+)
+from sequoiapoint.protocol.gateway_settings import Bounds
+from sequoiapoint.transport.async_http_client import Exchange, ExchangeOutcome
+from sequoiapoint.transport.clock import monotonic_s
+
+ENTRY = ServerEntry("s-1", "web", "10.0.0.1:1", "z", ServerState.READY, 1, 8)
+ROUTE = Route(
+    "r", "h", "/r/", (("web", 1.0),), Repeatability.IDEMPOTENT, False, False, 4.0, 0.3,
+    0.0, 2, 0,
+)  # fmt: skip
+SIGNED = (b"server-seal", b"s")
+
+
+class Site:
+    """One host's state, with servers that respond with scripted heads.
+
+    :ivar sent: The servers to which requests were sent, in this order.
+    :ivar responses: Responses still to be given, by server: status and headers.
+    :ivar on_connect: Called with the server before a connection to it is returned.
+    """
+
+    def __init__(self, monkeypatch, *servers):
+        self.sent, self.logged, self.responses = [], [], {}
+        self.on_connect = lambda server: None
+        self.answer = None
+        self.state = GatewayState(
+            settings=SimpleNamespace(host="h", zone="z", bounds=Bounds()),
+            adapter=SimpleNamespace(
+                servers=PlatformServerCodec(),
+                callers=SimpleNamespace(
+                    refusal_headers=lambda request_id, retry_after_s: [
+                        (b"retry-after", retry_after_s)
+                    ]
+                ),
+            ),
+            metrics=SimpleNamespace(
+                refusal=lambda *a: None,
+                retry=lambda *a: None,
+                request=lambda *a: None,
+                event=lambda *a: None,
+            ),
+            log=SimpleNamespace(event=self._log),
+            started_ms=1,
+            rng=random.Random(1),
+        )
+        self.state.configuration = SimpleNamespace(
+            version=1, services={"web": ServiceSpec("web", 100)}
+        )
+        for entry in servers:
+            self.state.fleet.put(entry)
+        monkeypatch.setattr(
+            self.state.pools,
+            "get_or_create",
+            lambda entry: SimpleNamespace(acquire=lambda t: self._connect(entry)),
+        )
+
+    def _log(self, name, outcome="", **fields):
+        self.logged.append((name, outcome, fields))
+
+    async def _connect(self, entry):
+        self.on_connect(entry.server)
+        return SimpleNamespace(
+            send=lambda head, body, accepts: self._send(entry, accepts),
+            close=lambda: None,
+        )
+
+    def _send(self, entry, accepts):
+        self.sent.append(entry.server)
+        exchange = Exchange(asyncio.get_running_loop(), accepts)
+        status, headers = self.responses[entry.server].pop(0)
+        accepts(status, headers)
+        exchange.head.set_result((status, headers))
+        exchange.outcome.set_result(ExchangeOutcome.COMPLETE)
+        return exchange
+
+    async def request(self, budget_s=1.0):
+        """Send one request; return the status and headers of its response."""
+        responder = SimpleNamespace(
+            is_started=False,
+            send_response=lambda status, headers, body=b"": setattr(
+                self, "answer", (status, dict(headers))
+            ),
+        )
+        request = CallerRequest("id", "GET", "h", "/r/x", (), b"", budget_s)
+        slots = SimpleNamespace(is_active=False, release=lambda *a: None)
+        slots.ticket = lambda: _Ticket()
+        await RequestForwarder(
+            self.state, slots, request, ROUTE, monotonic_s(), responder
+        ).run()
+        return self.answer
+
+
+class _Ticket:
+    number = 0
+    grant = granted_by = None
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *error):
+        return None
+
+
+@pytest.mark.parametrize("how", ["draining", "removed"])
+def test_a_server_that_left_while_the_connection_was_opened_gets_no_request(
+    monkeypatch, how
+):
+    """Guards against a request that reaches a server after its drain time.
+
+    The server was chosen before it left, and its connection took a second to open.
+    """
+    other = replace(ENTRY, server="s-2", zone="far")
+    site = Site(monkeypatch, ENTRY, other)
+    site.responses = {"s-1": [(200, [SIGNED])], "s-2": [(200, [SIGNED])]}
+
+    def leave(server):
+        if server == "s-1" and how == "draining":
+            site.state.fleet.put(replace(ENTRY, state=ServerState.DRAINING))
+        elif server == "s-1":
+            site.state.fleet.remove("s-1")
+
+    site.on_connect = leave
+    status, _ = asyncio.run(site.request())
+    assert status == 200
+    assert site.sent == ["s-2"]
--- a/sequoiapoint/state/fleet.py
+++ b/sequoiapoint/state/fleet.py
@@ -93,6 +93,15 @@
         entries = self._by_service.get(service, ())
         return [e for e in entries if e.state is ServerState.READY]
 
+    def is_ready(self, entry: ServerEntry) -> bool:
+        """Tell whether the process that an entry names still accepts new requests."""
+        current = self._entries.get(entry.server)
+        return (
+            current is not None
+            and current.incarnation == entry.incarnation
+            and current.state is ServerState.READY
+        )
+
     def holds(self, entry: ServerEntry, model: str, adapter: str, now: float) -> bool:
         """Tell whether an engine is known to hold a model, and an adapter if given."""
         contents = self._contents.get(entry.incarnation)
