Send nothing new to a server that announces in a response that it leaves

The gateway ignored the header, passed it on to callers and went on sending. Change: such a server is skipped at once if another can run the request, and after half the drain time in any case; the leader sends it no orders and does not count its copies; the other hosts learn it with the next digest; a new process of the server ends it. Another value than 1 is logged once. Tests: each fails before (the header was not decoded).

--- a/sequoiapoint/coordination/server_choice.py
+++ b/sequoiapoint/coordination/server_choice.py
@@ -35,6 +35,11 @@
 """Free share assumed for a full server, so that its weight stays above zero."""
 
 
+LEAVING_USE_SHARE = 0.5
+"""Share of the drain time in which a leaving server is used if no other can run the
+request; the rest is a margin for slow links."""
+
+
 @dataclass(frozen=True)
 class Candidate:
     """A server that can run the request.
@@ -73,6 +78,26 @@
     return min(eligible, key=lambda c: (_cost(c, own_zone, median), random()))
 
 
+def without_leaving(
+    servers: Sequence[ServerEntry],
+    leaving_s: Callable[[ServerEntry], float | None],
+    drain_s: float,
+) -> list[ServerEntry]:
+    """Return the servers to use while some of them leave.
+
+    Answers servers that are replaced one after the other: those that leave get nothing
+    as soon as this is known, unless no other holds the requested model.
+
+    :param leaving_s: Returns since when a server leaves, None if it stays.
+    :param drain_s: Time after which a leaving server must get no requests.
+    """
+    ages = [(entry, leaving_s(entry)) for entry in servers]
+    staying = [entry for entry, age_s in ages if age_s is None]
+    if staying:
+        return staying
+    return [entry for entry, age_s in ages if age_s < LEAVING_USE_SHARE * drain_s]
+
+
 def zones_by_load(
     servers: Sequence[ServerEntry], running: Mapping[str, float], own_zone: str
 ) -> list[str]:
--- a/sequoiapoint/coordination/server_choice_test.py
+++ b/sequoiapoint/coordination/server_choice_test.py
@@ -7,6 +7,7 @@
 from sequoiapoint.coordination.server_choice import (
     Candidate,
     choose,
+    without_leaving,
     zones_by_load,
     zones_to_choose_alone,
 )
@@ -133,3 +134,22 @@
     ]
     running = {"s-0": 2.0, "s-1": 11.0, "s-2": 9.0, "s-3": 1.0}
     assert zones_by_load(entries, running, "z0") == ["z0", "z2", "z1"]
+
+
+@pytest.mark.parametrize(
+    ("leaving_s", "expected"),
+    [
+        ({}, ["a", "b"]),
+        ({"a": 0.0}, ["b"]),
+        ({"a": 0.1, "b": 0.9}, ["a", "b"]),
+        ({"a": 0.1, "b": 1.1}, ["a"]),
+        ({"a": 1.1, "b": 1.1}, []),
+    ],
+)
+def test_a_leaving_server_is_used_only_without_another_and_within_its_drain_time(
+    leaving_s, expected
+):
+    """Replays servers that are replaced, with a drain time of 2 s."""
+    servers = [candidate("a").entry, candidate("b").entry]
+    usable = without_leaving(servers, lambda entry: leaving_s.get(entry.server), 2.0)
+    assert [entry.server for entry in usable] == expected
--- a/sequoiapoint/node/gateway_state.py
+++ b/sequoiapoint/node/gateway_state.py
@@ -160,6 +160,18 @@
         self.routes = RouteTable(configuration)
         return True
 
+    def note_server_leaving(self, entry: ServerEntry, source: str, now: float) -> None:
+        """Note that a server leaves, and tell the other hosts with the next digest.
+
+        :param source: What announced it: the kind of response, or a host.
+        """
+        if not self.fleet.note_leaving(entry.incarnation, now):
+            return
+        self.metrics.event("server_leaving")
+        self.log.event("server_leaving", server=entry.server, source=source)
+        self.replan_requested.set()
+        self.wait_queue.notify()
+
     @property
     def is_ready(self) -> bool:
         """Tell whether the host can serve callers."""
--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -43,6 +43,9 @@
 """Maximum number of suspected requests in a digest; if there are more at the same time,
 the cause of the crashes is not a request."""
 
+MAX_LEAVING_PER_DIGEST = 100
+"""Maximum number of leaving servers in a digest, the latest ones; 3 KB."""
+
 
 class _DigestProtocol(asyncio.DatagramProtocol):
     """Receives digests."""
@@ -168,11 +171,13 @@
                 now, SUSPICION_REPEAT_S, MAX_SUSPICIONS_PER_DIGEST
             )
         )
+        leaving = tuple(state.fleet.leaving())[-MAX_LEAVING_PER_DIGEST:]
         if not self.peers.is_aggregator(now):
             report = self._sender.build_digest(
                 scope=Scope.HOST,
                 counts=tuple(local_counts.items()),
                 suspicions=suspicions,
+                leaving_servers=leaving,
             )
             self._sender.send(report, self.peers.own_relays(now))
             return
@@ -186,6 +191,7 @@
             scope=Scope.ZONE,
             counts=tuple(zone_totals.items()),
             suspicions=suspicions,
+            leaving_servers=leaving,
             host_count=len(hosts),
             relays=tuple(r for r in relays if r.zone == self._local_member.zone),
         )
@@ -193,6 +199,7 @@
             scope=Scope.FLEET,
             counts=tuple((zone_totals + other_totals).items()),
             suspicions=suspicions,
+            leaving_servers=leaving,
             host_count=self.peers.host_count(now),
             members=hosts,
             relays=relays,
@@ -252,6 +259,10 @@
             and not self.peers.is_aggregator(now)
         ):
             state.loads.set_cluster_running(dict(digest.counts), now)
+        for incarnation in digest.leaving_servers:
+            entry = state.fleet.entries.get(incarnation[0])
+            if entry is not None and entry.incarnation == incarnation:
+                state.note_server_leaving(entry, digest.host, now)
         for fingerprint, deaths in digest.suspicions:
             state.quarantine.merge(fingerprint, deaths, now)
         self.slots.handle_report(digest, now)
--- a/sequoiapoint/node/peer_exchange_test.py
+++ b/sequoiapoint/node/peer_exchange_test.py
@@ -52,6 +52,9 @@
             recent_max_host_count=1,
             log=SimpleNamespace(event=self._log),
             metrics=SimpleNamespace(event=lambda *a: None),
+            note_server_leaving=lambda entry, source, now: (
+                self.state.fleet.note_leaving(entry.incarnation, now)
+            ),
         )
         topics = [SimpleNamespace(topic=n, content=KeyedTopic()) for n in ("c", "s")]
         watch = SimpleNamespace(
@@ -333,3 +336,14 @@
         waiting_host.entry(), "oak", "a1", network.now
     )
     assert network.received == {leader: 1, waiting_host: 1}
+
+
+def test_a_server_that_leaves_becomes_known_to_every_host(monkeypatch):
+    """The first host that hears it in a response tells the others."""
+    network = _Network(monkeypatch, 3, 4)
+    for host in network.hosts:
+        host.state.fleet.put(host.entry())
+    network.run(1.5)
+    network.hosts[5].state.fleet.note_leaving(SERVER, network.now)
+    network.run(2.0)
+    assert not any(h.state.fleet.is_staying(h.entry()) for h in network.hosts)
--- a/sequoiapoint/node/placement_controller.py
+++ b/sequoiapoint/node/placement_controller.py
@@ -21,11 +21,10 @@
     Order,
     OrderAction,
     OrderResult,
-    ServerState,
     Unreadable,
 )
 from sequoiapoint.state.engine_ledger import REPORT_LAG_S, EngineRecord
-from sequoiapoint.transport.async_http_client import call
+from sequoiapoint.transport.async_http_client import Response, call
 from sequoiapoint.transport.clock import monotonic_s
 from sequoiapoint.transport.store_client import StoreClient
 
@@ -243,7 +242,7 @@
         for incarnation in removed:
             del self._records[incarnation]
         for incarnation, entry in live.items():
-            if entry.state is not ServerState.READY:
+            if not fleet.is_staying(entry):
                 self._records.pop(incarnation, None)
                 continue
             record = self._records.get(incarnation)
@@ -373,6 +372,7 @@
             if isinstance(response, Failure)
             else codec.order_result(response.status)
         )
+        self._note_leaving(record, response, "order")
         self._state.metrics.order(order.action.value, result.value)
         self._state.log.event(
             "order",
@@ -387,6 +387,15 @@
         )
         return result
 
+    def _note_leaving(
+        self, record: EngineRecord, response: Response | Failure, step: str
+    ) -> None:
+        """Note an engine's announcement that it leaves, in any of its responses."""
+        if not isinstance(response, Failure) and self._state.adapter.servers.is_leaving(
+            response.headers
+        ):
+            self._state.note_server_leaving(record.entry, step, monotonic_s())
+
     def _apply_result(
         self,
         record: EngineRecord,
@@ -462,6 +471,7 @@
             request = codec.report_call(record.entry)
             response = await call(pool, record.entry.address, request, ORDER_TIMEOUT_S)
             now = monotonic_s()
+            self._note_leaving(record, response, "report")
             if isinstance(response, Failure) or response.status != 200:
                 record.next_poll_at = now + REPORT_LAG_S
                 return
--- a/sequoiapoint/node/placement_controller_test.py
+++ b/sequoiapoint/node/placement_controller_test.py
@@ -123,3 +123,10 @@
     )
     asyncio.run(controller._execute(planned, None))
     assert orders == expected_orders
+
+
+def test_an_engine_that_leaves_gets_no_orders_and_does_not_count_as_a_copy(controller):
+    controller._state.fleet.put(entry("s-1"))
+    assert len(controller._update_records("lm", 100.0)) == 1
+    controller._state.fleet.note_leaving(entry("s-1").incarnation, 100.0)
+    assert controller._update_records("lm", 100.0) == []
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -205,7 +205,7 @@
             outcome = _AttemptOutcome.NOT_CONNECTED
             self._log_attempt(entry, outcome.value, connection.reason)
             return outcome
-        if not state.fleet.is_ready(entry):
+        if not self._selector.may_send_to(entry, now):
             connection.close()
             outcome = _AttemptOutcome.SERVER_LEFT
             self._log_attempt(entry, outcome.value, "left_before_sending")
@@ -266,6 +266,9 @@
         load.note_received(now)
         if head.load is not None:
             load.apply_report(head.load, now)
+        if head.is_leaving:
+            self._state.note_server_leaving(entry, f"response_{head.status}", now)
+        self._log_unreadable(entry, head)
         if head.was_not_run:
             if head.is_wrong_server and self._selector.is_engine:
                 self._state.fleet.note_not_held(
@@ -525,6 +528,14 @@
                     fingerprint=fingerprint,
                 )
 
+    def _log_unreadable(self, entry: ServerEntry, head: ResponseHead) -> None:
+        """Log once for each server process that a header could not be read."""
+        for name in head.unreadable:
+            if self._state.loads.get_or_create(entry.incarnation).note_unreadable(name):
+                self._state.log.event(
+                    "header_unreadable", server=entry.server, header=name
+                )
+
     def _log_attempt(self, entry: ServerEntry, outcome: str, error: str) -> None:
         self._record.log_attempt(entry, outcome, self._remaining_s(), error)
 
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -142,3 +142,37 @@
     status, _ = asyncio.run(site.request())
     assert status == 200
     assert site.sent == ["s-2"]
+
+
+LEAVING = (b"server-leaving", b"1")
+
+
+def test_a_server_that_announces_to_leave_gets_no_further_requests(monkeypatch):
+    """Replays a rolling replacement: the announcement is in a response to a request."""
+    other = replace(ENTRY, server="s-2", zone="far")
+    site = Site(monkeypatch, ENTRY, other)
+    site.responses = {"s-1": [(200, [SIGNED, LEAVING])], "s-2": [(200, [SIGNED])] * 9}
+
+    async def run():
+        for _ in range(4):
+            status, headers = await site.request()
+            assert status == 200
+            assert b"server-leaving" not in headers
+
+    asyncio.run(run())
+    assert site.sent == ["s-1", "s-2", "s-2", "s-2"]
+    leaving = [entry for entry in site.logged if entry[0] == "server_leaving"]
+    assert [fields["server"] for _, _, fields in leaving] == ["s-1"]
+
+
+def test_an_unreadable_announcement_is_logged_once_and_changes_nothing(monkeypatch):
+    site = Site(monkeypatch, ENTRY)
+    site.responses = {"s-1": [(200, [SIGNED, (b"server-leaving", b"soon")])] * 3}
+
+    async def run():
+        for _ in range(3):
+            assert (await site.request())[0] == 200
+
+    asyncio.run(run())
+    assert site.sent == ["s-1"] * 3
+    assert [name for name, _, _ in site.logged].count("header_unreadable") == 1
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -176,7 +176,8 @@
             return None
         server, started_ms = ticket.grant.engine
         entry = self._state.fleet.entries.get(server)
-        if entry is not None and entry.started_ms == started_ms:
+        is_current = entry is not None and entry.started_ms == started_ms
+        if is_current and self.may_send_to(entry, monotonic_s()):
             return entry
         self.reason = "no_server"
         self._slots.release(ticket, SlotQuality.UNUSED)
@@ -239,12 +240,27 @@
             if not self.is_engine
             or fleet.holds(entry, request.model, request.adapter, now)
         ]
+        serving = self._without_leaving(serving, now)
         if serving:
             self.reason = "servers_full"
         elif ready:
             self.reason = "model_not_loaded"
         return serving
 
+    def may_send_to(self, entry: ServerEntry, now: float) -> bool:
+        """Tell whether a server that was chosen before may still get the request."""
+        is_ready = self._state.fleet.is_ready(entry)
+        return is_ready and bool(self._without_leaving([entry], now))
+
+    def _without_leaving(
+        self, servers: list[ServerEntry], now: float
+    ) -> list[ServerEntry]:
+        return server_choice.without_leaving(
+            servers,
+            lambda entry: self._state.fleet.leaving_s(entry, now),
+            self._state.settings.bounds.server_drain_s,
+        )
+
     def _choose(self, serving: list[ServerEntry], now: float) -> ServerEntry | None:
         state = self._state
         untried = [e for e in serving if e.server not in self.tried_servers]
--- a/sequoiapoint/node/slot_exchange.py
+++ b/sequoiapoint/node/slot_exchange.py
@@ -18,7 +18,7 @@
 from sequoiapoint.node.digest_sender import DigestSender
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.protocol.digests import Digest, Member, Scope
-from sequoiapoint.protocol.gateway import Incarnation, ServerState
+from sequoiapoint.protocol.gateway import Incarnation
 from sequoiapoint.protocol.slots import (
     SlotMessage,
     SlotOutcome,
@@ -277,7 +277,7 @@
         self.allocator.set_engines(
             Engine(entry.incarnation, entry.slots)
             for entry in fleet.entries.values()
-            if entry.zone == self._own.zone and entry.state is ServerState.READY
+            if entry.zone == self._own.zone and fleet.is_staying(entry)
         )
         self.allocator.set_report(self._own.host, self._state.loads.local_counts(), now)
         self.allocator.expire(now)
--- a/sequoiapoint/platform/headers.py
+++ b/sequoiapoint/platform/headers.py
@@ -13,6 +13,7 @@
 NOT_RUN = b"not-run"
 SERVER_LOAD = b"worker-load"
 SERVER_ID = b"worker-id"
+SERVER_LEAVING = b"server-leaving"
 CONTENT_ENCODING = b"content-encoding"
 
 HOP_BY_HOP = frozenset(
@@ -48,7 +49,7 @@
 )
 """Request headers that only the gateway sets; a caller's are not forwarded as sent."""
 
-GATEWAY_ONLY = frozenset({SERVER_LOAD, SERVER_ID, NOT_RUN})
+GATEWAY_ONLY = frozenset({SERVER_LOAD, SERVER_ID, NOT_RUN, SERVER_LEAVING})
 """Response headers meant for the gateway and not forwarded to the caller."""
 
 
--- a/sequoiapoint/platform/servers.py
+++ b/sequoiapoint/platform/servers.py
@@ -73,6 +73,14 @@
     return LoadReport(running, waiting, slots)
 
 
+def _decode_leaving(headers: Headers) -> bool | None:
+    """Decode whether a server announces that it leaves; None if unreadable."""
+    value = names.first_value(headers, names.SERVER_LEAVING)
+    if value is None:
+        return False
+    return True if value == b"1" else None
+
+
 def _decode_adapter(name: str) -> tuple[str, str]:
     """Decode ``MODEL/ADAPTER@VERSION``."""
     model, _, rest = name.partition("/")
@@ -122,6 +130,8 @@
 
         :param headers: Headers with names in lower case.
         """
+        is_leaving = _decode_leaving(headers)
+        unreadable = [names.SERVER_LEAVING] if is_leaving is None else []
         return ResponseHead(
             status=status,
             request_id=(names.first_value(headers, names.REQUEST_ID) or b"").decode(
@@ -135,8 +145,14 @@
             is_wrong_server=status == 421,
             load=_decode_load(names.first_value(headers, names.SERVER_LOAD)),
             headers=tuple((n, v) for n, v in headers if n not in _NOT_RETURNED),
+            is_leaving=bool(is_leaving),
+            unreadable=tuple(name.decode() for name in unreadable),
         )
 
+    def is_leaving(self, headers: Headers) -> bool:
+        """Tell whether any response of a server announces that it leaves."""
+        return bool(_decode_leaving(headers))
+
     def order_call(self, entry: ServerEntry, order: Order) -> HttpCall:
         """Encode an order to an engine."""
         body: dict[str, Any] = {"op": _ACTIONS[order.action], "model": order.model}
--- a/sequoiapoint/platform/servers_test.py
+++ b/sequoiapoint/platform/servers_test.py
@@ -174,3 +174,23 @@
 )
 def test_an_invalid_report_is_unreadable(body):
     assert isinstance(CODEC.decode_report(body), Unreadable)
+
+
+@pytest.mark.parametrize(
+    ("value", "is_leaving", "unreadable"),
+    [
+        (None, False, ()),
+        (b"1", True, ()),
+        (b"0", False, ("server-leaving",)),
+        (b"yes", False, ("server-leaving",)),
+        (b"", False, ("server-leaving",)),
+    ],
+)
+def test_a_server_announces_in_its_responses_that_it_leaves(
+    value, is_leaving, unreadable
+):
+    headers = [] if value is None else [(b"server-leaving", value)]
+    head = CODEC.decode_head(200, headers)
+    assert (head.is_leaving, head.unreadable) == (is_leaving, unreadable)
+    assert head.headers == ()
+    assert CODEC.is_leaving(headers) is is_leaving
--- a/sequoiapoint/protocol/digest.capnp
+++ b/sequoiapoint/protocol/digest.capnp
@@ -7,6 +7,11 @@
   running @2 :UInt32;
 }
 
+struct Process {
+  server @0 :Text;
+  startedMs @1 :Int64;
+}
+
 struct Demand {
   service @0 :Text;
   model @1 :Text;
@@ -69,6 +74,7 @@
   isDemandReport @17 :Bool;     # Whether the demands replace those of the last report.
   isHeartbeat @18 :Bool;        # Whether the lists of the sender's last digest stand.
   capacity @19 :UInt32;         # The sender's, in thousandths of a core.
+  leavingServers @20 :List(Process); # Servers that have announced that they leave.
 }
 
 struct Record {
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -70,6 +70,7 @@
     :param is_heartbeat: Whether the digest carries no counts, members and relays, and
         those of the sender's last digest remain valid.
     :param capacity: The sender's processor capacity in thousandths of a core.
+    :param leaving_servers: Server processes that have announced that they leave.
     """
 
     host: str
@@ -92,6 +93,7 @@
     is_demand_report: bool = False
     is_heartbeat: bool = False
     capacity: int = 0
+    leaving_servers: tuple[Incarnation, ...] = ()
 
     @property
     def sender(self) -> Member:
@@ -157,6 +159,10 @@
         isDemandReport=digest.is_demand_report,
         isHeartbeat=digest.is_heartbeat,
         capacity=digest.capacity,
+        leavingServers=[
+            {"server": server, "startedMs": started}
+            for server, started in digest.leaving_servers
+        ],
     )
     return message.to_bytes_packed()
 
@@ -208,6 +214,9 @@
             is_demand_report=message.isDemandReport,
             is_heartbeat=message.isHeartbeat,
             capacity=message.capacity,
+            leaving_servers=tuple(
+                (p.server, p.startedMs) for p in message.leavingServers
+            ),
         )
     except capnp.KjException as error:
         raise ValueError(f"not a digest: {error}") from error
--- a/sequoiapoint/protocol/gateway.py
+++ b/sequoiapoint/protocol/gateway.py
@@ -244,6 +244,8 @@
         does not hold the requested model or adapter.
     :param load: The server's load; None if not given.
     :param headers: The headers to forward to the caller.
+    :param is_leaving: Whether the server announces that it stops soon.
+    :param unreadable: The names of headers whose values could not be read.
     """
 
     status: int
@@ -254,6 +256,8 @@
     is_wrong_server: bool
     load: LoadReport | None
     headers: tuple[tuple[bytes, bytes], ...]
+    is_leaving: bool = False
+    unreadable: tuple[str, ...] = ()
 
 
 class OrderAction(enum.Enum):
--- a/sequoiapoint/protocol/ports.py
+++ b/sequoiapoint/protocol/ports.py
@@ -73,6 +73,9 @@
     def decode_head(self, status: int, headers: Headers) -> ResponseHead:
         """Decode the head of a response."""
 
+    def is_leaving(self, headers: Headers) -> bool:
+        """Tell whether any response of a server announces that it leaves."""
+
     def order_call(self, entry: ServerEntry, order: Order) -> HttpCall:
         """Encode an order to an engine."""
 
--- a/sequoiapoint/state/fleet.py
+++ b/sequoiapoint/state/fleet.py
@@ -1,11 +1,14 @@
 """The known backend servers: their entries, and the models that engines hold.
 
+A server that leaves says so in its entry or, often earlier, in its responses; either is
+enough, and only a new process of the server ends it.
+
 Entries come from the platform's store.  The models and adapters of an engine come from
 its entry and, between entries, from the leader; a server's own response takes
 precedence over both.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from sequoiapoint.protocol.gateway import Incarnation, ServerEntry, ServerState
@@ -26,6 +29,9 @@
     not_held_until: dict[tuple[str, str], float] = field(default_factory=dict)
 
 
+LEAVING_MEMORY_S = 60.0
+"""Time for which a leaving process is remembered: longer than servers take to stop, and
+longer than an entry may be missing from the store."""
 NOT_HELD_TTL_S = 0.3
 """Time for which a server's response that it lacks a model or adapter takes precedence:
 some round trips, after which the other sources are up to date."""
@@ -39,6 +45,7 @@
         self._by_service: dict[str, list[ServerEntry]] = {}
         self._contents: dict[Incarnation, EngineContents] = {}
         self._missing_since: dict[str, float] = {}
+        self._leaving_since: dict[Incarnation, float] = {}
 
     @property
     def entries(self) -> Mapping[str, ServerEntry]:
@@ -76,6 +83,37 @@
             self._contents.pop(entry.incarnation, None)
             self._index()
 
+    def note_leaving(self, incarnation: Incarnation, now: float) -> bool:
+        """Record that a server's process has announced that it leaves.
+
+        :return: Whether this was not known.
+        """
+        self._leaving_since = {
+            known: since
+            for known, since in self._leaving_since.items()
+            if now - since < LEAVING_MEMORY_S
+        }
+        if incarnation in self._leaving_since:
+            return False
+        self._leaving_since[incarnation] = now
+        return True
+
+    def leaving(self) -> Collection[Incarnation]:
+        """Return the processes that are known to leave."""
+        return self._leaving_since.keys()
+
+    def leaving_s(self, entry: ServerEntry, now: float) -> float | None:
+        """Return since when a process is known to leave, in seconds; None if not."""
+        since = self._leaving_since.get(entry.incarnation)
+        return None if since is None else now - since
+
+    def is_staying(self, entry: ServerEntry) -> bool:
+        """Tell whether a server is ready and has not announced that it leaves."""
+        return (
+            entry.state is ServerState.READY
+            and entry.incarnation not in self._leaving_since
+        )
+
     def mark_missing(self, server: str, now: float) -> None:
         """Record that an entry is missing, although it may reappear."""
         if server in self._entries:
--- a/sequoiapoint/state/fleet_test.py
+++ b/sequoiapoint/state/fleet_test.py
@@ -101,3 +101,19 @@
     fleet.set_held(ENTRY.incarnation, {"oak": {"a1", "a2"}})
     fleet.put(replace(ENTRY, zone="south"))
     assert fleet.holds(ENTRY, "oak", "a2", 0.0)
+
+
+def test_a_leaving_process_is_remembered_until_a_new_one_replaces_it():
+    fleet = fleet_of(ENTRY)
+    assert fleet.is_staying(ENTRY)
+    assert fleet.note_leaving(ENTRY.incarnation, 10.0)
+    assert not fleet.note_leaving(ENTRY.incarnation, 11.0)
+    assert fleet.leaving_s(ENTRY, 11.5) == 1.5
+    assert not fleet.is_staying(ENTRY)
+    fleet.remove(ENTRY.server)
+    fleet.put(ENTRY)
+    assert not fleet.is_staying(ENTRY)
+    restarted = replace(ENTRY, started_ms=200)
+    fleet.put(restarted)
+    assert fleet.is_staying(restarted)
+    assert fleet.leaving_s(restarted, 12.0) is None
--- a/sequoiapoint/state/server_load.py
+++ b/sequoiapoint/state/server_load.py
@@ -40,6 +40,7 @@
     :param failure_rate: The moving average of the share of failures among outcomes.
     :param reported_remote_running: The other hosts' running requests, from digests.
     :param last_shared_running: The number of this host's requests in its last digest.
+    :param unreadable_headers: Headers of its responses that could not be read.
     """
 
     local_running: int = 0
@@ -55,6 +56,7 @@
     reported_remote_running: int = 0
     remote_reported_at: float = -math.inf
     last_shared_running: int = 0
+    unreadable_headers: set[str] = field(default_factory=set)
 
     def note_sent(self, number: int, now: float, prompt_tokens: int = 0) -> None:
         """Record that a request was sent."""
@@ -91,6 +93,12 @@
         """Set the number of the other hosts' requests at the server."""
         self.reported_remote_running, self.remote_reported_at = max(0, count), now
 
+    def note_unreadable(self, header: str) -> bool:
+        """Record a header that could not be read; return whether it is the first."""
+        is_first = header not in self.unreadable_headers
+        self.unreadable_headers.add(header)
+        return is_first
+
     def note_connect_failure(self, now: float) -> None:
         """Avoid the server for a time that grows exponentially with each failure."""
         backoff_s = min(
