Send nothing to a server for the time that it names with a rejection

The gateway ignored the header and went on sending as before. Change: the host skips the server until then, for requests and orders; polls of its report go on, they are status checks. A request that no other server can run is refused at once, with the time until the first of them accepts requests. A value that cannot be read is ignored, one over an hour shortened; either is logged once.

--- a/sequoiapoint/coordination/waiting.py
+++ b/sequoiapoint/coordination/waiting.py
@@ -5,6 +5,8 @@
 the same queue, but a wait that uses up its time leaves none for a retry.
 """
 
+from collections.abc import Iterable
+
 from sequoiapoint.protocol.gateway import Route
 
 WAIT_SHARE = 0.4
@@ -70,6 +72,20 @@
     return mean_s * (0.5 + jitter)
 
 
+def back_off_s(until: Iterable[float], now: float) -> float | None:
+    """Return the time until the first of several servers accepts requests again.
+
+    Answers servers that turn requests away and name a time.  If all of them do, a
+    request cannot be run before the first of these times, and its caller is told so.
+
+    :param until: For each server, the time until which it wants no requests.
+    :return: The time in seconds; None if a server accepts requests now, or if there is
+        none.
+    """
+    first = min(until, default=now)
+    return first - now if first > now else None
+
+
 def urgency(
     priority: int, goal_at: float, deadline: float, now: float
 ) -> tuple[int, bool, float]:
--- a/sequoiapoint/coordination/waiting_test.py
+++ b/sequoiapoint/coordination/waiting_test.py
@@ -98,3 +98,11 @@
     A request reached a second server 0.55 s after its caller's deadline.
     """
     assert waiting.may_send_again(remaining_s) is expected
+
+
+@pytest.mark.parametrize(
+    ("until", "expected"),
+    [([], None), ([0.0], None), ([12.0, 9.0], None), ([12.0, 11.5], 1.5)],
+)
+def test_a_caller_is_told_when_the_first_server_accepts_requests_again(until, expected):
+    assert waiting.back_off_s(until, 10.0) == expected
--- a/sequoiapoint/node/placement_controller.py
+++ b/sequoiapoint/node/placement_controller.py
@@ -142,7 +142,11 @@
         records = self._update_records(service, now)
         if not self._lease.may_order():
             return
-        plannable = [r for r in records if not r.is_order_count_unknown]
+        plannable = [
+            r
+            for r in records
+            if not r.is_order_count_unknown and not self._backs_off(r, now)
+        ]
         demand = self._demand.demand_by_model(
             service,
             spec.models,
@@ -173,6 +177,11 @@
                 ended - now, MAX_MODEL_PLAN_SHARE
             )
 
+    def _backs_off(self, record: EngineRecord, now: float) -> bool:
+        """Tell whether an engine wants nothing from this host at the moment."""
+        load = self._state.loads.get_or_create(record.entry.incarnation)
+        return load.back_off_until > now
+
     def _plan_service_models(
         self,
         plannable: list[EngineRecord],
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -268,6 +268,8 @@
             load.apply_report(head.load, now)
         if head.is_leaving:
             self._state.note_server_leaving(entry, f"response_{head.status}", now)
+        if head.status == http.HTTPStatus.SERVICE_UNAVAILABLE and head.retry_after_s:
+            self._note_back_off(entry, head.retry_after_s, now)
         self._log_unreadable(entry, head)
         if head.was_not_run:
             if head.is_wrong_server and self._selector.is_engine:
@@ -463,11 +465,12 @@
             self._reject_not_run(self._selector.reason)
 
     def _reject_not_run(self, reason: str) -> None:
-        self._reject(
-            reason,
-            http.HTTPStatus.SERVICE_UNAVAILABLE,
-            waiting.retry_after_s(reason in CAPACITY_REASONS, self._state.rng.random()),
-        )
+        retry_after_s = self._selector.back_off_s
+        if retry_after_s is None:
+            retry_after_s = waiting.retry_after_s(
+                reason in CAPACITY_REASONS, self._state.rng.random()
+            )
+        self._reject(reason, http.HTTPStatus.SERVICE_UNAVAILABLE, retry_after_s)
 
     def _reject_unknown_outcome(self) -> None:
         has_timed_out = self._remaining_s() < MIN_ATTEMPT_TIME_S
@@ -528,6 +531,21 @@
                     fingerprint=fingerprint,
                 )
 
+    def _note_back_off(self, entry: ServerEntry, seconds: float, now: float) -> None:
+        """Send a server nothing for the time that it names as it turns a request away.
+
+        :param seconds: The time, in seconds.
+        """
+        load = self._state.loads.get_or_create(entry.incarnation)
+        load.note_back_off(now + seconds)
+        self._state.metrics.event("server_backs_off")
+        self._state.log.event(
+            "server_backs_off",
+            server=entry.server,
+            request=self._request.request_id,
+            seconds=seconds,
+        )
+
     def _log_unreadable(self, entry: ServerEntry, head: ResponseHead) -> None:
         """Log once for each server process that a header could not be read."""
         for name in head.unreadable:
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -176,3 +176,56 @@
     asyncio.run(run())
     assert site.sent == ["s-1"] * 3
     assert [name for name, _, _ in site.logged].count("header_unreadable") == 1
+
+
+def refusal(retry_after):
+    headers = [(b"not-run", b"1"), (b"retry-after", retry_after)]
+    return (503, headers if retry_after else headers[:1])
+
+
+def test_a_server_that_names_a_time_gets_nothing_before_it(monkeypatch):
+    """Replays a server that turns requests away while another one serves."""
+    other = replace(ENTRY, server="s-2", zone="far")
+    site = Site(monkeypatch, ENTRY, other)
+    site.responses = {
+        "s-1": [refusal(b"0.25"), (200, [SIGNED])],
+        "s-2": [(200, [SIGNED])] * 9,
+    }
+
+    async def run():
+        for _ in range(3):
+            assert (await site.request())[0] == 200
+        await asyncio.sleep(0.3)
+        site.state.fleet.remove("s-2")
+        assert (await site.request())[0] == 200
+
+    asyncio.run(run())
+    assert site.sent == ["s-1", "s-2", "s-2", "s-2", "s-1"]
+
+
+def test_a_request_that_no_server_wants_is_refused_at_once_with_a_true_time(
+    monkeypatch,
+):
+    """Guards against a wait for servers that have said when they accept requests."""
+    other = replace(ENTRY, server="s-2", zone="far")
+    site = Site(monkeypatch, ENTRY, other)
+    site.responses = {"s-1": [refusal(b"2.5")], "s-2": [refusal(b"1.5")]}
+
+    async def run():
+        first, second = await site.request(), monotonic_s()
+        refused = await site.request()
+        return first, refused, monotonic_s() - second
+
+    first, refused, elapsed_s = asyncio.run(run())
+    assert (first[0], refused[0]) == (503, 503)
+    assert elapsed_s < 0.1
+    assert 1.0 < refused[1][b"retry-after"] <= 1.5
+    assert site.sent == ["s-1", "s-2"]
+
+
+@pytest.mark.parametrize("value", [b"-1", b"1e9", b"tomorrow", b""])
+def test_an_unreadable_time_does_not_stop_requests_to_a_server(monkeypatch, value):
+    site = Site(monkeypatch, ENTRY)
+    site.responses = {"s-1": [refusal(value), (200, [SIGNED])]}
+    assert asyncio.run(site.request())[0] == 200
+    assert site.sent == ["s-1", "s-1"]
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -38,6 +38,8 @@
     :ivar demand_key: Service, model and adapter under which the demand is counted.
     :ivar connect_failures: Number of failures to connect for this request.
     :ivar reason: Why no server was found, or why the last attempt failed.
+    :ivar back_off_s: The time until the first server accepts requests again, if all
+        those that could run the request have turned requests away; otherwise None.
     :ivar waited_s: Total time that the request has waited, in seconds.
     :ivar tried_servers: Servers that the request has been sent to.
     """
@@ -66,6 +68,7 @@
         self.connect_failures = 0
         self.tried_servers: set[str] = set()
         self.reason = ""
+        self.back_off_s: float | None = None
         self.waited_s = 0.0
 
     @property
@@ -124,6 +127,8 @@
                 entry = await self._acquire(ticket, now)
                 if entry is not None:
                     return entry
+                if self.back_off_s is not None:
+                    return None
                 if now - started_at > limit_s or now > state.queue_deadline:
                     return None
                 if not is_waiting:
@@ -241,6 +246,13 @@
             or fleet.holds(entry, request.model, request.adapter, now)
         ]
         serving = self._without_leaving(serving, now)
+        self.back_off_s = waiting.back_off_s(
+            (self._back_off_until(entry) for entry in serving), now
+        )
+        if self.back_off_s is not None:
+            self.reason = "servers_back_off"
+            return []
+        serving = [entry for entry in serving if self._back_off_until(entry) <= now]
         if serving:
             self.reason = "servers_full"
         elif ready:
@@ -249,8 +261,14 @@
 
     def may_send_to(self, entry: ServerEntry, now: float) -> bool:
         """Tell whether a server that was chosen before may still get the request."""
-        is_ready = self._state.fleet.is_ready(entry)
-        return is_ready and bool(self._without_leaving([entry], now))
+        return (
+            self._state.fleet.is_ready(entry)
+            and self._back_off_until(entry) <= now
+            and bool(self._without_leaving([entry], now))
+        )
+
+    def _back_off_until(self, entry: ServerEntry) -> float:
+        return self._state.loads.get_or_create(entry.incarnation).back_off_until
 
     def _without_leaving(
         self, servers: list[ServerEntry], now: float
--- a/sequoiapoint/platform/servers.py
+++ b/sequoiapoint/platform/servers.py
@@ -1,6 +1,7 @@
 """Codec of server requests, responses, orders and reports in the wire format."""
 
 import json
+import re
 from typing import Any
 
 import pydantic
@@ -34,6 +35,9 @@
 }
 _MAX_PRIORITY = 9
 """The least urgent priority that engines accept; the most urgent is 0."""
+_SECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+_MAX_RETRY_AFTER_S = 3600.0
+"""Longest time that a server may ask for; a longer one is taken for an error."""
 _NOT_RETURNED = names.HOP_BY_HOP | names.GATEWAY_ONLY
 
 
@@ -81,6 +85,21 @@
     return True if value == b"1" else None
 
 
+def _decode_retry_after(headers: Headers) -> tuple[float | None, bool]:
+    """Decode for how long a server wants no requests.
+
+    :return: The time in seconds, None without one, and whether the value is valid.  A
+        time that is too long is shortened, and not valid.
+    """
+    value = names.first_value(headers, names.RETRY_AFTER)
+    if value is None:
+        return None, True
+    if not _SECONDS.fullmatch(value.strip()):
+        return None, False
+    seconds = float(value)
+    return min(seconds, _MAX_RETRY_AFTER_S), seconds <= _MAX_RETRY_AFTER_S
+
+
 def _decode_adapter(name: str) -> tuple[str, str]:
     """Decode ``MODEL/ADAPTER@VERSION``."""
     model, _, rest = name.partition("/")
@@ -131,7 +150,10 @@
         :param headers: Headers with names in lower case.
         """
         is_leaving = _decode_leaving(headers)
+        retry_after_s, is_valid = _decode_retry_after(headers)
         unreadable = [names.SERVER_LEAVING] if is_leaving is None else []
+        if not is_valid:
+            unreadable.append(names.RETRY_AFTER)
         return ResponseHead(
             status=status,
             request_id=(names.first_value(headers, names.REQUEST_ID) or b"").decode(
@@ -146,6 +168,7 @@
             load=_decode_load(names.first_value(headers, names.SERVER_LOAD)),
             headers=tuple((n, v) for n, v in headers if n not in _NOT_RETURNED),
             is_leaving=bool(is_leaving),
+            retry_after_s=retry_after_s,
             unreadable=tuple(name.decode() for name in unreadable),
         )
 
--- a/sequoiapoint/platform/servers_test.py
+++ b/sequoiapoint/platform/servers_test.py
@@ -194,3 +194,27 @@
     assert (head.is_leaving, head.unreadable) == (is_leaving, unreadable)
     assert head.headers == ()
     assert CODEC.is_leaving(headers) is is_leaving
+
+
+@pytest.mark.parametrize(
+    ("value", "seconds", "is_valid"),
+    [
+        (None, None, True),
+        (b"0", 0.0, True),
+        (b"1.25", 1.25, True),
+        (b"3600", 3600.0, True),
+        (b"7200", 3600.0, False),
+        (b"-1", None, False),
+        (b"1e9", None, False),
+        (b"nan", None, False),
+        (b"soon", None, False),
+        (b"Fri, 04 Dec 2026 08:00:00 GMT", None, False),
+        (b"", None, False),
+    ],
+)
+def test_a_server_names_the_time_for_which_it_wants_no_requests(
+    value, seconds, is_valid
+):
+    head = CODEC.decode_head(503, [] if value is None else [(b"retry-after", value)])
+    assert head.retry_after_s == seconds
+    assert (head.unreadable == ()) is is_valid
--- a/sequoiapoint/protocol/gateway.py
+++ b/sequoiapoint/protocol/gateway.py
@@ -245,7 +245,9 @@
     :param load: The server's load; None if not given.
     :param headers: The headers to forward to the caller.
     :param is_leaving: Whether the server announces that it stops soon.
-    :param unreadable: The names of headers whose values could not be read.
+    :param retry_after_s: The time for which the server wants no requests, if it has
+        turned this one away; None if not given.
+    :param unreadable: The names of headers whose values were not valid.
     """
 
     status: int
@@ -257,6 +259,7 @@
     load: LoadReport | None
     headers: tuple[tuple[bytes, bytes], ...]
     is_leaving: bool = False
+    retry_after_s: float | None = None
     unreadable: tuple[str, ...] = ()
 
 
--- a/sequoiapoint/state/server_load.py
+++ b/sequoiapoint/state/server_load.py
@@ -37,6 +37,8 @@
     :param sent_at: The time at which each running request was sent, by request number.
     :param local_at_report: The number of this host's running requests when the last
         report arrived.
+    :param avoid_until: The time until which other servers are preferred.
+    :param back_off_until: The time until which it wants nothing from this host.
     :param failure_rate: The moving average of the share of failures among outcomes.
     :param reported_remote_running: The other hosts' running requests, from digests.
     :param last_shared_running: The number of this host's requests in its last digest.
@@ -52,6 +54,7 @@
     last_received_at: float = 0.0
     connect_failures: int = 0
     avoid_until: float = 0.0
+    back_off_until: float = 0.0
     failure_rate: float = 0.0
     reported_remote_running: int = 0
     remote_reported_at: float = -math.inf
@@ -93,6 +96,10 @@
         """Set the number of the other hosts' requests at the server."""
         self.reported_remote_running, self.remote_reported_at = max(0, count), now
 
+    def note_back_off(self, until: float) -> None:
+        """Record that the server wants nothing from this host for some time."""
+        self.back_off_until = max(self.back_off_until, until)
+
     def note_unreadable(self, header: str) -> bool:
         """Record a header that could not be read; return whether it is the first."""
         is_first = header not in self.unreadable_headers
