--- a/standins/site/backends.py
+++ b/standins/site/backends.py
@@ -32,6 +32,8 @@
     :param fail_next: The number of next requests that are run and answered with 500.
     :param cut_stream_after: The number of events after which the next stream is reset
         in the middle of an event; 0 for never.
+    :param turn_away_s: The time for which it turns all requests away, named in the
+        response; 0 for none.  It begins with the next request.
     :param poison: A request body that crashes the process that begins to run it; empty
         for none.
     """
@@ -39,6 +41,7 @@
     reset_next: int = 0
     fail_next: int = 0
     cut_stream_after: int = 0
+    turn_away_s: float = 0.0
     poison: bytes = b""
 
 
@@ -59,6 +62,9 @@
     :param finished: The number of requests that were run to their end.
     :param cancelled: The number of requests that were cancelled while running.
     :param arrivals: The times at which requests arrived.
+    :param is_leaving: Whether all its responses announce that it leaves; its entry in
+        the store does not change.
+    :param turned_away: The times at which it turned requests away.
     :param public_address: The address in its entry, "" for the one it listens at.
     """
 
@@ -81,6 +87,8 @@
     finished: int = 0
     cancelled: int = 0
     arrivals: list[float] = field(default_factory=list)
+    is_leaving: bool = False
+    turned_away: list[float] = field(default_factory=list)
     public_address: str = ""
     is_down: bool = False
 
@@ -97,6 +105,8 @@
         self.order_count = 0
         self.fence = 0
         self.busy = ""
+        self.is_leaving = False
+        self.accepts_from = 0.0
         self.http = AsyncHttpServer(self._handle, lambda status: None)
         await self.http.start(self.address)
         self.register()
@@ -142,7 +152,8 @@
     async def _handle(self, request: InboundRequest, responder: Responder) -> None:
         expected = header(request, b"expect-worker")
         if expected and expected != self.server:
-            responder.send_response(421, [(b"Worker-Id", self.server.encode())])
+            headers = [(b"Worker-Id", self.server.encode()), *self._leaving_header()]
+            responder.send_response(421, headers)
         elif request.target == "/sequoiapoint/order":
             await self._handle_order(request, responder)
         elif request.target == "/sequoiapoint/report":
@@ -153,7 +164,21 @@
     # Requests
 
     async def _run(self, request: InboundRequest, responder: Responder) -> None:
-        self.arrivals.append(time.monotonic())
+        now = time.monotonic()
+        self.arrivals.append(now)
+        if self.faults.turn_away_s:
+            self.accepts_from = now + self.faults.turn_away_s
+            self.faults.turn_away_s = 0.0
+        if now < self.accepts_from:
+            self.turned_away.append(now)
+            retry_after = f"{self.accepts_from - now:.3f}".encode()
+            responder.send_response(
+                503,
+                self._response_headers(
+                    request, (b"Not-Run", b"1"), (b"Retry-After", retry_after)
+                ),
+            )
+            return
         model, _, adapter = header(request, b"model").partition("/")
         if self.is_engine and not self._is_ready(model, adapter):
             responder.send_response(421, self._response_headers(request))
@@ -193,9 +218,13 @@
             (b"Request-Id", header(request, b"request-id").encode()),
             (b"Worker-Load", load),
             (b"Keep-Alive", b"timeout=10"),
+            *self._leaving_header(),
             *extra_headers,
         ]
 
+    def _leaving_header(self) -> list[tuple[bytes, bytes]]:
+        return [(b"Server-Leaving", b"1")] if self.is_leaving else []
+
     async def _respond(self, request: InboundRequest, responder: Responder) -> None:
         seal = (b"Server-Seal", f"{self.server}.seal".encode())
         if self.faults.reset_next > 0:
@@ -247,7 +276,7 @@
         self.order_count += 1
         self.orders.append(order | {"at": time.monotonic()})
         status = self._execute_order(order)
-        responder.send_response(status, JSON, b"{}")
+        responder.send_response(status, [*JSON, *self._leaving_header()], b"{}")
 
     def _execute_order(self, order: dict) -> int:
         model, adapter = order["model"], order.get("adapter", "")
@@ -288,4 +317,5 @@
             "queued": 0,
             "inflight": self.running,
         }
-        responder.send_response(200, JSON, json.dumps(report).encode())
+        headers = [*JSON, *self._leaving_header()]
+        responder.send_response(200, headers, json.dumps(report).encode())
--- a/standins/soak/site.py
+++ b/standins/soak/site.py
@@ -22,6 +22,10 @@
 """Delay of each chunk on a delayed link."""
 
 
+RESTART_S = 0.2
+"""Time until a server that has left is started again."""
+
+
 class SoakSite(SiteDeployment):
     """A deployment into whose parts faults can be injected.
 
@@ -165,10 +169,12 @@
     def _backend(self, fault: Fault) -> Any:
         backend = self.backends[fault.target % len(self.backends)]
         if fault.kind == "crash":
-            if backend.is_down:
-                return None
-            coroutine = backend.crash(fault.duration_s)
-            threading.Thread(target=self.run, args=[coroutine], daemon=True).start()
+            self._crash(backend, fault.duration_s)
+        elif fault.kind == "turn_away":
+            backend.faults.turn_away_s = fault.duration_s
+        elif fault.kind == "leave":
+            backend.is_leaving = True
+            return partial(self._crash, backend, RESTART_S)
         elif fault.kind == "lose_answers":
             backend.faults.reset_next = 2
         elif fault.kind == "fail":
@@ -181,6 +187,11 @@
             return partial(self._end_drain, backend)
         return None
 
+    def _crash(self, backend: Any, down_s: float) -> None:
+        if not backend.is_down:
+            coroutine = backend.crash(down_s)
+            threading.Thread(target=self.run, args=[coroutine], daemon=True).start()
+
     def _end_drain(self, backend: Any) -> None:
         backend.state = "ready"
         self.call(backend.register)
--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -15,6 +15,8 @@
 """Time within which a configuration must be in force."""
 SERVER_DRAIN_S = 2.0
 """Time after which a draining or removed server must get no new requests."""
+TURN_AWAY_S = 1.5
+"""Time for which a server turns requests away."""
 MAX_EVICTION_TO_LOAD_S = 0.3
 """Longest time from the order to evict an unused model to the next load order; shorter
 than the time after which an engine whose state is unknown is polled."""
@@ -240,6 +242,40 @@
     assert not [at for at in backend.arrivals if at > drain_started_at + SERVER_DRAIN_S]
 
 
+def test_a_server_that_announces_to_leave_gets_no_requests_from_any_host(site):
+    """The announcement is in its responses only; its entry in the store stays."""
+    backend = site.plain[0]
+    backend.is_leaving = True
+    announced_at = time.monotonic()
+    while time.monotonic() < announced_at + SERVER_DRAIN_S + 1.0:
+        for gateway in site.gateways:
+            response = gateway.send_request("/read/x", f"r-{time.monotonic()}")
+            assert response.status == 200
+            assert "server-leaving" not in response.headers
+    assert not [at for at in backend.arrivals if at > announced_at + SERVER_DRAIN_S]
+    site.run(backend.crash(0.1))
+    arrivals = len(backend.arrivals)
+    site.wait(
+        lambda: (
+            site.gateways[0].send_request("/read/x", f"s-{time.monotonic()}").status
+            == 200
+            and len(backend.arrivals) > arrivals
+        ),
+        4.0,
+    )
+
+
+def test_a_server_that_turns_requests_away_is_left_alone_for_the_time_it_names(site):
+    backend = site.plain[0]
+    backend.faults.turn_away_s = TURN_AWAY_S
+    started_at = time.monotonic()
+    while time.monotonic() < started_at + TURN_AWAY_S:
+        for gateway in site.gateways:
+            response = gateway.send_request("/read/x", f"r-{time.monotonic()}")
+            assert response.status == 200
+    assert 1 <= len(backend.turned_away) <= len(site.gateways)
+
+
 @pytest.mark.parametrize("outage", ["busy", "silent", "reset"])
 def test_requests_are_served_during_a_store_outage(site, outage):
     site.store.outage = outage
