Survive a store that comes back from an older copy

The gateway went on reading at its old offset, so that it missed what was written there again; a generation that is given out twice gave one fencing token to two leaders; a host's registration was lost. The soak injects it beside its other faults.

--- a/sequoiapoint/coordination/order_lease.py
+++ b/sequoiapoint/coordination/order_lease.py
@@ -8,6 +8,10 @@
 
 from sequoiapoint.protocol.gateway import GroupMembership
 
+MAX_GENERATION = 1_000_000
+"""Number of fencing tokens in an era of the store.  Generations start again after the
+store has come back older; the tokens of a later era are greater than all before."""
+
 PARTITION = 0
 """The partition whose owner is the leader."""
 TRUSTED_SHARE = 0.75
@@ -36,6 +40,7 @@
         self._handover_gap_s = handover_gap_s
         self._is_fence_checked = is_fence_checked
         self._membership = GroupMembership(0)
+        self._era = 0
         self._requested_at = -lease_s
         self._held_since: float | None = None
         self._rejected_fence = -1
@@ -43,23 +48,38 @@
 
     @property
     def generation(self) -> int:
-        """Return the newest known generation of the group."""
-        return self._membership.generation
+        """Return the newest known generation in the store's present era, or 0."""
+        return self._membership.generation if self._is_current_era else 0
+
+    @property
+    def _is_current_era(self) -> bool:
+        return self._membership.era == self._era
 
     @property
     def fence(self) -> int:
         """Return the fencing token for orders."""
-        return self._membership.generation
+        return self._membership.era * MAX_GENERATION + self._membership.generation
+
+    def note_era(self, era: int) -> None:
+        """Note the era of the store; a lease of an earlier one is no longer held."""
+        self._era = max(self._era, era)
 
     def renew(self, membership: GroupMembership, requested_at: float) -> None:
         """Handle the store's response to a renewal.
 
         :param requested_at: When the renewal was sent; the lease starts at this time.
         """
-        if membership.generation < self._membership.generation:
+        known = self._membership
+        self.note_era(membership.era)
+        if (membership.era, membership.generation) < (known.era, known.generation):
             return
         is_held = PARTITION in membership.partitions
-        if not is_held or requested_at - self._requested_at > self._lease_s:
+        is_new_era = membership.era > known.era
+        if (
+            not is_held
+            or is_new_era
+            or requested_at - self._requested_at > self._lease_s
+        ):
             self._held_since = None
         if is_held and self._held_since is None:
             self._held_since = requested_at
@@ -85,7 +105,11 @@
     def is_held(self, now: float) -> bool:
         """Tell whether the store has confirmed the lease recently enough."""
         trusted_until = self._requested_at + TRUSTED_SHARE * self._lease_s
-        return self._held_since is not None and now < trusted_until
+        return (
+            self._held_since is not None
+            and self._is_current_era
+            and now < trusted_until
+        )
 
     def may_order(self, now: float) -> bool:
         """Tell whether this host may send orders.
--- a/sequoiapoint/coordination/order_lease_test.py
+++ b/sequoiapoint/coordination/order_lease_test.py
@@ -92,3 +92,28 @@
     order_lease.renew(GroupMembership(5, LEASE_PARTITION), 100.0)
     order_lease.release()
     assert not order_lease.may_order(100.5)
+
+
+def test_a_lease_of_an_earlier_era_of_the_store_is_not_held():
+    order_lease = lease()
+    order_lease.renew(GroupMembership(5, LEASE_PARTITION, 1), 100.0)
+    token = order_lease.fence
+    order_lease.note_era(2)
+    assert not order_lease.is_held(100.1)
+    assert order_lease.generation == 0
+    order_lease.renew(GroupMembership(6, LEASE_PARTITION, 1), 100.2)
+    assert not order_lease.is_held(100.3)
+    order_lease.renew(GroupMembership(3, LEASE_PARTITION, 2), 100.4)
+    assert order_lease.is_held(100.5)
+    assert not order_lease.may_order(100.4 + MIN_HANDOVER_WAIT_S - 0.1)
+    assert order_lease.may_order(100.4 + MIN_HANDOVER_WAIT_S)
+    assert order_lease.fence > token
+
+
+def test_a_generation_that_is_given_out_again_gives_another_token():
+    tokens = []
+    for era in (1, 2, 3):
+        order_lease = lease()
+        order_lease.renew(GroupMembership(5, LEASE_PARTITION, era), 100.0)
+        tokens.append(order_lease.fence)
+    assert tokens == sorted(set(tokens))
--- a/sequoiapoint/node/host_registry.py
+++ b/sequoiapoint/node/host_registry.py
@@ -16,6 +16,8 @@
 start later can find it."""
 RETRY_DELAY_S = 1.0
 """Delay before a failed write or read of the registry is retried."""
+REGISTRATION_SPREAD_S = 1.0
+"""Time over which the hosts spread their writes after the store has come back older."""
 REGISTRY_READ_INTERVAL_S = 30.0
 """Interval at which a zone's aggregator reads the registry again.  It is half of the
 time after which a silent host is forgotten, so zones find each other again after a
@@ -42,6 +44,9 @@
         self._local_member = local_member
         self._on_first_read = on_first_read
         self._has_been_read = False
+        self._is_registered = asyncio.Event()
+        self._era_changed = asyncio.Event()
+        store.on_era_change.append(self._era_changed.set)
 
     @property
     def has_been_read(self) -> bool:
@@ -49,12 +54,13 @@
         return self._has_been_read
 
     async def run(self) -> None:
-        """Register this host, then read the registry.
+        """Register this host and read the registry, until the process stops."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._keep_registered())
+            tasks.create_task(self._read_registry())
 
-        After the first successful read, only the zone's aggregator reads it again,
-        every ``REGISTRY_READ_INTERVAL_S``.  At that interval, the other hosts check
-        whether they have become the aggregator.
-        """
+    async def _keep_registered(self) -> None:
+        """Register this host, and again whenever the store has come back older."""
         value = json.dumps(
             {
                 "address": self._local_member.address,
@@ -62,10 +68,30 @@
                 "capacity": self._local_member.capacity,
             }
         )
-        while await self._store.put(
-            HOST_TOPIC, self._local_member.host, value.encode()
-        ):
-            await asyncio.sleep(RETRY_DELAY_S)
+        while True:
+            self._era_changed.clear()
+            failure = await self._store.put(
+                HOST_TOPIC, self._local_member.host, value.encode()
+            )
+            if failure is not None:
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
+            self._is_registered.set()
+            registered_era = self._store.era
+            while self._store.era == registered_era:
+                await self._era_changed.wait()
+                self._era_changed.clear()
+            await asyncio.sleep(REGISTRATION_SPREAD_S * self._state.rng.random())
+
+    async def _read_registry(self) -> None:
+        """Read the registry, after this host has been registered.
+
+        Of two hosts that start together, one at least then finds the other.  After the
+        first successful read, only the zone's aggregator reads it again, every
+        ``REGISTRY_READ_INTERVAL_S``.  At that interval, the other hosts check whether
+        they have become the aggregator.
+        """
+        await self._is_registered.wait()
         while True:
             now = monotonic_s()
             if self._has_been_read and not self._peers.is_aggregator(now):
--- a/sequoiapoint/node/lease_interleaving_test.py
+++ b/sequoiapoint/node/lease_interleaving_test.py
@@ -1,9 +1,10 @@
 """Interleavings of a lease that moves between hosts, searched in virtual time.
 
-The store loses single hosts for a while and moves the lease at any moment;
-digests arrive with a delay.  No two hosts may order within the handover gap, unless one
-of them was cut off from the store shortly before: the users' rule counts only hosts in
-touch with it.
+The store loses single hosts for a while and moves the lease at any moment, and it comes
+back older, with the group as it was some generations ago; digests arrive with a delay.
+No two hosts may order within the handover gap, unless one of them was cut off from the
+store shortly before: the users' rule counts only hosts in touch with it.  No two hosts
+ever order with the same fencing token.
 """
 
 from types import SimpleNamespace
@@ -42,6 +43,13 @@
         self._expires_at = {}
         self._owner = ""
         self._generation = 0
+        self.era = 0
+
+    def go_back(self, generations):
+        """Come back older: without members, and with a generation from before."""
+        self.era += 1
+        self._generation = max(0, self._generation - generations)
+        self._expires_at, self._owner = {}, ""
 
     def move(self, choice):
         """Assign the lease to one of the members."""
@@ -59,13 +67,14 @@
         if is_new or not has_owner:
             self.move(choice)
         owned = frozenset({0}) if self._owner == host else frozenset()
-        return GroupMembership(self._generation, owned)
+        return GroupMembership(self._generation, owned, self.era)
 
 
 class _Host:
     def __init__(self, world, name):
         self.name = name
         self._world = world
+        self.era = 0
         self.cut_until = self.silent_until = -100.0
         self.next_turn_at = self.next_digest_at = 0.0
         self.announced = 0
@@ -85,7 +94,9 @@
     async def join(self, group, topic, member, lease_s, generation):
         if self._world.now < self.cut_until:
             return Failure(FailureKind.REFUSED, "timed_out", "join", "store", "")
-        return self._world.group.join(self.name, lease_s, self._world.choice())
+        membership = self._world.group.join(self.name, lease_s, self._world.choice())
+        self.era = membership.era
+        return membership
 
     def take_turn(self):
         """Renew the lease or join the group when it is due, as the manager's loop."""
@@ -110,7 +121,8 @@
                 self, Digest(**vars(self.member), started_ms=1, fence=fence)
             )
         if self.manager.is_held and self.manager.may_order():
-            self._world.orders.append((now, self.name, self._is_in_touch(now)))
+            order = (now, self.name, self._is_in_touch(now), self.manager.fence)
+            self._world.orders.append(order)
 
     def _is_in_touch(self, now):
         return now - max(self.cut_until, self.silent_until) > CONTACT_S
@@ -148,6 +160,8 @@
                 _, kind, number, duration_s = self._events.pop(0)
                 if kind == "move":
                     self.group.move(number)
+                elif kind == "older":
+                    self.group.go_back(1 + number)
                 elif kind == "cut":
                     self.hosts[number].cut_until = self.now + duration_s
                 else:
@@ -163,7 +177,7 @@
 EVENTS = st.lists(
     st.tuples(
         st.floats(1.0, DURATION_S - 1.0),
-        st.sampled_from(["move", "move", "cut", "silent"]),
+        st.sampled_from(["move", "move", "older", "cut", "silent"]),
         st.integers(0, len(HOSTS) - 1),
         st.sampled_from([0.6, 1.3, 2.5]),
     ),
@@ -185,8 +199,9 @@
         world.run()
     finally:
         lease_manager_module.monotonic_s, lease_manager_module.since_boot_s = originals
-    last = {}
-    for at, host, is_in_touch in world.orders:
+    last, holders = {}, {}
+    for at, host, is_in_touch, fence in world.orders:
+        assert holders.setdefault(fence, host) == host, (at, host, fence)
         for other, (other_at, other_in_touch) in last.items():
             if other != host and is_in_touch and other_in_touch:
                 assert at - other_at >= GAP_S - STEP_S, (at, host, other_at, other)
--- a/sequoiapoint/node/lease_manager.py
+++ b/sequoiapoint/node/lease_manager.py
@@ -67,12 +67,14 @@
     @property
     def is_held(self) -> bool:
         """Tell whether this host holds the lease; update the announced token."""
+        self._lease.note_era(self._store.era)
         is_held = self._lease.is_held(since_boot_s())
         self._exchange.placement.fence = self._lease.fence if is_held else 0
         return is_held
 
     def may_order(self) -> bool:
         """Tell whether this host may send an order now."""
+        self._lease.note_era(self._store.era)
         silent_s = monotonic_s() - self._exchange.peers.other_leader_heard_at()
         self._lease.note_other_holder(since_boot_s() - silent_s)
         return not self._state.is_draining and self._lease.may_order(since_boot_s())
@@ -93,6 +95,7 @@
         # The first digests show which hosts there are and thus who is a candidate.
         await asyncio.sleep(FIRST_JOIN_DELAY_S)
         while not self._state.is_draining:
+            self._lease.note_era(self._store.era)
             is_held = self._lease.is_held(since_boot_s())
             if is_held or self._is_candidate():
                 await self._join()
--- a/sequoiapoint/node/lease_manager_test.py
+++ b/sequoiapoint/node/lease_manager_test.py
@@ -73,6 +73,7 @@
 
     def __init__(self):
         self.generation = 10
+        self.era = 0
 
     async def join(self, group, topic, member, lease_s, generation):
         self.generation += 1
--- a/sequoiapoint/node/peer_exchange_test.py
+++ b/sequoiapoint/node/peer_exchange_test.py
@@ -64,7 +64,7 @@
             on_advance=None,
             note_store_lost=lambda now: None,
         )
-        store = SimpleNamespace(is_reachable=True)
+        store = SimpleNamespace(is_reachable=True, era=0, on_era_change=[])
         self.zone = zone
         self.exchange = PeerExchange(self.state, store, watch)
         self.exchange._sender.transport = SimpleNamespace(
--- a/sequoiapoint/node/store_watch.py
+++ b/sequoiapoint/node/store_watch.py
@@ -12,10 +12,17 @@
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.protocol.digests import TopicState
 from sequoiapoint.protocol.errors import Failure
-from sequoiapoint.protocol.gateway import Unreadable
+from sequoiapoint.protocol.gateway import (
+    GatewayConfiguration,
+    Incarnation,
+    ServerEntry,
+    StoreRecord,
+    Unreadable,
+)
+from sequoiapoint.protocol.positions import era_of
 from sequoiapoint.state.keyed_topic import KeyedTopic, TopicChange
 from sequoiapoint.transport.clock import monotonic_s
-from sequoiapoint.transport.store_client import StoreClient
+from sequoiapoint.transport.store_client import ERA_CHANGED, StoreClient
 
 MAX_CONFIGURATION_WAIT_S = 2.5
 """Maximum wait of a long poll for a configuration; below the time after which a silent
@@ -49,6 +56,10 @@
 """Interval at which a host checks whether a relay still reads the store for it."""
 
 
+MAX_REMOVED = 256
+"""Number of removed entries that are remembered; as many as a topic has tombstones."""
+
+
 class TopicWatch:
     """Watches one topic of the store.
 
@@ -57,6 +68,8 @@
     :param on_change: Called with each change, whether from the store or a peer.
     :param reads_via_relay: Tells whether a relay reads the store for this host.
     :param expects_replica: Tells whether a starting host should wait for a relay.
+    :param keeps: Tells whether a known record is newer than the one, or none, that the
+        store holds after it has come back older.
     :ivar content: This host's replica of the topic.
     """
 
@@ -70,6 +83,7 @@
         on_change: Callable[[TopicChange], None],
         reads_via_relay: Callable[[], bool],
         expects_replica: Callable[[], bool],
+        keeps: Callable[[StoreRecord, StoreRecord | None], bool],
     ) -> None:
         self._state = state
         self._store = store
@@ -79,6 +93,7 @@
         self._on_change = on_change
         self._reads_via_relay = reads_via_relay
         self._expects_replica = expects_replica
+        self._keeps = keeps
         self._is_store_lost = False
         self.content = KeyedTopic()
 
@@ -93,6 +108,8 @@
         needs_snapshot = not self.content.is_known
         backoff_s = FIRST_BACKOFF_S
         while True:
+            if era_of(self.content.end) < self._store.era:
+                needs_snapshot = True
             if not needs_snapshot and self._reads_via_relay():
                 await asyncio.sleep(RELAY_CHECK_INTERVAL_S)
                 continue
@@ -105,7 +122,7 @@
                 self._log_regained()
                 await asyncio.sleep(self._pause_s)
                 continue
-            if failure.reason == "expired":
+            if failure.reason in ("expired", ERA_CHANGED):
                 needs_snapshot = True
                 continue
             self._log_lost(failure)
@@ -116,9 +133,10 @@
         """Apply a peer's state of the topic if it is newer."""
         if state.end <= self.content.end:
             return
+        self._store.note_era(era_of(state.end))
         if state.is_complete:
-            self._on_change(self.content.replace(state.records, state.end))
-        else:
+            self._on_change(self.content.replace(state.records, state.end, self._keeps))
+        elif era_of(state.end) == era_of(self.content.end):
             self._on_change(self.content.apply(state.records))
 
     async def _await_replica(self) -> None:
@@ -137,7 +155,7 @@
         response = await self._store.newest(self._topic)
         if isinstance(response, Failure):
             return response
-        self._on_change(self.content.replace(*response))
+        self._on_change(self.content.replace(*response, self._keeps))
         return None
 
     async def _read_changes(self) -> Failure | None:
@@ -179,6 +197,7 @@
         self._state = state
         self._store = store
         self._codec = store.codec
+        self._removed: dict[Incarnation, tuple[int, int]] = {}
         self._logged_unreadable: set[tuple[str, str]] = set()
         self._store_lost_at = -math.inf
         self.reads_via_relay: Callable[[], bool] = lambda: False
@@ -193,6 +212,7 @@
             self._on_configuration,
             lambda: self.reads_via_relay(),
             lambda: self.expects_replica(),
+            self._keeps_configuration,
         )
         self.servers = TopicWatch(
             state,
@@ -203,6 +223,7 @@
             self._on_servers,
             lambda: self.reads_via_relay(),
             lambda: self.expects_replica(),
+            self._keeps_server,
         )
 
     async def run(self) -> None:
@@ -223,6 +244,33 @@
         """Note that a relay cannot reach the store, which may cause false removals."""
         self._store_lost_at = now
 
+    def _keeps_configuration(
+        self, known: StoreRecord, restored: StoreRecord | None
+    ) -> bool:
+        """Tell whether a known configuration is newer than the store's old copy."""
+        newest = self._codec.decode_configuration(known)
+        if not isinstance(newest, GatewayConfiguration):
+            return False
+        old = None if restored is None else self._codec.decode_configuration(restored)
+        return not isinstance(old, GatewayConfiguration) or old.version < newest.version
+
+    def _keeps_server(self, known: StoreRecord, restored: StoreRecord | None) -> bool:
+        """Tell whether a known entry is newer than the one in the store's old copy.
+
+        An entry that is missing is not kept: it is written again soon, or its server
+        has left.
+        """
+        if restored is None:
+            return False
+        newest = self._codec.decode_server(known)
+        old = self._codec.decode_server(restored)
+        if isinstance(newest, Unreadable):
+            return False
+        return isinstance(old, Unreadable) or (old.started_ms, old.report_count) < (
+            newest.started_ms,
+            newest.report_count,
+        )
+
     def _on_configuration(self, change: TopicChange) -> None:
         if change.updated or change.deleted:
             self.on_advance()
@@ -250,6 +298,10 @@
                 self._remove(record.key)
                 continue
             known = fleet.entries.get(entry.server)
+            if self._was_removed(entry, record):
+                self._state.metrics.event("server_entry_restored")
+                self._state.log.event("server_entry", "restored", server=entry.server)
+                continue
             if not fleet.put(entry):
                 self._state.metrics.event("server_entry_outdated")
             elif known is None or (known.state, known.incarnation) != (
@@ -289,10 +341,28 @@
             self._state.fleet.mark_missing(server, now)
             outcome = "vanished"
         else:
+            self._note_removed(server)
             self._state.fleet.remove(server)
             outcome = "removed"
         self._state.log.event("server_entry", outcome, server=server)
 
+    def _note_removed(self, server: str) -> None:
+        """Remember a removed entry, in case the store comes back with it."""
+        entry = self._state.fleet.entries[server]
+        end = self.servers.content.end
+        self._removed[entry.incarnation] = (entry.report_count, end)
+        while len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
+
+    def _was_removed(self, entry: ServerEntry, record: StoreRecord) -> bool:
+        """Tell whether an entry was removed before the store came back with it."""
+        removed = self._removed.get(entry.incarnation)
+        if removed is None:
+            return False
+        report_count, end = removed
+        is_restored = era_of(record.offset) > era_of(end)
+        return is_restored and entry.report_count <= report_count
+
     async def _remove_missing(self) -> None:
         while True:
             await asyncio.sleep(MISSING_CHECK_INTERVAL_S)
--- a/sequoiapoint/platform/headers.py
+++ b/sequoiapoint/platform/headers.py
@@ -14,6 +14,7 @@
 SERVER_LOAD = b"worker-load"
 SERVER_ID = b"worker-id"
 SERVER_LEAVING = b"server-leaving"
+STORE_ERA = b"store-era"
 RETRY_AFTER = b"retry-after"
 CONTENT_ENCODING = b"content-encoding"
 
--- a/sequoiapoint/platform/store.py
+++ b/sequoiapoint/platform/store.py
@@ -9,6 +9,7 @@
 
 import pydantic
 
+from sequoiapoint.platform import headers as names
 from sequoiapoint.platform.servers import ModelStatus
 from sequoiapoint.protocol.gateway import (
     CallerLimits,
@@ -24,7 +25,8 @@
     StoreRecord,
     Unreadable,
 )
-from sequoiapoint.protocol.ports import HttpCall
+from sequoiapoint.protocol.ports import Headers, HttpCall
+from sequoiapoint.protocol.positions import MAX_ERA
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
@@ -202,6 +204,7 @@
             started_ms=self.born,
             slots=self.slots,
             models=held,
+            report_count=self.seq,
         )
 
 
@@ -273,6 +276,19 @@
 class PlatformStoreCodec:
     """Encodes calls to the store and decodes its responses."""
 
+    def decode_era(self, headers: Headers) -> int | None:
+        """Decode how often the store has come back from an older copy.
+
+        :raises ValueError: The value cannot be read.
+        """
+        value = names.first_value(headers, names.STORE_ERA)
+        if value is None:
+            return None
+        era = names.parse_integer(value)
+        if era is None or era > MAX_ERA:
+            raise ValueError(f"{names.STORE_ERA.decode()}: {value[:40]!r}")
+        return era
+
     def configuration_topic(self) -> str:
         """Return the topic with the operators' configuration."""
         return CONFIGURATION_TOPIC
--- a/sequoiapoint/protocol/gateway.py
+++ b/sequoiapoint/protocol/gateway.py
@@ -168,6 +168,8 @@
         new process.
     :param slots: The number of requests that it runs concurrently.
     :param models: The resident models; None if the entry does not list them.
+    :param report_count: How many reports the process has written; an older entry has
+        a lower number.
     """
 
     server: str
@@ -178,6 +180,7 @@
     started_ms: int
     slots: int
     models: tuple[HeldModel, ...] | None = None
+    report_count: int = 0
 
     @property
     def incarnation(self) -> Incarnation:
@@ -329,6 +332,7 @@
 class StoreRecord:
     """A keyed record of the platform's store.
 
+    :param offset: Its position in the topic, across eras of the store.
     :param value: The value of the key; None if the key was deleted.
     """
 
@@ -349,12 +353,15 @@
 class GroupMembership:
     """A host's membership in a consumer group of the platform's store.
 
-    :param generation: A number that increases with each reassignment of a partition.
+    :param generation: A number that increases with each reassignment of a partition,
+        within an era of the store.
     :param partitions: The partitions assigned to this host.
+    :param era: The era of the store.
     """
 
     generation: int
     partitions: frozenset[int] = field(default_factory=frozenset)
+    era: int = 0
 
 
 @dataclass(frozen=True)
--- a/sequoiapoint/protocol/ports.py
+++ b/sequoiapoint/protocol/ports.py
@@ -92,6 +92,13 @@
 class StoreCodec(Protocol):
     """Encodes calls to the platform's store and decodes its responses."""
 
+    def decode_era(self, headers: Headers) -> int | None:
+        """Decode how often the store has come back from an older copy.
+
+        :return: None if the response does not say.
+        :raises ValueError: The value cannot be read.
+        """
+
     def newest_call(self, topic: str, after: str | None) -> HttpCall:
         """Encode a request for the latest record of each key of a topic.
 
--- a/sequoiapoint/state/fleet.py
+++ b/sequoiapoint/state/fleet.py
@@ -37,6 +37,11 @@
 some round trips, after which the other sources are up to date."""
 
 
+def _age(entry: ServerEntry) -> tuple[int, int]:
+    """Return a key that sorts the entries of one server by age, the oldest first."""
+    return (entry.started_ms, entry.report_count)
+
+
 class Fleet:
     """The backend servers by id."""
 
@@ -56,10 +61,10 @@
         """Add or update an entry.
 
         :return: Whether it was applied; an entry of an earlier process of the same
-            server is ignored.
+            server is ignored, and an earlier entry of the same process.
         """
         known = self._entries.get(entry.server)
-        if known is not None and known.started_ms > entry.started_ms:
+        if known is not None and _age(entry) < _age(known):
             return False
         if known is not None and known.started_ms < entry.started_ms:
             self._contents.pop(known.incarnation, None)
--- a/sequoiapoint/state/keyed_topic.py
+++ b/sequoiapoint/state/keyed_topic.py
@@ -1,9 +1,10 @@
 """A replica of a keyed topic of the platform's store, with the newest record by key."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from sequoiapoint.protocol.gateway import StoreRecord
+from sequoiapoint.protocol.positions import era_of
 
 
 @dataclass(frozen=True)
@@ -18,6 +19,10 @@
     deleted: tuple[str, ...]
 
 
+def _keeps_none(known: StoreRecord, restored: StoreRecord | None) -> bool:
+    return False
+
+
 MAX_TOMBSTONES = 256
 """Number of tombstones kept for hosts that replicate from this one; a host that has
 missed an older one must read the complete topic."""
@@ -39,7 +44,7 @@
 
     @property
     def end(self) -> int:
-        """Return the offset after the last known record; -1 if none is known."""
+        """Return the position after the last known record; -1 if none is known."""
         return self._end
 
     @property
@@ -79,15 +84,28 @@
             self._tombstones_from = oldest.offset + 1
         return TopicChange(tuple(newest.values()), tuple(deleted))
 
-    def replace(self, records: Iterable[StoreRecord], end: int) -> TopicChange:
+    def replace(
+        self,
+        records: Iterable[StoreRecord],
+        end: int,
+        keeps: Callable[[StoreRecord, StoreRecord | None], bool] = _keeps_none,
+    ) -> TopicChange:
         """Replace the state by a complete state of the topic.
 
-        :param end: The offset after the state's last record; a state that is older than
-            the known one has no effect.
+        :param end: The position after the state's last record; a state that is older
+            than the known one has no effect.
+        :param keeps: Tells whether a known record is newer than the one of its key, or
+            none, that the store holds after it has come back older.
         """
         if end < self._end:
             return TopicChange((), ())
         state = {record.key: record for record in records if record.value is not None}
+        if self.is_known and era_of(end) > era_of(self._end):
+            state |= {
+                key: known
+                for key, known in self._records.items()
+                if keeps(known, state.get(key))
+            }
         updated = tuple(
             record
             for key, record in state.items()
--- a/sequoiapoint/state/keyed_topic_test.py
+++ b/sequoiapoint/state/keyed_topic_test.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sequoiapoint.protocol.gateway import StoreRecord
+from sequoiapoint.protocol.positions import era_of, offset_of, position
 from sequoiapoint.state.keyed_topic import MAX_TOMBSTONES, KeyedTopic
 
 
@@ -113,3 +114,40 @@
     topic.replace(records((3, "a", b"1")), 5)
     assert topic.changes_since(4) is None
     assert topic.changes_since(5) == ()
+
+
+@pytest.mark.parametrize(("era", "offset"), [(0, 0), (0, 7), (3, 0), (4_000_000, 9)])
+def test_a_position_has_an_era_and_an_offset(era, offset):
+    at = position(era, offset)
+    assert (era_of(at), offset_of(at)) == (era, offset)
+    assert position(era + 1, 0) > at
+    assert at < 2**63
+
+
+def test_a_topic_of_a_later_era_replaces_a_longer_one_of_an_earlier():
+    topic = KeyedTopic()
+    topic.apply(records((0, "a", b"1"), (1, "b", b"2"), (2, "a", b"3")))
+    change = topic.replace(records((position(1, 0), "a", b"1")), position(1, 1))
+    assert values(topic) == {"a": b"1"}
+    assert change.deleted == ("b",)
+    assert topic.end == position(1, 1)
+    assert topic.changes_since(3) is None
+    late = topic.replace(records((2, "a", b"3")), 3)
+    assert (values(topic), late.updated) == ({"a": b"1"}, ())
+
+
+@pytest.mark.parametrize(
+    ("restored", "kept"), [({"a": b"1"}, b"3"), ({}, b"3"), ({"a": b"4"}, b"4")]
+)
+def test_a_record_that_is_newer_than_the_old_copy_is_kept(restored, kept):
+    """Guards against a configuration that goes back for hosts that start later."""
+    topic = KeyedTopic()
+    topic.apply(records((0, "a", b"1"), (1, "a", b"3")))
+    topic.replace(
+        records(*((position(1, 0), key, value) for key, value in restored.items())),
+        position(1, 1),
+        keeps=lambda known, old: old is None or old.value < known.value,
+    )
+    assert values(topic) == {"a": kept}
+    topic.apply(records((position(1, 1), "a", b"2")))
+    assert values(topic) == {"a": b"2"}
--- a/sequoiapoint/transport/store_client.py
+++ b/sequoiapoint/transport/store_client.py
@@ -1,10 +1,13 @@
 """The client for all calls to the platform's store."""
 
 import math
+from collections.abc import Callable
+from dataclasses import replace
 
 from sequoiapoint.protocol.errors import Failure, FailureKind
 from sequoiapoint.protocol.gateway import GroupMembership, StoreRecord
 from sequoiapoint.protocol.ports import HttpCall, StoreCodec
+from sequoiapoint.protocol.positions import era_of, offset_of, position
 from sequoiapoint.transport.async_http_client import ConnectionPool, Response, call
 from sequoiapoint.transport.clock import monotonic_s
 from sequoiapoint.transport.decision_log import DecisionLog
@@ -16,15 +19,20 @@
 UNREACHABLE_AFTER_S = 0.5
 """Time for which calls must fail until the store counts as unreachable: a few retries
 of a relay."""
+ERA_CHANGED = "era_changed"
+"""Reason of a failed read whose offset is of an earlier era of the store."""
 EXPIRED_STATUS = 410
 """The status with which the store reports that it has deleted the records."""
 
 
 class StoreClient:
-    """Calls the store and tracks whether it is reachable.
+    """Calls the store and tracks whether it is reachable, and its era.
 
     :param address: The store's IP address and port.
     :param codec: Encodes the calls and decodes the responses.
+    :ivar era: The latest known era of the store; it rises each time the store comes
+        back from an older copy.
+    :ivar on_era_change: Called after the era has risen.
     """
 
     def __init__(
@@ -37,6 +45,9 @@
         self._logged_skips: set[str] = set()
         self._pool = ConnectionPool(address)
         self._failing_since: float | None = None
+        self.era = 0
+        self._is_era_known = False
+        self.on_era_change: list[Callable[[], None]] = []
         self.last_failure_at = -math.inf
 
     @property
@@ -58,8 +69,9 @@
         )
 
     async def newest(self, topic: str) -> tuple[list[StoreRecord], int] | Failure:
-        """Return the latest record of each key and the offset from which to read on."""
+        """Return the latest record of each key, and the position to read from."""
         records: list[StoreRecord] = []
+        era: int | None = None
         start_offset: int | None = None
         after = None
         while True:
@@ -72,29 +84,38 @@
                 )
             except ValueError as error:
                 return self._failure("unreadable_answer", "newest", str(error))
-            records += page
+            if era not in (None, self.era):
+                return self._failure(ERA_CHANGED, "newest")
+            era = self.era
+            records += self._positioned(page)
             # The pages are not a snapshot.  Records written between them are not lost,
             # because reading continues from the end offset of the first page.
             start_offset = end_offset if start_offset is None else start_offset
             if not has_more or not page:
-                return records, start_offset
+                return records, position(era, start_offset)
             after = page[-1].key
 
     async def read(
-        self, topic: str, offset: int, wait_s: float
+        self, topic: str, start: int, wait_s: float
     ) -> list[StoreRecord] | Failure:
-        """Read the records from an offset, waiting for the first one.
+        """Read the records from a position, waiting for the first one.
+
+        The position must be of the store's present era.
 
         :param wait_s: The maximum time to wait at the store, in seconds.
         """
+        offset = offset_of(start)
         request = self._codec.read_call(topic, offset, wait_s)
         response = await self._call("read", request, wait_s + CALL_TIMEOUT_S)
         if isinstance(response, Failure):
             return response
         try:
-            return self._codec.decode_read(topic, offset, response.body)
+            records = self._codec.decode_read(topic, offset, response.body)
         except ValueError as error:
             return self._failure("unreadable_answer", "read", str(error))
+        if era_of(start) != self.era:
+            return self._failure(ERA_CHANGED, "read")
+        return self._positioned(records)
 
     async def put(self, topic: str, key: str, value: bytes) -> Failure | None:
         """Write one keyed record."""
@@ -110,7 +131,8 @@
         if isinstance(response, Failure):
             return response
         try:
-            return self._codec.decode_join(response.body, self._note_skipped)
+            membership = self._codec.decode_join(response.body, self._note_skipped)
+            return replace(membership, era=self.era)
         except ValueError as error:
             return self._failure("unreadable_answer", "join", str(error))
 
@@ -128,6 +150,9 @@
             self._note_failure(now)
             self._metrics.event(f"store_{step}_{response.reason}")
             return response
+        if not self._is_current(response):
+            self._metrics.event(f"store_{step}_late")
+            return self._failure("late_era", step)
         if response.status == EXPIRED_STATUS:
             self._failing_since = None
             return self._failure("expired", step)
@@ -139,6 +164,40 @@
         self._metrics.event(f"store_{step}_ok")
         return response
 
+    def _is_current(self, response: Response) -> bool:
+        """Tell whether a response is of the present era; note a new era.
+
+        An era that cannot be read is logged once and taken for the present one.
+        """
+        try:
+            era = self._codec.decode_era(response.headers)
+        except ValueError as error:
+            self._note_skipped(str(error))
+            return True
+        if era is not None:
+            self.note_era(era)
+        return era is None or era == self.era
+
+    def note_era(self, era: int) -> None:
+        """Note an era of the store, known from a response or from another host."""
+        if era <= self.era and self._is_era_known:
+            return
+        previous, self.era = self.era, max(era, self.era)
+        if self._is_era_known:
+            self._log.event("store_era_changed", old=previous, new=era)
+            self._metrics.event("store_era_changed")
+            # Entries that are missing now may be written again, as after an outage.
+            self.last_failure_at = monotonic_s()
+        self._is_era_known = True
+        for callback in self.on_era_change:
+            callback()
+
+    def _positioned(self, records: list[StoreRecord]) -> list[StoreRecord]:
+        """Return records with their positions in place of the store's offsets."""
+        if not self.era:
+            return records
+        return [replace(r, offset=position(self.era, r.offset)) for r in records]
+
     def _note_failure(self, now: float) -> None:
         self.last_failure_at = now
         if self._failing_since is None:
--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -16,6 +16,8 @@
 
 CALL_PATH_PREFIX = "/sequoiapoint/log-"
 JSON = [(b"Content-Type", b"application/json")]
+LOST_GENERATIONS = 2
+"""Number of generations that a group loses when the store comes back older."""
 REASSIGNED_LEASE_S = 1.8
 """Lease of a member that a partition is reassigned to: the lease that hosts request."""
 
@@ -28,12 +30,14 @@
     """
 
     records: list[tuple[str, bytes]] = field(default_factory=list)
+    written_at: list[float] = field(default_factory=list)
     first: int = 0
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def append(self, key: str, value: bytes) -> int:
         """Append a record, wake the waiting readers and return the offset."""
         self.records.append((key, value))
+        self.written_at.append(time.monotonic())
         self.changed.set()
         self.changed = asyncio.Event()
         return len(self.records) - 1
@@ -53,10 +57,28 @@
     members: dict[str, float] = field(default_factory=dict)
 
 
+class _EraResponder:
+    """Adds the store's era to the head of each response."""
+
+    def __init__(self, store: "Store", responder: Responder) -> None:
+        self._store = store
+        self._responder = responder
+
+    def send_response(self, status: int, headers: list, body: bytes = b"") -> None:
+        """Send a complete response."""
+        era = (b"Store-Era", str(self._store.era).encode())
+        self._responder.send_response(status, [*headers, era], body)
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._responder.abort()
+
+
 class Store:
     """The simulated store.
 
     :ivar outage: "" for none, or how calls fail: ``busy``, ``silent`` or ``reset``.
+    :ivar era: How often it has come back from an older copy, and one.
     :ivar calls: The names of the calls received so far.
     """
 
@@ -64,6 +86,7 @@
         self.topics: dict[str, Topic] = {}
         self.groups: dict[str, Group] = {}
         self.outage = ""
+        self.era = 1
         self.calls: list[str] = []
         self.server = AsyncHttpServer(self._handle, lambda status: None)
 
@@ -81,6 +104,24 @@
         self.topic(topic).first = len(self.topic(topic).records)
         self.topic(topic).changed.set()
 
+    def go_back(self, seconds: float) -> None:
+        """Come back from a copy: without the records of the last seconds.
+
+        The groups of hosts are those of the copy, too: generations are given out again.
+        """
+        self.era += 1
+        copied_until = time.monotonic() - seconds
+        for topic in self.topics.values():
+            count = sum(at <= copied_until for at in topic.written_at)
+            del topic.records[count:]
+            del topic.written_at[count:]
+            topic.first = min(topic.first, count)
+            topic.changed.set()
+            topic.changed = asyncio.Event()
+        for group in self.groups.values():
+            group.generation = max(0, group.generation - LOST_GENERATIONS)
+            group.members, group.owner = {}, ""
+
     def reassign(self, group: str, member: str) -> None:
         """Reassign a group's partition to a member, without any request.
 
@@ -92,6 +133,7 @@
         state.generation += 1
 
     async def _handle(self, request: InboundRequest, responder: Responder) -> None:
+        responder = _EraResponder(self, responder)
         url = urlsplit(request.target)
         call = url.path.removeprefix(CALL_PATH_PREFIX)
         self.calls.append(call)
@@ -124,6 +166,10 @@
         self, request: InboundRequest, query: dict, responder: Responder
     ) -> None:
         topic, start = self.topic(query["topic"]), int(query["from"])
+        if start > len(topic.records):
+            end = json.dumps({"first": topic.first}).encode()
+            responder.send_response(410, JSON, end)
+            return
         if start < topic.first:
             first = json.dumps({"first": topic.first}).encode()
             responder.send_response(410, JSON, first)
@@ -134,7 +180,7 @@
                     await topic.changed.wait()
             except TimeoutError:
                 pass
-        if start < topic.first:
+        if start < topic.first or start > len(topic.records):
             responder.send_response(410, JSON, b'{"first":0}')
             return
         body = struct.pack(">QQ", len(topic.records), topic.first)
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -21,9 +21,10 @@
 ``store_link`` are links: from the callers to a gateway, from the gateways to a server,
 and from a gateway to the store."""
 
-NOTICE_KINDS = ("leave", "turn_away")
-"""What servers announce in their responses: further faults of the part ``backend``."""
-MAX_NOTICES = 2
+FURTHER_KINDS = (("backend", "leave"), ("backend", "turn_away"), ("store", "older"))
+"""Further faults, as pairs of part and kind: what servers announce in their responses,
+and a store that comes back older."""
+MAX_FURTHER_FAULTS = 3
 """The largest number of such faults in a run."""
 
 
@@ -64,24 +65,23 @@
                 rng.randrange(12),
             )
         )
-    faults += _generate_notices(seed)
+    faults += _generate_further(seed)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
-def _generate_notices(seed: int) -> list[Fault]:
-    """Return the announcements of servers in a run.
+def _generate_further(seed: int) -> list[Fault]:
+    """Return the further faults of a run.
 
     They have a generator of their own, so that the other faults of a seed stay as they
     were when its run failed.
     """
-    rng = random.Random(f"{seed} notices")
+    rng = random.Random(f"{seed} further")
     return [
         Fault(
             rng.uniform(EARLIEST_START_S, LATEST_START_S),
             rng.uniform(MIN_DURATION_S, MAX_DURATION_S),
-            "backend",
-            rng.choice(NOTICE_KINDS),
+            *rng.choice(FURTHER_KINDS),
             rng.randrange(12),
         )
-        for _ in range(rng.randint(0, MAX_NOTICES))
+        for _ in range(rng.randint(0, MAX_FURTHER_FAULTS))
     ]
--- a/standins/soak/site.py
+++ b/standins/soak/site.py
@@ -42,6 +42,7 @@
         self._interrupted: set[str] = set()
         self._end_timers: list[threading.Timer] = []
         self._version = 1
+        self._configuration = configuration()
         self._lock = threading.Lock()
         self.caller_ports: dict[str, int] = {}
         self.exit_codes: list[int | None] = []
@@ -163,6 +164,9 @@
                 member = self.gateways[fault.target % len(self.gateways)].name
                 self.call(self.store.reassign, "engine-orders", member)
             return None
+        if fault.kind == "older":
+            self.call(self.store.go_back, fault.duration_s)
+            return self._write_again
         self.store.outage = fault.kind
         return partial(setattr, self.store, "outage", "")
 
@@ -199,11 +203,18 @@
     def _operator(self, fault: Fault) -> None:
         self.change_configuration()
 
+    def _write_again(self) -> None:
+        """Write what the operator and the servers wrote, after the store went back."""
+        self.call(self.store.write, "keyed.op", "config", self._configuration)
+        for backend in self.backends:
+            self.call(backend.register)
+
     def change_configuration(self) -> str:
         """Write the next configuration to the store and return its new route's name."""
         self._version += 1
         changed = configuration(self._version)
         name = f"new{self._version}"
         changed["routes"].append(route(name, "idempotent", "web"))
+        self._configuration = changed
         self.call(self.store.write, "keyed.op", "config", changed)
         return name
--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -188,6 +188,43 @@
         assert gateway.send_request("/new/x", f"a-{number}").status == 200
 
 
+def test_a_store_that_comes_back_older_takes_nothing_back(site):
+    """A configuration, a registration and a lease are lost, a second time at once."""
+    request_until_served(site, site.gateways[0], "oak/a4", LEADER_CHANGE_TIMEOUT_S)
+    fence = orders_by_time(site)[-1]["fence"]
+    time.sleep(1.0)
+    changed = configuration(9)
+    changed["routes"].append(route("new", "idempotent", "web"))
+    site.call(site.store.write, "keyed.op", "config", changed)
+    served = {"new": lambda g: g.send_request("/new/x", f"n-{time.monotonic()}")}
+    site.wait(
+        lambda: all(served["new"](g).status == 200 for g in site.gateways),
+        CONFIGURATION_IN_FORCE_TIMEOUT_S,
+    )
+    site.call(site.store.go_back, 0.8)
+    site.call(site.store.go_back, 0.8)
+    until = time.monotonic() + 1.5
+    while time.monotonic() < until:
+        assert [served["new"](g).status for g in site.gateways] == [200, 200]
+    site.wait(lambda: all(g.events("store_era_changed") for g in site.gateways), 4.0)
+    for backend in site.backends:
+        site.call(backend.register)
+    later = configuration(12)
+    later["routes"].append(route("later", "idempotent", "web"))
+    site.call(site.store.write, "keyed.op", "config", later)
+    site.wait(
+        lambda: all(
+            g.send_request("/later/x", f"l-{time.monotonic()}").status == 200
+            for g in site.gateways
+        ),
+        CONFIGURATION_IN_FORCE_TIMEOUT_S,
+    )
+    request_until_served(site, site.gateways[1], "oak/a5", LEADER_CHANGE_TIMEOUT_S)
+    assert orders_by_time(site)[-1]["fence"] > fence
+    registered = [key for key, _ in site.store.topic("keyed.hosts").records]
+    assert {g.name for g in site.gateways} <= set(registered)
+
+
 @pytest.mark.parametrize(
     "value",
     [
