Ask a second peer for a change at once when the first does not respond

A change that a peer announces is fetched 0.4 s later; if the connection to that peer is silent too, the fetch took a second, and the next one went to the same peer: 0.5 s (digest) + 0.4 + 1.0 + 0.2 or more. Change: such a fetch gives up after 0.4 s, and another peer is asked at once. Test: fails before (1.2 s from the digest).

--- a/sequoiapoint/node/topic_exchange.py
+++ b/sequoiapoint/node/topic_exchange.py
@@ -36,6 +36,12 @@
 
 FETCH_TIMEOUT_S = 1.0
 """Timeout of a fetch from a peer."""
+LAGGING_FETCH_TIMEOUT_S = 0.4
+"""The same for a peer that is known to have the change and responds at once.  Two such
+fetches, the delays before them and a digest's interval take less than two seconds, the
+shortest limit for applying a configuration."""
+MAX_LAGGING_FETCHES = 2
+"""Number of peers that are asked for a change, one after the other."""
 LAG_CHECK_INTERVAL_S = 0.2
 """Interval at which topics are checked for lag."""
 MAX_CONFIGURATION_LAG_S = 0.4
@@ -179,10 +185,11 @@
         if now - since < (MAX_SERVER_LAG_S if is_servers else MAX_CONFIGURATION_LAG_S):
             return
         own_zone = self._state.settings.zone
-        nearest = min(
-            ahead, key=lambda p: (p.zone != own_zone, -self._known_end(p, watch))
-        )
-        await self._fetch(watch, nearest)
+        ahead.sort(key=lambda p: (p.zone != own_zone, -self._known_end(p, watch)))
+        known = watch.content.end
+        for peer in ahead[:MAX_LAGGING_FETCHES]:
+            if watch.content.end <= known:
+                await self._fetch(watch, peer, LAGGING_FETCH_TIMEOUT_S)
 
     async def _fetch_along_tree(self, watch: TopicWatch, aggregator: Peer) -> None:
         """Fetch a change from this host's source, or else from another host."""
@@ -200,11 +207,13 @@
     def _known_end(self, peer: Peer, watch: TopicWatch) -> int:
         return _known_end(peer.digest, watch, self._watch)
 
-    async def _fetch(self, watch: TopicWatch, peer: Peer) -> None:
+    async def _fetch(
+        self, watch: TopicWatch, peer: Peer, timeout_s: float = FETCH_TIMEOUT_S
+    ) -> None:
         pool = self._pools.setdefault(peer.address, ConnectionPool(peer.address))
         query = urlencode({"from": watch.content.end})
         request = HttpCall("GET", f"{TOPIC_PATH}{watch.topic}?{query}")
-        response = await call(pool, peer.address, request, FETCH_TIMEOUT_S)
+        response = await call(pool, peer.address, request, timeout_s)
         if isinstance(response, Failure):
             self._record_failure(watch, peer, response)
             return
