Keep the time without service where the requests wait

A model that patient requests wait for was still never served where the lease moved often: each new leader started to count the time for which requests had waited anew. Change: each host reports for how long its requests for a model or adapter have not been served; the leader takes the longest of these times and of its own. Test: fails before (the demand of a host had no such time).

--- a/sequoiapoint/coordination/demand_history.py
+++ b/sequoiapoint/coordination/demand_history.py
@@ -7,21 +7,19 @@
 
 import math
 from collections import Counter
-from collections.abc import Hashable, Iterable, Mapping, Sequence, Set
+from collections.abc import Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass
 
 from sequoiapoint.coordination.adapter_placement import AdapterDemand
 from sequoiapoint.coordination.model_placement import DemandStats
 from sequoiapoint.protocol.gateway import ModelDemand
+from sequoiapoint.state.demand import UnservedTimes
 
 SMOOTHING_S = 1.0
 """Time constant of the smoothing, and so the time in which a shift of demand shows."""
 UNPLACED_AFTER_S = 0.5
 """Time for which requests have to wait for a model or adapter that no engine holds
 before it is reported; most adapters load within milliseconds."""
-UNSERVED_MEMORY_S = 8.0
-"""Time after its last request for which a model that was not served is remembered, so
-that callers who come back later do not start to wait anew."""
 ADAPTER_RECENT_S = 5.0
 """Time after its last request for which an adapter counts as recently requested."""
 
@@ -43,38 +41,6 @@
     model_copies: int
 
 
-class _UnservedTimes:
-    """Times since which requests have waited with none of them being served.
-
-    A pause between two callers, or between a refusal and the retry, does not end such a
-    time.  The keys are those of models or of adapters.
-    """
-
-    def __init__(self) -> None:
-        self._since: dict[Hashable, float] = {}
-        self._last_requested_at: dict[Hashable, float] = {}
-
-    def update(
-        self,
-        running: Mapping[Hashable, int],
-        waiting: Mapping[Hashable, int],
-        now: float,
-    ) -> None:
-        """Update the times with the present numbers of requests by key."""
-        self._last_requested_at |= dict.fromkeys(running, now)
-        for key, count in waiting.items():
-            if count:
-                self._since.setdefault(key, now)
-        for key in list(self._since):
-            idle_s = now - self._last_requested_at[key]
-            if running.get(key) or idle_s > UNSERVED_MEMORY_S:
-                del self._since[key]
-
-    def elapsed_s(self, key: Hashable, now: float) -> float:
-        """Return the time for which a key's requests have not been served."""
-        return now - self._since.get(key, now)
-
-
 class DemandHistory:
     """Past and current demand by service and model.
 
@@ -93,8 +59,8 @@
         self._adapter_last_requested_at: dict[tuple[str, str, str], float] = {}
         self._adapters_in_use: dict[str, set[tuple[str, str]]] = {}
         self._pairs_waiting: dict[tuple[str, str, str], int] = {}
-        self._unserved_models = _UnservedTimes()
-        self._unserved_pairs = _UnservedTimes()
+        self._unserved_models = UnservedTimes()
+        self._unserved_pairs = UnservedTimes()
 
     def update(self, total: Iterable[ModelDemand], now: float) -> None:
         """Update the history with the demand summed over all hosts."""
@@ -104,7 +70,6 @@
         self._waiting.clear()
         self._adapters_in_use = {}
         self._pairs_waiting = {}
-        pairs_running: dict[tuple[str, str, str], int] = {}
         for demand in total:
             key = (demand.service, demand.model)
             running_totals[key] += demand.running
@@ -118,16 +83,27 @@
             )
             if demand.adapter:
                 self._update_adapter(demand, now)
-            pair = (demand.service, demand.model, demand.adapter)
-            pairs_running[pair] = demand.running
-            if demand.waiting:
-                self._pairs_waiting[pair] = demand.waiting
-        self._unserved_models.update(running_totals, self._waiting, now)
-        self._unserved_pairs.update(pairs_running, self._pairs_waiting, now)
+            self._update_unserved(demand, now)
+        for key, running in running_totals.items():
+            if running:
+                self._unserved_models.note_served(key)
         for key in self._running.keys() | running_totals.keys():
             smoothed = self._running.get(key, 0.0)
             self._running[key] = smoothed + weight * (running_totals[key] - smoothed)
 
+    def _update_unserved(self, demand: ModelDemand, now: float) -> None:
+        """Track since when requests have waited with none being served.
+
+        Hosts report these times too, so that they outlast a change of the leader.
+        """
+        pair = (demand.service, demand.model, demand.adapter)
+        if demand.waiting:
+            self._pairs_waiting[pair] = demand.waiting
+            self._unserved_pairs.note_waiting(pair, now, demand.unserved_s)
+            self._unserved_models.note_waiting(pair[:2], now, demand.unserved_s)
+        if demand.running:
+            self._unserved_pairs.note_served(pair)
+
     def _update_adapter(self, demand: ModelDemand, now: float) -> None:
         model_and_adapter = (demand.model, demand.adapter)
         self._adapter_last_requested_at[(demand.service, *model_and_adapter)] = now
--- a/sequoiapoint/coordination/demand_history_test.py
+++ b/sequoiapoint/coordination/demand_history_test.py
@@ -1,10 +1,12 @@
 """Tests of the demand that the leader aggregates."""
 
+from dataclasses import replace
+
 import pytest
 
-from sequoiapoint.coordination import demand_history
 from sequoiapoint.coordination.demand_history import DemandHistory, UnplacedDemand
 from sequoiapoint.protocol.gateway import ModelDemand
+from sequoiapoint.state.demand import UNSERVED_MEMORY_S
 
 
 def waits(model, adapter="", count=1):
@@ -51,5 +53,17 @@
     history.update([ModelDemand("lm", "oak", "", 1, 3, 0.3, 0)], 15.0)
     assert unserved_s(history, 15.0) == 0.0
     history.update([waits("oak")], 16.0)
-    history.update([], 16.0 + demand_history.UNSERVED_MEMORY_S + 0.1)
-    assert unserved_s(history, 25.0) == 0.0
+    history.update([waits("oak")], 16.1 + UNSERVED_MEMORY_S)
+    assert unserved_s(history, 16.1 + UNSERVED_MEMORY_S) == 0.0
+
+
+def test_a_new_leader_knows_how_long_requests_have_not_been_served():
+    """Guards against models that are never served while the lease moves often.
+
+    Replays scale-1 of the grown Tollcross, small: ten leaders within 45 s, each of
+    which started to count anew.
+    """
+    history = DemandHistory(100.0)
+    history.update([replace(waits("oak", "a1"), unserved_s=6.0)], 100.0)
+    assert unserved_s(history, 100.0) == 6.0
+    assert history.adapters_waiting("lm", 100.0)[("oak", "a1")].unserved_s == 6.0
--- a/sequoiapoint/node/peer_exchange_test.py
+++ b/sequoiapoint/node/peer_exchange_test.py
@@ -288,7 +288,7 @@
     leader = network.hosts[9]
     for host in network.hosts:
         host.state.fleet.put(host.entry())
-        host.state.demand.adjust(("lm", "oak", ""), running=1)
+        host.state.demand.adjust(("lm", "oak", ""), 0.0, running=1)
     leader.exchange.placement.fence = 5
     leader.state.fleet.set_held(SERVER, {"oak": {"a1"}})
     network.run(2.0)
@@ -328,7 +328,7 @@
     leader.state.fleet.set_held(SERVER, {"oak": {"a1"}})
     network.run(3.0)
     network.received.clear()
-    waiting_host.state.demand.adjust(("lm", "oak", "a1"), waiting=1)
+    waiting_host.state.demand.adjust(("lm", "oak", "a1"), network.now, waiting=1)
     waiting_host.state.fleet.set_held(SERVER, {"oak": set()})
     waiting_host.exchange.placement.send_demand(network.now)
     network.deliver_pending()
--- a/sequoiapoint/node/placement_exchange.py
+++ b/sequoiapoint/node/placement_exchange.py
@@ -199,7 +199,7 @@
 
     def send_demand(self, now: float) -> None:
         """Report this host's demand to the leader, or to the candidates without one."""
-        demands = tuple(self._state.demand.report())
+        demands = tuple(self._state.demand.report(now))
         self._demand_sent_at = now
         self.cluster_demand.set_report(self._sender.local_member.host, demands, now)
         if not demands and not self._has_reported_demand:
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -164,7 +164,7 @@
             load.note_sent(attempt_number, monotonic_s(), self._selector.prompt_tokens)
             self._attempt_number = attempt_number
             if self._selector.is_engine:
-                state.demand.adjust(self._selector.demand_key, running=1)
+                state.demand.adjust(self._selector.demand_key, monotonic_s(), running=1)
             self._slot_quality = SlotQuality.UNUSED
             try:
                 outcome = await self._attempt(entry, fingerprint)
@@ -172,7 +172,9 @@
                 load.note_finished(attempt_number)
                 self._selector.release(self._slot_quality)
                 if self._selector.is_engine:
-                    state.demand.adjust(self._selector.demand_key, running=-1)
+                    state.demand.adjust(
+                        self._selector.demand_key, monotonic_s(), running=-1
+                    )
                 state.wait_queue.notify()
             if outcome is _AttemptOutcome.DELIVERED:
                 return
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -134,7 +134,7 @@
                 if not is_waiting:
                     is_waiting = True
                     if self.is_engine:
-                        state.demand.adjust(self.demand_key, waiting=1)
+                        state.demand.adjust(self.demand_key, now, waiting=1)
                         state.replan_requested.set()
                 await state.wait_queue.wait(
                     self._route.priority,
@@ -146,7 +146,7 @@
         finally:
             self.waited_s += monotonic_s() - started_at
             if is_waiting and self.is_engine:
-                state.demand.adjust(self.demand_key, waiting=-1)
+                state.demand.adjust(self.demand_key, monotonic_s(), waiting=-1)
 
     async def _acquire(self, ticket: SlotTicket, now: float) -> ServerEntry | None:
         """Return a server that can take the request now, None if there is none."""
--- a/sequoiapoint/protocol/digest.capnp
+++ b/sequoiapoint/protocol/digest.capnp
@@ -20,6 +20,7 @@
   waiting @4 :UInt32;
   goalMs @5 :UInt32;
   priority @6 :UInt8;
+  unservedMs @7 :UInt32;
 }
 
 struct HeldModel {
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -134,6 +134,7 @@
                 "waiting": demand.waiting,
                 "goalMs": round(demand.goal_s * 1000),
                 "priority": min(demand.priority, MAX_PRIORITY),
+                "unservedMs": round(demand.unserved_s * 1000),
             }
             for demand in digest.demands
         ],
@@ -194,6 +195,7 @@
                     d.waiting,
                     d.goalMs / 1000,
                     d.priority,
+                    d.unservedMs / 1000,
                 )
                 for d in message.demands
             ),
--- a/sequoiapoint/protocol/gateway.py
+++ b/sequoiapoint/protocol/gateway.py
@@ -372,6 +372,8 @@
     :param waiting: Requests queued at hosts until a server is available.
     :param goal_s: The shortest latency goal of their routes, in seconds.
     :param priority: The most urgent priority of their routes; 0 is the most urgent.
+    :param unserved_s: Time since which requests have waited while none was sent to a
+        server, in seconds.
     """
 
     service: str
@@ -381,3 +383,4 @@
     waiting: int
     goal_s: float = 0.0
     priority: int = 0
+    unserved_s: float = 0.0
--- a/sequoiapoint/state/demand.py
+++ b/sequoiapoint/state/demand.py
@@ -4,19 +4,54 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Set
+from collections.abc import Hashable, Iterable, Mapping, Set
 from dataclasses import dataclass, field
 
 from sequoiapoint.protocol.gateway import ModelDemand
 
+UNSERVED_MEMORY_S = 8.0
+"""Time after its last waiting request for which a model that was not served is
+remembered, so that callers who come back later do not start to wait anew."""
 REPORT_TTL_S = 2.5
 """Maximum age of a report in the totals; allows for a few consecutive lost digests."""
 
 
+class UnservedTimes:
+    """Times since which requests have waited with none of them being served.
+
+    A pause between two callers, or between a refusal and the retry, does not end such a
+    time.  The keys are those of models or of adapters.
+    """
+
+    def __init__(self) -> None:
+        self._since: dict[Hashable, float] = {}
+        self._last_waited_at: dict[Hashable, float] = {}
+
+    def note_waiting(self, key: Hashable, now: float, unserved_s: float = 0.0) -> None:
+        """Record that a request waits.
+
+        :param unserved_s: Time for which requests are known to have waited before.
+        """
+        since = now - unserved_s
+        if now - self._last_waited_at.get(key, now) <= UNSERVED_MEMORY_S:
+            since = min(since, self._since.get(key, since))
+        self._since[key] = since
+        self._last_waited_at[key] = now
+
+    def note_served(self, key: Hashable) -> None:
+        """Record that a request was sent to a server."""
+        self._since.pop(key, None)
+
+    def elapsed_s(self, key: Hashable, now: float) -> float:
+        """Return the time for which a key's requests have not been served."""
+        return now - self._since.get(key, now)
+
+
 class LocalDemand:
     """The demand of this host's requests."""
 
     def __init__(self) -> None:
+        self._unserved = UnservedTimes()
         self._running: Counter[tuple[str, str, str]] = Counter()
         self._waiting: Counter[tuple[str, str, str]] = Counter()
         self._urgency: dict[tuple[str, str, str], tuple[float, int]] = {}
@@ -38,14 +73,18 @@
         self._changed_keys.add(key)
 
     def adjust(
-        self, key: tuple[str, str, str], running: int = 0, waiting: int = 0
+        self, key: tuple[str, str, str], now: float, running: int = 0, waiting: int = 0
     ) -> None:
         """Add to the request counts of a service, model and adapter."""
+        if waiting > 0:
+            self._unserved.note_waiting(key, now)
+        if running > 0:
+            self._unserved.note_served(key)
         self._running[key] += running
         self._waiting[key] += waiting
         self._changed_keys.add(key)
 
-    def report(self) -> list[ModelDemand]:
+    def report(self, now: float) -> list[ModelDemand]:
         """Return the demand of all keys in use now or since the last report."""
         keys = self._changed_keys | {k for k, n in self._running.items() if n}
         keys |= {k for k, n in self._waiting.items() if n}
@@ -56,6 +95,7 @@
                 self._running[key],
                 self._waiting[key],
                 *self._urgency.get(key, (0.0, 0)),
+                self._unserved.elapsed_s(key, now) if self._waiting[key] else 0.0,
             )
             for key in keys
         ]
@@ -88,17 +128,19 @@
     def total(self, now: float) -> list[ModelDemand]:
         """Return the total demand of all hosts with a recent report.
 
-        A total has the shortest goal and the most urgent, thus smallest, priority of
-        its reports.
+        A total has the shortest goal, the most urgent, thus smallest, priority and the
+        longest time without service of its reports.
         """
         running: Counter[tuple[str, str, str]] = Counter()
         waiting: Counter[tuple[str, str, str]] = Counter()
         urgency: dict[tuple[str, str, str], tuple[float, int]] = {}
+        unserved_s: dict[tuple[str, str, str], float] = {}
         for at, report in self._reports.values():
             if now - at > REPORT_TTL_S:
                 continue
             for demand in report:
                 key = (demand.service, demand.model, demand.adapter)
+                unserved_s[key] = max(demand.unserved_s, unserved_s.get(key, 0.0))
                 running[key] += demand.running
                 waiting[key] += demand.waiting
                 goal_s, priority = urgency.get(key, (demand.goal_s, demand.priority))
@@ -107,6 +149,8 @@
                     min(priority, demand.priority),
                 )
         return [
-            ModelDemand(*key, running[key], waiting[key], *urgency[key])
+            ModelDemand(
+                *key, running[key], waiting[key], *urgency[key], unserved_s[key]
+            )
             for key in running
         ]
