Do not let a reload signal end a gateway that is starting

The soak sends it only to processes that handle signals, as it does with the stop signal: during the interpreter's own start nothing can.

--- a/standins/soak/site.py
+++ b/standins/soak/site.py
@@ -103,7 +103,11 @@
         gateway = self.gateways[fault.target % len(self.gateways)]
         if gateway.name in self._interrupted:
             return None
+        handles_signals = len(gateway.events("host_start")) == gateway.starts
         if fault.kind == "reload":
+            if not handles_signals:
+                # The interpreter may not be running yet: the signal would end it.
+                return None
             gateway.settings.write_text(gateway.settings.read_text() + "\n")
             gateway.signal(signal.SIGHUP)
             return None
@@ -113,7 +117,6 @@
         elif fault.kind == "freeze":
             gateway.signal(signal.SIGSTOP)
         else:
-            handles_signals = len(gateway.events("host_start")) == gateway.starts
             gateway.signal(signal.SIGTERM)
             return partial(self._restart_after_stop, gateway, handles_signals)
         return partial(self._resume, gateway, fault.kind)
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -18,6 +18,7 @@
 """Seeds of the runs in each CI run; a soak started by hand does fifty runs."""
 REGRESSION_SEEDS = {
     22: "a port of the stand-ins was given to another process's connection",
+    210: "told to reload just after its start, the process ended with the signal",
     29: "told to stop before it handled signals, the process ended with the signal",
 }
 """Seeds whose runs have failed before, each with the cause of its failure."""
