Bound the reported time without service by the last service that the leader saw

A host reports for how long its own requests have not been served, and does not know that requests of other hosts were: a model that was served and evicted was overdue at once. Change: the leader counts from the last service that it has seen at the earliest.

--- a/sequoiapoint/coordination/demand_history.py
+++ b/sequoiapoint/coordination/demand_history.py
@@ -86,7 +86,7 @@
             self._update_unserved(demand, now)
         for key, running in running_totals.items():
             if running:
-                self._unserved_models.note_served(key)
+                self._unserved_models.note_served(key, now)
         for key in self._running.keys() | running_totals.keys():
             smoothed = self._running.get(key, 0.0)
             self._running[key] = smoothed + weight * (running_totals[key] - smoothed)
@@ -102,7 +102,7 @@
             self._unserved_pairs.note_waiting(pair, now, demand.unserved_s)
             self._unserved_models.note_waiting(pair[:2], now, demand.unserved_s)
         if demand.running:
-            self._unserved_pairs.note_served(pair)
+            self._unserved_pairs.note_served(pair, now)
 
     def _update_adapter(self, demand: ModelDemand, now: float) -> None:
         model_and_adapter = (demand.model, demand.adapter)
--- a/sequoiapoint/coordination/demand_history_test.py
+++ b/sequoiapoint/coordination/demand_history_test.py
@@ -67,3 +67,11 @@
     history.update([replace(waits("oak", "a1"), unserved_s=6.0)], 100.0)
     assert unserved_s(history, 100.0) == 6.0
     assert history.adapters_waiting("lm", 100.0)[("oak", "a1")].unserved_s == 6.0
+
+
+def test_a_model_that_was_served_since_does_not_keep_the_time_that_a_host_reports():
+    """Guards against a model that is overdue as soon as it has been evicted."""
+    history = DemandHistory(100.0)
+    history.update([ModelDemand("lm", "oak", "", 1, 0, 0.3, 0)], 109.0)
+    history.update([replace(waits("oak"), unserved_s=9.0)], 110.0)
+    assert unserved_s(history, 110.0) == 1.0
--- a/sequoiapoint/state/demand.py
+++ b/sequoiapoint/state/demand.py
@@ -3,6 +3,7 @@
 Each host counts its own requests; the leader adds up the counts that hosts report.
 """
 
+import math
 from collections import Counter
 from collections.abc import Hashable, Iterable, Mapping, Set
 from dataclasses import dataclass, field
@@ -26,21 +27,24 @@
     def __init__(self) -> None:
         self._since: dict[Hashable, float] = {}
         self._last_waited_at: dict[Hashable, float] = {}
+        self._served_at: dict[Hashable, float] = {}
 
     def note_waiting(self, key: Hashable, now: float, unserved_s: float = 0.0) -> None:
         """Record that a request waits.
 
-        :param unserved_s: Time for which requests are known to have waited before.
+        :param unserved_s: Time for which requests are said to have waited before, by
+            a host that may not know that others were served meanwhile.
         """
-        since = now - unserved_s
+        since = max(now - unserved_s, self._served_at.get(key, -math.inf))
         if now - self._last_waited_at.get(key, now) <= UNSERVED_MEMORY_S:
             since = min(since, self._since.get(key, since))
         self._since[key] = since
         self._last_waited_at[key] = now
 
-    def note_served(self, key: Hashable) -> None:
+    def note_served(self, key: Hashable, now: float) -> None:
         """Record that a request was sent to a server."""
         self._since.pop(key, None)
+        self._served_at[key] = now
 
     def elapsed_s(self, key: Hashable, now: float) -> float:
         """Return the time for which a key's requests have not been served."""
@@ -79,7 +83,7 @@
         if waiting > 0:
             self._unserved.note_waiting(key, now)
         if running > 0:
-            self._unserved.note_served(key)
+            self._unserved.note_served(key, now)
         self._running[key] += running
         self._waiting[key] += waiting
         self._changed_keys.add(key)
