Compare reports of a server's entry only with an older copy of the store

An entry with a lower count of reports was ignored at any time, so that an entry of another writer with a high count would have hidden the server's own for good. A replica keeps the newer entry when the store comes back older, which is the only case that needs it. Tests: entries in an older copy (draining, restarted, unreadable, removed, missing), and the entry of another writer, which fails before.

--- a/sequoiapoint/node/placement_controller.py
+++ b/sequoiapoint/node/placement_controller.py
@@ -222,15 +222,15 @@
             ),
         )
         unplaced = self._demand.unplaced(service, [r.usable() for r in records], now)
-        for demand_of_pair in unplaced[:MAX_LOGGED_MODELS]:
+        for missing in unplaced[:MAX_LOGGED_MODELS]:
             self._state.log.event(
                 "demand_unplaced",
                 service=service,
-                model=demand_of_pair.model,
-                adapter=demand_of_pair.adapter,
-                waiting=demand_of_pair.waiting,
-                unserved_ms=round(demand_of_pair.unserved_s * 1000),
-                model_copies=demand_of_pair.model_copies,
+                model=missing.model,
+                adapter=missing.adapter,
+                waiting=missing.waiting,
+                unserved_ms=round(missing.unserved_s * 1000),
+                model_copies=missing.model_copies,
                 unplaced=len(unplaced),
             )
 
--- /dev/null
+++ b/sequoiapoint/node/store_watch_test.py
@@ -0,0 +1,108 @@
+"""Servers' entries and the configuration after the store has come back older."""
+
+import json
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from sequoiapoint.node.store_watch import StoreWatch
+from sequoiapoint.platform.store import PlatformStoreCodec
+from sequoiapoint.protocol.digests import TopicState
+from sequoiapoint.protocol.gateway import ServerState, StoreRecord
+from sequoiapoint.protocol.gateway_settings import Bounds
+from sequoiapoint.protocol.positions import era_of, position
+from sequoiapoint.state.fleet import Fleet
+
+
+def entry(count, state="ready", born=5):
+    value = {
+        "service": "lm",
+        "addr": "10.0.0.1:80",
+        "zone": "z",
+        "state": state,
+        "slots": 8,
+        "version": "v1",
+        "seq": count,
+        "born": born,
+    }
+    return json.dumps(value).encode()
+
+
+@pytest.fixture
+def watch():
+    state = SimpleNamespace(
+        settings=SimpleNamespace(bounds=Bounds()),
+        fleet=Fleet(),
+        rng=random.Random(1),
+        loads=SimpleNamespace(retain=lambda live: None),
+        pools=SimpleNamespace(retain=lambda live: None),
+        wait_queue=SimpleNamespace(notify=lambda: None),
+        replan_requested=SimpleNamespace(set=lambda: None),
+        log=SimpleNamespace(event=lambda *a, **fields: None),
+        metrics=SimpleNamespace(event=lambda name: None),
+    )
+    store = SimpleNamespace(codec=PlatformStoreCodec(), era=1, last_failure_at=-100.0)
+    store.note_era = lambda era: setattr(store, "era", max(era, store.era))
+    watch = StoreWatch(state, store)
+    watch.fleet = state.fleet
+    return watch
+
+
+def replicate(watch, *values, end):
+    """Take over the whole topic of servers from another host."""
+    era = era_of(end)
+    records = tuple(
+        StoreRecord(position(era, offset), "s-1", value)
+        for offset, value in enumerate(values)
+    )
+    watch.servers.merge_peer_state(TopicState(records, end, True))
+
+
+def states(watch):
+    return [entry.state for entry in watch.fleet.entries.values()]
+
+
+@pytest.mark.parametrize(
+    ("restored", "expected"),
+    [
+        (entry(6), ServerState.DRAINING),
+        (entry(8), ServerState.READY),
+        (entry(1, born=9), ServerState.READY),
+        (b"{", ServerState.DRAINING),
+    ],
+)
+def test_a_server_that_leaves_is_not_ready_again_in_an_older_copy(
+    watch, restored, expected
+):
+    replicate(watch, entry(7, "draining"), end=position(1, 1))
+    replicate(watch, restored, end=position(2, 1))
+    assert states(watch) == [expected]
+
+
+@pytest.mark.parametrize(
+    ("restored", "is_back"),
+    [(entry(7), False), (entry(8), True), (entry(1, born=9), True)],
+)
+def test_a_removed_server_does_not_come_back_with_an_older_copy(
+    watch, restored, is_back
+):
+    replicate(watch, entry(7), end=position(1, 1))
+    replicate(watch, end=position(1, 2))
+    assert states(watch) == []
+    replicate(watch, restored, end=position(2, 1))
+    assert bool(states(watch)) is is_back
+
+
+def test_an_entry_of_another_writer_does_not_hide_the_servers_own(watch):
+    foreign = entry(10**9, "draining")
+    replicate(watch, foreign, end=position(1, 1))
+    replicate(watch, foreign, entry(8), end=position(1, 2))
+    assert states(watch) == [ServerState.READY]
+
+
+def test_a_server_that_is_missing_from_an_older_copy_is_used_for_a_while(watch):
+    replicate(watch, entry(7), end=position(1, 1))
+    watch._store.last_failure_at = 1e12
+    replicate(watch, end=position(2, 0))
+    assert states(watch) == [ServerState.READY]
--- a/sequoiapoint/state/fleet.py
+++ b/sequoiapoint/state/fleet.py
@@ -37,11 +37,6 @@
 some round trips, after which the other sources are up to date."""
 
 
-def _age(entry: ServerEntry) -> tuple[int, int]:
-    """Return a key that sorts the entries of one server by age, the oldest first."""
-    return (entry.started_ms, entry.report_count)
-
-
 class Fleet:
     """The backend servers by id."""
 
@@ -61,10 +56,10 @@
         """Add or update an entry.
 
         :return: Whether it was applied; an entry of an earlier process of the same
-            server is ignored, and an earlier entry of the same process.
+            server is ignored.
         """
         known = self._entries.get(entry.server)
-        if known is not None and _age(entry) < _age(known):
+        if known is not None and known.started_ms > entry.started_ms:
             return False
         if known is not None and known.started_ms < entry.started_ms:
             self._contents.pop(known.incarnation, None)
