--- a/sequoiapoint/cli/entry_point_test.py
+++ b/sequoiapoint/cli/entry_point_test.py
@@ -8,6 +8,7 @@
 
 PROGRAM = """
 import runpy, signal, sys, types
+signal.signal(signal.SIGHUP, signal.SIG_DFL)  # A parent may have ignored it.
 module = types.ModuleType("sequoiapoint.cli.main")
 module.main = lambda: print(signal.getsignal(signal.SIGHUP).name)
 sys.modules["sequoiapoint.cli.main"] = module
