--- a/sequoiapoint/coordination/adapter_placement.py
+++ b/sequoiapoint/coordination/adapter_placement.py
@@ -152,4 +152,5 @@
 
 
 def _has_had_its_turn(record: EngineRecord, pair: tuple[str, str], now: float) -> bool:
+    """Tell whether an adapter has kept its slot long enough to yield it."""
     return now - record.adapter_load_accepted_at.get(pair, 0.0) >= ADAPTER_TURN_S
--- a/sequoiapoint/state/keyed_topic.py
+++ b/sequoiapoint/state/keyed_topic.py
@@ -20,6 +20,7 @@
 
 
 def _keeps_none(known: StoreRecord, restored: StoreRecord | None) -> bool:
+    """Take every record over as the store holds it."""
     return False
 
 
