Log and measure how late a host applies that a server leaves

No host knew how old its list of servers was, so the logs could not tell a late reader from a late announcement or fetch. Each host now tracks the last read of the store that its replica contains, its own or one announced in a digest (serverAgeMs). A leaving is logged with unread_ms (between two reads) and relayed_ms (since the second one), whose sum bounds the time since the store's acknowledgement; the histogram server_leaving_lag_seconds has the sum. No decision uses them.

--- a/sequoiapoint/node/peer_exchange_test.py
+++ b/sequoiapoint/node/peer_exchange_test.py
@@ -16,6 +16,7 @@
 from sequoiapoint.state.keyed_topic import KeyedTopic
 from sequoiapoint.state.peers import LIVENESS_TIMEOUT_S, RELAY_FAILOVER_S
 from sequoiapoint.state.server_load import ServerLoads
+from sequoiapoint.state.topic_freshness import TopicFreshness
 
 SERVER = ("s-1", 1)
 LINK_QUEUE_S = 0.1
@@ -56,7 +57,15 @@
                 self.state.fleet.note_leaving(entry.incarnation, now)
             ),
         )
-        topics = [SimpleNamespace(topic=n, content=KeyedTopic()) for n in ("c", "s")]
+        topics = [
+            SimpleNamespace(
+                topic=name,
+                content=KeyedTopic(),
+                freshness=TopicFreshness(),
+                note_announcement=lambda *a: None,
+            )
+            for name in ("c", "s")
+        ]
         watch = SimpleNamespace(
             configuration=topics[0],
             servers=topics[1],
--- a/sequoiapoint/node/store_watch.py
+++ b/sequoiapoint/node/store_watch.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.protocol.digests import TopicState
@@ -16,11 +16,13 @@
     GatewayConfiguration,
     Incarnation,
     ServerEntry,
+    ServerState,
     StoreRecord,
     Unreadable,
 )
 from sequoiapoint.protocol.positions import era_of
 from sequoiapoint.state.keyed_topic import KeyedTopic, TopicChange
+from sequoiapoint.state.topic_freshness import ChangeLag, TopicFreshness
 from sequoiapoint.transport.clock import monotonic_s
 from sequoiapoint.transport.store_client import ERA_CHANGED, StoreClient
 
@@ -71,6 +73,7 @@
     :param keeps: Tells whether a known record is newer than the one, or none, that the
         store holds after it has come back older.
     :ivar content: This host's replica of the topic.
+    :ivar freshness: Until when the replica is known to be complete.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         self._keeps = keeps
         self._is_store_lost = False
         self.content = KeyedTopic()
+        self.freshness = TopicFreshness()
 
     @property
     def topic(self) -> str:
@@ -135,9 +139,24 @@
             return
         self._store.note_era(era_of(state.end))
         if state.is_complete:
-            self._on_change(self.content.replace(state.records, state.end, self._keeps))
+            change = self.content.replace(state.records, state.end, self._keeps)
         elif era_of(state.end) == era_of(self.content.end):
-            self._on_change(self.content.apply(state.records))
+            change = self.content.apply(state.records)
+        else:
+            return
+        self.freshness.note_end(self.content.end)
+        self._on_change(change)
+
+    def change_lag(self) -> ChangeLag:
+        """Return the lag of the changes that have just been applied."""
+        return self.freshness.change_lag(monotonic_s())
+
+    def note_announcement(self, end: int, age_s: float, now: float) -> None:
+        """Note the end that another host has reached.
+
+        :param age_s: The time since the read of the store that brought it there.
+        """
+        self.freshness.note_announcement(end, now - age_s, self.content.end)
 
     async def _await_replica(self) -> None:
         """Wait a short time for a replica from the zone's aggregator.
@@ -152,19 +171,29 @@
             pass
 
     async def _load_snapshot(self) -> Failure | None:
+        started_at = monotonic_s()
         response = await self._store.newest(self._topic)
         if isinstance(response, Failure):
             return response
-        self._on_change(self.content.replace(*response, self._keeps))
+        change = self.content.replace(*response, self._keeps)
+        self._note_read(started_at)
+        self._on_change(change)
         return None
 
     async def _read_changes(self) -> Failure | None:
+        started_at = monotonic_s()
         response = await self._store.read(self._topic, self.content.end, self._wait_s)
         if isinstance(response, Failure):
             return response
-        self._on_change(self.content.apply(response))
+        change = self.content.apply(response)
+        self._note_read(started_at)
+        self._on_change(change)
         return None
 
+    def _note_read(self, started_at: float) -> None:
+        self.freshness.note_read(started_at)
+        self.freshness.note_end(self.content.end)
+
     def _log_lost(self, failure: Failure) -> None:
         if not self._is_store_lost:
             self._is_store_lost = True
@@ -198,6 +227,8 @@
         self._store = store
         self._codec = store.codec
         self._removed: dict[Incarnation, tuple[int, int]] = {}
+        # By server: the earliest time at which its entry may have disappeared.
+        self._vanished_after: dict[str, float] = {}
         self._logged_unreadable: set[tuple[str, str]] = set()
         self._store_lost_at = -math.inf
         self.reads_via_relay: Callable[[], bool] = lambda: False
@@ -298,6 +329,7 @@
                 self._remove(record.key)
                 continue
             known = fleet.entries.get(entry.server)
+            self._vanished_after.pop(entry.server, None)
             if self._was_removed(entry, record):
                 self._state.metrics.event("server_entry_restored")
                 self._state.log.event("server_entry", "restored", server=entry.server)
@@ -317,7 +349,10 @@
                     zone=entry.zone,
                     started_ms=entry.started_ms,
                     offset=record.offset,
+                    **self._lag_fields(),
                 )
+                if entry.state is ServerState.DRAINING:
+                    self._record_leaving_lag(self.servers.change_lag().total_s)
         for server in change.deleted:
             self._remove(server)
         if change.updated or change.deleted:
@@ -339,12 +374,33 @@
             < STORE_RECOVERY_S
         ):
             self._state.fleet.mark_missing(server, now)
+            self._vanished_after.setdefault(
+                server, now - self.servers.change_lag().total_s
+            )
             outcome = "vanished"
         else:
             self._note_removed(server)
+            if self._state.fleet.entries[server].state is ServerState.READY:
+                self._record_leaving_lag(self.servers.change_lag().total_s)
             self._state.fleet.remove(server)
             outcome = "removed"
-        self._state.log.event("server_entry", outcome, server=server)
+        self._state.log.event(
+            "server_entry", outcome, server=server, **self._lag_fields()
+        )
+
+    def _lag_fields(self) -> Mapping[str, int]:
+        """Return the parts of the lag of the last change, for the log."""
+        lag = self.servers.change_lag()
+        if not math.isfinite(lag.total_s):
+            return {}
+        return {
+            "unread_ms": round(1000 * lag.unread_s),
+            "relayed_ms": round(1000 * lag.relayed_s),
+        }
+
+    def _record_leaving_lag(self, seconds: float) -> None:
+        if math.isfinite(seconds):
+            self._state.metrics.leaving_lag(seconds)
 
     def _note_removed(self, server: str) -> None:
         """Remember a removed entry, in case the store comes back with it."""
@@ -369,8 +425,16 @@
             retention_s = (
                 MISSING_RETENTION_SHARE * self._state.settings.bounds.server_drain_s
             )
-            for server in self._state.fleet.remove_missing(monotonic_s() - retention_s):
-                self._state.log.event("server_entry", "removed", server=server)
+            now = monotonic_s()
+            for server in self._state.fleet.remove_missing(now - retention_s):
+                lag_s = now - self._vanished_after.pop(server, now)
+                self._record_leaving_lag(lag_s)
+                self._state.log.event(
+                    "server_entry",
+                    "removed",
+                    server=server,
+                    lag_ms=round(1000 * lag_s) if math.isfinite(lag_s) else None,
+                )
                 self._discard_stopped_processes()
 
     def _discard_stopped_processes(self) -> None:
--- a/sequoiapoint/node/store_watch_test.py
+++ b/sequoiapoint/node/store_watch_test.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sequoiapoint.node import store_watch
 from sequoiapoint.node.store_watch import StoreWatch
 from sequoiapoint.platform.store import PlatformStoreCodec
 from sequoiapoint.protocol.digests import TopicState
@@ -31,6 +32,7 @@
 
 @pytest.fixture
 def watch():
+    lines, lags = [], []
     state = SimpleNamespace(
         settings=SimpleNamespace(bounds=Bounds()),
         fleet=Fleet(),
@@ -39,13 +41,13 @@
         pools=SimpleNamespace(retain=lambda live: None),
         wait_queue=SimpleNamespace(notify=lambda: None),
         replan_requested=SimpleNamespace(set=lambda: None),
-        log=SimpleNamespace(event=lambda *a, **fields: None),
-        metrics=SimpleNamespace(event=lambda name: None),
+        log=SimpleNamespace(event=lambda *a, **fields: lines.append((a, fields))),
+        metrics=SimpleNamespace(event=lambda name: None, leaving_lag=lags.append),
     )
     store = SimpleNamespace(codec=PlatformStoreCodec(), era=1, last_failure_at=-100.0)
     store.note_era = lambda era: setattr(store, "era", max(era, store.era))
     watch = StoreWatch(state, store)
-    watch.fleet = state.fleet
+    watch.fleet, watch.lines, watch.lags = state.fleet, lines, lags
     return watch
 
 
@@ -106,3 +108,20 @@
     watch._store.last_failure_at = 1e12
     replicate(watch, end=position(2, 0))
     assert states(watch) == [ServerState.READY]
+
+
+@pytest.mark.parametrize("values", [(entry(7), entry(8, "draining")), ()])
+def test_how_late_a_leaving_server_is_known_is_logged_with_its_parts(
+    watch, monkeypatch, values
+):
+    """From the read before the last, which did not have the change, until now."""
+    clock = SimpleNamespace(now=10.0)
+    monkeypatch.setattr(store_watch, "monotonic_s", lambda: clock.now)
+    replicate(watch, entry(7), end=position(1, 1))
+    watch.servers.note_announcement(position(1, 1), 0.0, 10.0)
+    watch.servers.note_announcement(position(1, 2), 0.1, 10.8)
+    clock.now = 11.0
+    replicate(watch, *values, end=position(1, 2))
+    (_, fields) = watch.lines[-1]
+    assert (fields["unread_ms"], fields["relayed_ms"]) == (700, 300)
+    assert watch.lags == [pytest.approx(1.0)]
--- a/sequoiapoint/node/topic_exchange.py
+++ b/sequoiapoint/node/topic_exchange.py
@@ -110,6 +110,10 @@
         """Schedule a fetch if this host lags behind a digest; note store outages."""
         if digest.scope is Scope.FLEET and not digest.is_store_reachable:
             self._watch.note_store_lost(monotonic_s())
+        if digest.server_age_s is not None:
+            self._watch.servers.note_announcement(
+                digest.server_end, digest.server_age_s, monotonic_s()
+            )
         if self._is_behind(digest) and self.reads_via_relay():
             self._fetch_requested.set()
 
--- a/sequoiapoint/protocol/digest.capnp
+++ b/sequoiapoint/protocol/digest.capnp
@@ -76,6 +76,7 @@
   isHeartbeat @18 :Bool;        # Whether the lists of the sender's last digest stand.
   capacity @19 :UInt32;         # The sender's, in thousandths of a core.
   leavingServers @20 :List(Process); # Servers that have announced that they leave.
+  serverAgeMs @21 :Int64 = -1;  # Since the last read of the servers; -1 if not known.
 }
 
 struct Record {
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -14,6 +14,8 @@
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(Path(__file__).with_name("digest.capnp")))
 
+UNKNOWN_AGE_MS = -1
+"""Stands for an age that the sender does not know."""
 MAX_PRIORITY = 255
 """The least urgent priority that a digest can carry."""
 MAX_TOPIC_STATE_BYTES = 64_000_000
@@ -71,6 +73,8 @@
         those of the sender's last digest remain valid.
     :param capacity: The sender's processor capacity in thousandths of a core.
     :param leaving_servers: Server processes that have announced that they leave.
+    :param server_age_s: Time since the read of the store that brought the sender to
+        ``server_end``, or confirmed it, in seconds; None if it is not known.
     """
 
     host: str
@@ -94,6 +98,7 @@
     is_heartbeat: bool = False
     capacity: int = 0
     leaving_servers: tuple[Incarnation, ...] = ()
+    server_age_s: float | None = None
 
     @property
     def sender(self) -> Member:
@@ -164,6 +169,11 @@
             {"server": server, "startedMs": started}
             for server, started in digest.leaving_servers
         ],
+        serverAgeMs=(
+            UNKNOWN_AGE_MS
+            if digest.server_age_s is None
+            else round(1000 * digest.server_age_s)
+        ),
     )
     return message.to_bytes_packed()
 
@@ -219,6 +229,9 @@
             leaving_servers=tuple(
                 (p.server, p.startedMs) for p in message.leavingServers
             ),
+            server_age_s=(
+                None if message.serverAgeMs < 0 else message.serverAgeMs / 1000
+            ),
         )
     except capnp.KjException as error:
         raise ValueError(f"not a digest: {error}") from error
--- a/sequoiapoint/transport/metrics.py
+++ b/sequoiapoint/transport/metrics.py
@@ -6,7 +6,21 @@
 from prometheus_client import REGISTRY, generate_latest
 
 CONTENT_TYPE = "text/plain; version=0.0.4"
-SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.69, 1.0, 2.0, 5.0, 10.0, 30.0)
+SECONDS_BUCKETS = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.69,
+    1.0,
+    1.5,
+    2.0,
+    5.0,
+    10.0,
+    30.0,
+)
 
 
 class Metrics:
@@ -46,6 +60,12 @@
         self._first_token = meter.create_histogram(
             "first_token_seconds", unit="s", description="Time to the first token"
         )
+        self._leaving_lag = meter.create_histogram(
+            "server_leaving_lag_seconds",
+            unit="s",
+            description="Upper bound on the time from the store's acknowledgement that "
+            "a server leaves until this host applied it",
+        )
         self._duration = meter.create_histogram(
             "request_seconds", unit="s", description="Time to the end of a request"
         )
@@ -90,6 +110,10 @@
         """Record the time to the first token, in seconds."""
         self._first_token.record(seconds, {"promise": promise})
 
+    def leaving_lag(self, seconds: float) -> None:
+        """Record how late, at most, this host learned that a server leaves."""
+        self._leaving_lag.record(seconds)
+
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(REGISTRY)
