Keep removed servers only around an outage of the store itself

Callers' requests reached a server 2.05 s after the store had acknowledged its leaving.

Cause: an entry that disappears is kept for 1.2 s if a call of this host or of its zone's aggregator failed within the last 3 s, since entries that expire in a store outage come back.

Now an outage is a time in which the store has served no known host (StoreOutage, fed by own reads and by the ages that digests announce), and the time of use counts from the outage's end or the earliest moment of the removal, whichever is later.

--- a/sequoiapoint/node/peer_exchange_test.py
+++ b/sequoiapoint/node/peer_exchange_test.py
@@ -62,7 +62,6 @@
                 topic=name,
                 content=KeyedTopic(),
                 freshness=TopicFreshness(),
-                note_announcement=lambda *a: None,
             )
             for name in ("c", "s")
         ]
@@ -71,7 +70,7 @@
             servers=topics[1],
             reads_via_relay=None,
             on_advance=None,
-            note_store_lost=lambda now: None,
+            handle_announcement=lambda *a: None,
         )
         store = SimpleNamespace(is_reachable=True, era=0, on_era_change=[])
         self.zone = zone
--- a/sequoiapoint/node/store_watch.py
+++ b/sequoiapoint/node/store_watch.py
@@ -22,6 +22,7 @@
 )
 from sequoiapoint.protocol.positions import era_of
 from sequoiapoint.state.keyed_topic import KeyedTopic, TopicChange
+from sequoiapoint.state.store_outage import StoreOutage
 from sequoiapoint.state.topic_freshness import ChangeLag, TopicFreshness
 from sequoiapoint.transport.clock import monotonic_s
 from sequoiapoint.transport.store_client import ERA_CHANGED, StoreClient
@@ -48,7 +49,12 @@
 MISSING_CHECK_INTERVAL_S = 0.1
 """Interval at which missing entries that have not come back are removed."""
 STORE_RECOVERY_S = 3.0
-"""Time without a failure of the store after which a removal takes effect at once."""
+"""Time after a store outage from which on a removal takes effect at once."""
+MIN_OUTAGE_SHARE = 0.75
+"""Time without service to any known host that counts as an outage of the store, as a
+share of the time within which a leaving server must stop receiving new requests.  It is
+longer than the interval between a zone's reads, and than the time after which a host
+turns to the store itself."""
 MAX_REPLICA_WAIT_S = 1.0
 """Maximum time for which a starting host waits for a replica of a topic from its zone's
 aggregator: two digest intervals."""
@@ -230,7 +236,9 @@
         # By server: the earliest time at which its entry may have disappeared.
         self._vanished_after: dict[str, float] = {}
         self._logged_unreadable: set[tuple[str, str]] = set()
-        self._store_lost_at = -math.inf
+        self._outage = StoreOutage(
+            MIN_OUTAGE_SHARE * state.settings.bounds.server_drain_s
+        )
         self.reads_via_relay: Callable[[], bool] = lambda: False
         self.expects_replica: Callable[[], bool] = lambda: False
         self.on_advance: Callable[[], None] = lambda: None
@@ -271,9 +279,13 @@
                 return watch
         return None
 
-    def note_store_lost(self, now: float) -> None:
-        """Note that a relay cannot reach the store, which may cause false removals."""
-        self._store_lost_at = now
+    def handle_announcement(self, end: int, age_s: float, now: float) -> None:
+        """Note the end of the servers' topic that another host has reached.
+
+        :param age_s: The time since the read of the store that brought it there.
+        """
+        self._outage.note_served(now - age_s)
+        self.servers.note_announcement(end, age_s, now)
 
     def _keeps_configuration(
         self, known: StoreRecord, restored: StoreRecord | None
@@ -322,6 +334,9 @@
 
     def _on_servers(self, change: TopicChange) -> None:
         fleet = self._state.fleet
+        read_at = self.servers.freshness.complete_until
+        if math.isfinite(read_at):
+            self._outage.note_served(read_at)
         for record in change.updated:
             entry = self._codec.decode_server(record)
             if isinstance(entry, Unreadable):
@@ -364,19 +379,17 @@
     def _remove(self, server: str) -> None:
         """Remove a server; after a store outage, mark it as missing instead.
 
-        A missing entry stays in use for a while, since it may come back.
+        A missing entry stays in use for a while after the outage, since it may come
+        back.
         """
         if server not in self._state.fleet.entries:
             return
         now = monotonic_s()
-        if (
-            now - max(self._store.last_failure_at, self._store_lost_at)
-            < STORE_RECOVERY_S
-        ):
-            self._state.fleet.mark_missing(server, now)
-            self._vanished_after.setdefault(
-                server, now - self.servers.change_lag().total_s
-            )
+        returned_at = max(self._outage.ended_at, self._store.era_changed_at)
+        if now - returned_at < STORE_RECOVERY_S:
+            removed_after = now - self.servers.change_lag().total_s
+            self._state.fleet.mark_missing(server, max(removed_after, returned_at))
+            self._vanished_after.setdefault(server, removed_after)
             outcome = "vanished"
         else:
             self._note_removed(server)
@@ -422,20 +435,24 @@
     async def _remove_missing(self) -> None:
         while True:
             await asyncio.sleep(MISSING_CHECK_INTERVAL_S)
-            retention_s = (
-                MISSING_RETENTION_SHARE * self._state.settings.bounds.server_drain_s
+            self._drop_missing()
+
+    def _drop_missing(self) -> None:
+        """Remove the missing servers whose entries have not come back in time."""
+        retention_s = (
+            MISSING_RETENTION_SHARE * self._state.settings.bounds.server_drain_s
+        )
+        now = monotonic_s()
+        for server in self._state.fleet.remove_missing(now - retention_s):
+            lag_s = now - self._vanished_after.pop(server, now)
+            self._record_leaving_lag(lag_s)
+            self._state.log.event(
+                "server_entry",
+                "removed",
+                server=server,
+                lag_ms=round(1000 * lag_s) if math.isfinite(lag_s) else None,
             )
-            now = monotonic_s()
-            for server in self._state.fleet.remove_missing(now - retention_s):
-                lag_s = now - self._vanished_after.pop(server, now)
-                self._record_leaving_lag(lag_s)
-                self._state.log.event(
-                    "server_entry",
-                    "removed",
-                    server=server,
-                    lag_ms=round(1000 * lag_s) if math.isfinite(lag_s) else None,
-                )
-                self._discard_stopped_processes()
+            self._discard_stopped_processes()
 
     def _discard_stopped_processes(self) -> None:
         live = {entry.incarnation for entry in self._state.fleet.entries.values()}
--- a/sequoiapoint/node/store_watch_test.py
+++ b/sequoiapoint/node/store_watch_test.py
@@ -44,7 +44,7 @@
         log=SimpleNamespace(event=lambda *a, **fields: lines.append((a, fields))),
         metrics=SimpleNamespace(event=lambda name: None, leaving_lag=lags.append),
     )
-    store = SimpleNamespace(codec=PlatformStoreCodec(), era=1, last_failure_at=-100.0)
+    store = SimpleNamespace(codec=PlatformStoreCodec(), era=1, era_changed_at=-100.0)
     store.note_era = lambda era: setattr(store, "era", max(era, store.era))
     watch = StoreWatch(state, store)
     watch.fleet, watch.lines, watch.lags = state.fleet, lines, lags
@@ -105,7 +105,7 @@
 
 def test_a_server_that_is_missing_from_an_older_copy_is_used_for_a_while(watch):
     replicate(watch, entry(7), end=position(1, 1))
-    watch._store.last_failure_at = 1e12
+    watch._store.era_changed_at = 1e12
     replicate(watch, end=position(2, 0))
     assert states(watch) == [ServerState.READY]
 
@@ -125,3 +125,36 @@
     (_, fields) = watch.lines[-1]
     assert (fields["unread_ms"], fields["relayed_ms"]) == (700, 300)
     assert watch.lags == [pytest.approx(1.0)]
+
+
+@pytest.mark.parametrize(
+    ("returned_at", "kept_until"),
+    [(None, 11.4), (11.3, 12.5), (10.2, 11.7), (5.0, 11.4)],
+)
+def test_a_removed_server_is_kept_only_around_an_outage_of_the_store_itself(
+    watch, monkeypatch, returned_at, kept_until
+):
+    """A host of a reader that had lost the store used a removed server for 2.05 s.
+
+    The removal was acknowledged after 10.5 s at the earliest; this host reads it at
+    11.4 s.
+    """
+    clock = SimpleNamespace(now=11.4)
+    monkeypatch.setattr(store_watch, "monotonic_s", lambda: clock.now)
+    replicate(watch, entry(7), end=position(1, 1))
+    if returned_at is not None:
+        for at in (returned_at - 4.0, *(returned_at + n for n in range(6))):
+            watch._outage.note_served(at)
+    for at in (10.5, 11.3):
+        watch.handle_announcement(position(1, 1 + (at > 11)), 0.0, at)
+    replicate(watch, end=position(1, 2))
+
+    def is_kept_at(now):
+        clock.now = now
+        watch._drop_missing()
+        return states(watch) == [ServerState.READY]
+
+    assert [is_kept_at(kept_until - 0.01), is_kept_at(kept_until + 0.01)] == [
+        kept_until > 11.41,
+        False,
+    ]
--- a/sequoiapoint/node/topic_exchange.py
+++ b/sequoiapoint/node/topic_exchange.py
@@ -16,7 +16,6 @@
 from sequoiapoint.node.store_watch import StoreWatch, TopicWatch
 from sequoiapoint.protocol.digests import (
     Digest,
-    Scope,
     TopicState,
     decode_topic_state,
     encode_topic_state,
@@ -107,11 +106,9 @@
         self._advanced = asyncio.Event()
 
     def handle_digest(self, digest: Digest) -> None:
-        """Schedule a fetch if this host lags behind a digest; note store outages."""
-        if digest.scope is Scope.FLEET and not digest.is_store_reachable:
-            self._watch.note_store_lost(monotonic_s())
+        """Note what a digest announces; schedule a fetch if this host lags behind."""
         if digest.server_age_s is not None:
-            self._watch.servers.note_announcement(
+            self._watch.handle_announcement(
                 digest.server_end, digest.server_age_s, monotonic_s()
             )
         if self._is_behind(digest) and self.reads_via_relay():
--- a/sequoiapoint/transport/store_client.py
+++ b/sequoiapoint/transport/store_client.py
@@ -33,6 +33,7 @@
     :ivar era: The latest known era of the store; it rises each time the store comes
         back from an older copy.
     :ivar on_era_change: Called after the era has risen.
+    :ivar era_changed_at: When it last rose, in seconds; -inf if it has not.
     """
 
     def __init__(
@@ -48,7 +49,7 @@
         self.era = 0
         self._is_era_known = False
         self.on_era_change: list[Callable[[], None]] = []
-        self.last_failure_at = -math.inf
+        self.era_changed_at = -math.inf
 
     @property
     def codec(self) -> StoreCodec:
@@ -186,8 +187,7 @@
         if self._is_era_known:
             self._log.event("store_era_changed", old=previous, new=era)
             self._metrics.event("store_era_changed")
-            # Entries that are missing now may be written again, as after an outage.
-            self.last_failure_at = monotonic_s()
+            self.era_changed_at = monotonic_s()
         self._is_era_known = True
         for callback in self.on_era_change:
             callback()
@@ -199,7 +199,6 @@
         return [replace(r, offset=position(self.era, r.offset)) for r in records]
 
     def _note_failure(self, now: float) -> None:
-        self.last_failure_at = now
         if self._failing_since is None:
             self._failing_since = now
 
