Reset the connection of a request that is given up on

Callers had their 502 long before.

Cause: aborting a transport closes its socket in the usual way. The kernel keeps what the peer has not acknowledged and delivers it when the partition ends. Now a connection with a request on it is closed with a reset, which discards these bytes. The test fails before (the peer reads an ordinary end).

--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -9,6 +9,7 @@
 import enum
 import re
 import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -161,10 +162,16 @@
         return exchange
 
     def close(self) -> None:
-        """Close the connection immediately and abandon a request on it."""
+        """Close the connection immediately and abandon a request on it.
+
+        Bytes of the request that the peer has not received are discarded: the kernel
+        would deliver them after the end of a network partition.
+        """
         exchange, self._exchange = self._exchange, None
         self._may_reuse = False
         if self._transport is not None:
+            if exchange is not None:
+                _discard_on_close(self._transport.get_extra_info("socket"))
             self._transport.abort()
         if exchange is not None:
             exchange.finish(ExchangeOutcome.ABANDONED)
@@ -305,6 +312,11 @@
         self._on_release(self)
 
 
+def _discard_on_close(sock: socket.socket) -> None:
+    """Make the kernel reset the connection and discard unsent bytes on close."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def set_liveness_options(sock: socket.socket) -> None:
     """Make the kernel close a connection whose peer no longer responds."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, DEAD_PEER_TIMEOUT_MS)
--- a/sequoiapoint/transport/async_http_client_test.py
+++ b/sequoiapoint/transport/async_http_client_test.py
@@ -219,3 +219,39 @@
     response = asyncio.run(scenario())
     assert isinstance(response, Response)
     assert (response.status, response.body) == (200, b"hi")
+
+
+@pytest.mark.parametrize(
+    ("has_request", "expected"), [(True, ConnectionResetError), (False, b"")]
+)
+def test_bytes_of_an_abandoned_request_are_not_delivered_later(has_request, expected):
+    """A request that its host had given up on arrived after a network partition."""
+
+    async def run():
+        received = asyncio.get_running_loop().create_future()
+
+        async def serve(reader, writer):
+            if has_request:
+                await reader.readuntil(b"\r\n\r\n")
+            try:
+                received.set_result(await reader.read())
+            except ConnectionError as error:
+                received.set_result(type(error))
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = ConnectionPool(f"127.0.0.1:{port}")
+        connection = await pool.acquire(1.0)
+        if has_request:
+            head = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+            exchange = connection.send(head, b"", lambda *a: True)
+            await asyncio.sleep(0.05)
+        connection.close()
+        if has_request:
+            assert exchange.outcome.result() is ExchangeOutcome.ABANDONED
+        async with asyncio.timeout(2.0):
+            result = await received
+        server.close()
+        return result
+
+    assert asyncio.run(run()) == expected
