Reset a connection whose peer the kernel has given up as well

Cause: only connections that this process closes itself were reset. The option now holds from the start of each connection, and is taken back when an idle one is closed.

--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -170,8 +170,8 @@
         exchange, self._exchange = self._exchange, None
         self._may_reuse = False
         if self._transport is not None:
-            if exchange is not None:
-                _discard_on_close(self._transport.get_extra_info("socket"))
+            if exchange is None:
+                _set_discard_on_close(self._transport, False)
             self._transport.abort()
         if exchange is not None:
             exchange.finish(ExchangeOutcome.ABANDONED)
@@ -189,10 +189,12 @@
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Set the socket options that detect a dead peer."""
+        """Set the options that detect a dead peer and discard unsent bytes."""
         self._transport = transport
         self._idle_since = monotonic_s()
         set_liveness_options(transport.get_extra_info("socket"))
+        # Also for a connection that the kernel ends because its peer is silent.
+        _set_discard_on_close(transport, True)
 
     def data_received(self, data: bytes) -> None:
         """Parse the data; close the connection if no request is pending."""
@@ -312,9 +314,11 @@
         self._on_release(self)
 
 
-def _discard_on_close(sock: socket.socket) -> None:
-    """Make the kernel reset the connection and discard unsent bytes on close."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+def _set_discard_on_close(transport: asyncio.Transport, discards: bool) -> None:
+    """Choose whether the kernel resets the connection on close and discards bytes."""
+    linger = struct.pack("ii", discards, 0)
+    sock = transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
 def set_liveness_options(sock: socket.socket) -> None:
