Reject the parts of prompts that crash engines

Cause: the quarantine knows a request by target, model and body, and no two of these requests are alike. Of 40 unanswered requests that the crashes broke, 39 had been sent once, so retries were not the cause.

When an engine crashes, the shared parts of the requests there that had no answer yet are suspects; an answer (the second event of a stream) clears its parts. The part that explains three crashes is rejected on all hosts (coordination/prompt_quarantine.py; pure, merged in any order, 4 bytes a crash). A broken connection counts as a crash only if the engine refuses connections. Changes are sent at once.

--- /dev/null
+++ b/sequoiapoint/coordination/prompt_quarantine.py
@@ -0,0 +1,196 @@
+"""Finds the parts of prompts that crash the engines which write an answer on them.
+
+Answers a caller's document that crashes every engine, in requests of which no two are
+alike and which share all their other parts with sound ones.  When an engine crashes,
+the parts of every request in flight there that had not been answered are suspects.  A
+part of any request that is answered is sound, so that parts in common use are cleared
+at once.
+
+All hosts share what they have seen: the crashed engine processes by suspect, and which
+suspects are cleared.  Both only grow, so hosts agree in whatever order they learn of
+them.  The parts to reject are derived from these sets alone.
+"""
+
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, replace
+
+import xxhash
+
+from sequoiapoint.protocol.gateway import Incarnation
+
+MIN_CRASHES = 3
+"""Crashed engine processes for which a part must account to be rejected."""
+MIN_TIED_CRASHES = 5
+"""The same if another suspect accounts for the same crashes; a request that is sent
+again takes its sound parts along to the next engines."""
+RETENTION_S = 600.0
+"""Time after the last change for which a suspect, or a cleared part, is remembered."""
+MAX_CLEARED = 4096
+"""Number of cleared parts that are remembered, those last answered."""
+MAX_SUSPECTS = 512
+"""Number of suspects that are remembered, those changed last."""
+
+
+@dataclass(frozen=True)
+class SuspectPart:
+    """What is known of a part of prompts.
+
+    :param part: The part's id.
+    :param crashes: The engine processes that crashed with it in flight, by number.
+    :param is_cleared: Whether a request with it has been answered since.
+    :param changed_at: When this was last changed on this host, in seconds.
+    """
+
+    part: str
+    crashes: frozenset[int]
+    is_cleared: bool = False
+    changed_at: float = 0.0
+
+
+def process_number(incarnation: Incarnation) -> int:
+    """Return a number that stands for a server process in messages."""
+    server, started_ms = incarnation
+    return xxhash.xxh32_intdigest(f"{server}@{started_ms}".encode())
+
+
+def rejected_parts(crashes: Mapping[str, Collection[int]]) -> frozenset[str]:
+    """Return the parts that account for the crashes.
+
+    The suspect with most crashes explains them all; the other suspects of these
+    crashes count only for the rest.
+
+    :param crashes: The crashed engine processes by suspect.
+    """
+    unexplained = {part: frozenset(processes) for part, processes in crashes.items()}
+    rejected: set[str] = set()
+    while unexplained:
+        count = max(len(processes) for processes in unexplained.values())
+        if count < MIN_CRASHES:
+            break
+        part = min(p for p, processes in unexplained.items() if len(processes) == count)
+        explained = unexplained[part]
+        tied = {
+            other
+            for other, processes in unexplained.items()
+            if len(processes) == count and len(processes - explained) < MIN_CRASHES
+        }
+        if len(tied) == 1 or count >= MIN_TIED_CRASHES:
+            rejected |= tied
+        unexplained = {
+            other: processes - explained
+            for other, processes in unexplained.items()
+            if other not in tied and processes - explained
+        }
+    return frozenset(rejected)
+
+
+class PromptQuarantine:
+    """The suspect, cleared and rejected parts that this host knows of."""
+
+    def __init__(self) -> None:
+        self._suspects: dict[str, SuspectPart] = {}
+        self._cleared: dict[str, float] = {}
+        self._rejected: frozenset[str] = frozenset()
+
+    @property
+    def rejected(self) -> frozenset[str]:
+        """Return the parts whose requests are rejected."""
+        return self._rejected
+
+    def record_crash(self, parts: Iterable[str], process: int, now: float) -> bool:
+        """Record that an engine crashed with a request in flight.
+
+        :param parts: The parts that the request shares with others.
+        :param process: The number of the engine's process, see ``process_number``.
+        :return: Whether anything was not known.
+        """
+        changes = [self.merge(part, {process}, False, now) for part in parts]
+        return any(changes)
+
+    def merge(
+        self, part: str, crashes: Collection[int], is_cleared: bool, now: float
+    ) -> bool:
+        """Merge what this or another host knows of a part.
+
+        :return: Whether anything was not known.  For a suspect that is cleared here,
+            the clearance is sent to the other hosts once more.
+        """
+        if is_cleared:
+            return self.clear([part], now)
+        known = self._suspects.get(part) or SuspectPart(part, frozenset())
+        all_crashes = known.crashes | frozenset(crashes)
+        if all_crashes == known.crashes:
+            return False
+        is_cleared = part in self._cleared
+        self._suspects[part] = SuspectPart(part, all_crashes, is_cleared, now)
+        while len(self._suspects) > MAX_SUSPECTS:
+            del self._suspects[min(self._suspects, key=self._changed_at)]
+        self._decide()
+        return True
+
+    def clear(self, parts: Iterable[str], now: float) -> bool:
+        """Record that a request was answered.
+
+        :return: Whether one of its parts was a suspect until now.
+        """
+        changes = [self._clear(part, now) for part in parts]
+        return any(changes)
+
+    def rejected_part(self, parts: Iterable[str]) -> str | None:
+        """Return the part for which a request is rejected, None if there is none."""
+        return next((part for part in parts if part in self._rejected), None)
+
+    def remaining_s(self, part: str, now: float) -> float:
+        """Return the time until a rejected part is forgotten, in seconds."""
+        known = self._suspects.get(part)
+        return max(0.0, known.changed_at + RETENTION_S - now) if known else 0.0
+
+    def recent_changes(
+        self, now: float, age_s: float, limit: int
+    ) -> tuple[SuspectPart, ...]:
+        """Return the suspects changed recently, those of most crashes first.
+
+        :param age_s: Maximum age of a change, in seconds.
+        :param limit: Maximum number of suspects.
+        """
+        self._forget(now)
+        recent = [s for s in self._suspects.values() if now - s.changed_at < age_s]
+        recent.sort(key=lambda s: (not s.is_cleared, -len(s.crashes), -s.changed_at))
+        return tuple(recent[:limit])
+
+    def _changed_at(self, part: str) -> float:
+        return self._suspects[part].changed_at
+
+    def _clear(self, part: str, now: float) -> bool:
+        self._cleared.pop(part, None)
+        self._cleared[part] = now
+        while len(self._cleared) > MAX_CLEARED:
+            del self._cleared[next(iter(self._cleared))]
+        known = self._suspects.get(part)
+        if known is None or known.is_cleared:
+            return False
+        self._suspects[part] = replace(known, is_cleared=True, changed_at=now)
+        self._decide()
+        return True
+
+    def _forget(self, now: float) -> None:
+        """Forget what has not changed for ``RETENTION_S``."""
+        expired = [
+            part
+            for part, suspect in self._suspects.items()
+            if now - suspect.changed_at >= RETENTION_S
+        ]
+        for part in expired:
+            del self._suspects[part]
+        while self._cleared:
+            oldest = next(iter(self._cleared))
+            if now - self._cleared[oldest] < RETENTION_S:
+                break
+            del self._cleared[oldest]
+        if expired:
+            self._decide()
+
+    def _decide(self) -> None:
+        self._rejected = rejected_parts(
+            {p: s.crashes for p, s in self._suspects.items() if not s.is_cleared}
+        )
--- a/sequoiapoint/node/gateway_state.py
+++ b/sequoiapoint/node/gateway_state.py
@@ -3,9 +3,11 @@
 import asyncio
 import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from sequoiapoint.coordination import waiting
+from sequoiapoint.coordination.prompt_quarantine import PromptQuarantine
 from sequoiapoint.coordination.quarantine import Quarantine
 from sequoiapoint.coordination.retry_window import RetryWindow
 from sequoiapoint.protocol.gateway import (
@@ -115,6 +117,8 @@
     :param queue_deadline: Time after which requests no longer wait for a server, set
         when the host shuts down; on the monotonic clock, in seconds.
     :param replan_requested: Set when the placement of models should be planned again.
+    :param prompt_quarantine_changed: Called when the other hosts should learn of a
+        change at once.
     """
 
     settings: GatewaySettings
@@ -129,6 +133,7 @@
     demand: LocalDemand = field(default_factory=LocalDemand)
     wait_queue: WaitQueue = field(default_factory=WaitQueue)
     quarantine: Quarantine = field(default_factory=lambda: Quarantine(CRASH_THRESHOLD))
+    prompt_quarantine: PromptQuarantine = field(default_factory=PromptQuarantine)
     configuration: GatewayConfiguration | None = None
     routes: RouteTable | None = None
     host_count: int = 1
@@ -136,6 +141,7 @@
     is_draining: bool = False
     queue_deadline: float = math.inf
     replan_requested: asyncio.Event = field(default_factory=asyncio.Event)
+    prompt_quarantine_changed: Callable[[], None] = lambda: None
     _retry_windows: dict[str, RetryWindow] = field(default_factory=dict)
 
     def retry_window(self, service: str) -> RetryWindow:
@@ -172,6 +178,19 @@
         self.replan_requested.set()
         self.wait_queue.notify()
 
+    def log_rejected_parts(self, source: str) -> None:
+        """Log the parts of prompts that are rejected after a change; wake requests.
+
+        :param source: The host that the change comes from.
+        """
+        self.wait_queue.notify()
+        self.metrics.event("rejected_parts_changed")
+        self.log.event(
+            "rejected_parts",
+            parts=",".join(sorted(self.prompt_quarantine.rejected)),
+            source=source,
+        )
+
     @property
     def is_ready(self) -> bool:
         """Tell whether the host can serve callers."""
--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -43,6 +43,8 @@
 """Maximum number of suspected requests in a digest; if there are more at the same time,
 the cause of the crashes is not a request."""
 
+MAX_SUSPECT_PARTS_PER_DIGEST = 40
+"""Maximum number of suspect parts of prompts in a digest, the worst ones; 2 KB."""
 MAX_LEAVING_PER_DIGEST = 100
 """Maximum number of leaving servers in a digest, the latest ones; 3 KB."""
 
@@ -89,6 +91,7 @@
         self._registry = HostRegistry(
             state, store, self.peers, self._local_member, self.schedule_digest
         )
+        state.prompt_quarantine_changed = self.schedule_digest
         watch.on_advance = self._notify_zone
         watch.expects_replica = self._expects_replica
 
@@ -171,12 +174,19 @@
                 now, SUSPICION_REPEAT_S, MAX_SUSPICIONS_PER_DIGEST
             )
         )
+        suspect_parts = tuple(
+            (s.part, s.crashes, s.is_cleared)
+            for s in state.prompt_quarantine.recent_changes(
+                now, SUSPICION_REPEAT_S, MAX_SUSPECT_PARTS_PER_DIGEST
+            )
+        )
         leaving = tuple(state.fleet.leaving())[-MAX_LEAVING_PER_DIGEST:]
         if not self.peers.is_aggregator(now):
             report = self._sender.build_digest(
                 scope=Scope.HOST,
                 counts=tuple(local_counts.items()),
                 suspicions=suspicions,
+                suspect_parts=suspect_parts,
                 leaving_servers=leaving,
             )
             self._sender.send(report, self.peers.own_relays(now))
@@ -191,6 +201,7 @@
             scope=Scope.ZONE,
             counts=tuple(zone_totals.items()),
             suspicions=suspicions,
+            suspect_parts=suspect_parts,
             leaving_servers=leaving,
             host_count=len(hosts),
             relays=tuple(r for r in relays if r.zone == self._local_member.zone),
@@ -199,6 +210,7 @@
             scope=Scope.FLEET,
             counts=tuple((zone_totals + other_totals).items()),
             suspicions=suspicions,
+            suspect_parts=suspect_parts,
             leaving_servers=leaving,
             host_count=self.peers.host_count(now),
             members=hosts,
@@ -265,6 +277,7 @@
                 state.note_server_leaving(entry, digest.host, now)
         for fingerprint, deaths in digest.suspicions:
             state.quarantine.merge(fingerprint, deaths, now)
+        self._merge_suspect_parts(digest, now)
         self.slots.handle_report(digest, now)
         self.placement.handle_digest(digest, now)
         self._topics.handle_digest(digest)
@@ -274,6 +287,18 @@
             members = [m for m in self._zone_members(now) if m != digest.sender]
             self._sender.spread(broadcast_kind(digest), data, members)
 
+    def _merge_suspect_parts(self, digest: Digest, now: float) -> None:
+        quarantine = self._state.prompt_quarantine
+        known = quarantine.rejected
+        changes = [
+            quarantine.merge(part, crashes, is_cleared, now)
+            for part, crashes, is_cleared in digest.suspect_parts
+        ]
+        if any(changes):
+            self.schedule_digest()
+        if quarantine.rejected != known:
+            self._state.log_rejected_parts(digest.host)
+
     def _log_aggregator(self, now: float) -> None:
         """Log which aggregator this host follows when that changes."""
         followed = self.peers.aggregator_host
--- a/sequoiapoint/node/peer_exchange_test.py
+++ b/sequoiapoint/node/peer_exchange_test.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sequoiapoint.coordination.fan_out import BYTES_PER_MBIT
+from sequoiapoint.coordination.prompt_quarantine import PromptQuarantine
 from sequoiapoint.coordination.quarantine import Quarantine
 from sequoiapoint.node import digest_sender, peer_exchange, topic_exchange
 from sequoiapoint.node.peer_exchange import DIGEST_INTERVAL_S, PeerExchange
@@ -47,6 +48,8 @@
             fleet=Fleet(),
             demand=LocalDemand(),
             quarantine=Quarantine(3),
+            prompt_quarantine=PromptQuarantine(),
+            log_rejected_parts=lambda source: None,
             wait_queue=SimpleNamespace(notify=lambda: None),
             replan_requested=SimpleNamespace(set=lambda: None),
             host_count=1,
@@ -322,6 +325,26 @@
         assert host.state.quarantine.is_quarantined("f", network.now)
 
 
+@pytest.mark.parametrize("size", [(4, 2), (4, 21)])
+def test_a_part_of_prompts_that_crashes_engines_is_rejected_by_every_host(
+    monkeypatch, size
+):
+    """Each host sees one crash; no host has seen the others."""
+    network = _Network(monkeypatch, *size)
+    network.run(4.0)
+    for process in range(3):
+        state = network.hosts[process].state
+        state.prompt_quarantine.record_crash(["deadly"], process, network.now)
+        state.prompt_quarantine_changed()
+    network.run(1.5)
+    assert {h.state.prompt_quarantine.rejected for h in network.hosts} == {
+        frozenset({"deadly"})
+    }
+    network.hosts[-1].state.prompt_quarantine.clear(["deadly"], network.now)
+    network.run(2.0)
+    assert not any(h.state.prompt_quarantine.rejected for h in network.hosts)
+
+
 def test_holdings_are_sent_at_once_to_a_host_whose_requests_wait(monkeypatch):
     """Guards against broadcasts of adapter changes, which occur many times a second.
 
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -12,7 +12,7 @@
 
 import xxhash
 
-from sequoiapoint.coordination import waiting
+from sequoiapoint.coordination import prompt_quarantine, waiting
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.request_record import RequestRecord, reject
 from sequoiapoint.node.server_selector import (
@@ -48,6 +48,9 @@
 STREAM_IDLE_TIMEOUT_S = 1.2
 """Time without data after which a resumable stream is resumed on another server; below
 the two seconds after which callers abandon a stream."""
+ANSWERED_EVENTS = 2
+"""Events of a stream after which its engine counts as having answered.  An engine that
+crashes as it begins to write may have sent the first one."""
 MISDIRECTED_REASON = f"server_said_{int(http.HTTPStatus.MISDIRECTED_REQUEST)}"
 """Failure reason if the server lacks the requested model or adapter, or is not the
 addressed one."""
@@ -62,6 +65,8 @@
     """Nothing was sent, as no connection could be established."""
     SERVER_LEFT = "server_left"
     """Nothing was sent, as the server stopped accepting requests after the choice."""
+    PROMPT_REJECTED = "prompt_rejected"
+    """Nothing was sent, as a part of the prompt is rejected since the choice."""
     DELIVERED = "delivered"
     NOT_RUN = "not_run"
     UNKNOWN = "unknown"
@@ -126,6 +131,7 @@
         self._record = RequestRecord(state, request, route, arrived_s)
         self._splitter = EventSplitter(request.last_event_id)
         self._has_unknown_outcome = False
+        self._are_parts_cleared = False
         self._has_reserved_retry = False
         self._attempt_number = 0
         self._slot_quality = SlotQuality.UNUSED
@@ -150,13 +156,16 @@
         if not self._selector.has_model():
             self._reject_not_run("unknown_model")
             return
+        if self._rejected_part() is not None:
+            self._send_failure()
+            return
         if self._selector.is_engine:
             state.demand.note_request(
                 self._selector.demand_key, self._route.goal_s, self._route.priority
             )
         while True:
             entry = await self._selector.select()
-            if entry is None:
+            if entry is None or self._rejected_part() is not None:
                 self._send_failure()
                 return
             attempt_number = next(_attempt_numbers)
@@ -183,6 +192,9 @@
                 continue
             if outcome is _AttemptOutcome.SERVER_LEFT:
                 continue
+            if outcome is _AttemptOutcome.PROMPT_REJECTED:
+                self._send_failure()
+                return
             self._selector.tried_servers.add(entry.server)
             if not self._may_retry(outcome):
                 self._send_failure()
@@ -212,7 +224,13 @@
             outcome = _AttemptOutcome.SERVER_LEFT
             self._log_attempt(entry, outcome.value, "left_before_sending")
             return outcome
+        if self._rejected_part() is not None:
+            connection.close()
+            outcome = _AttemptOutcome.PROMPT_REJECTED
+            self._log_attempt(entry, outcome.value, "rejected_before_sending")
+            return outcome
         pace = _StreamPace(now, self._route)
+        events_before = self._splitter.count
         if self._record.attempts == 0:
             state.retry_window(self._selector.service).record_request(now)
         self._record.attempts += 1
@@ -235,6 +253,10 @@
         if reason != ExchangeOutcome.TIMED_OUT.value:
             load.note_received(now)
         self._note_health(entry, outcome, reason, fingerprint)
+        if outcome is _AttemptOutcome.DELIVERED and not reason:
+            self._clear_parts()
+        elif self._splitter.count - events_before < ANSWERED_EVENTS:
+            await self._note_crash(entry, reason)
         self._slot_quality = _slot_quality(outcome, reason, pace)
         if outcome is not _AttemptOutcome.DELIVERED:
             self._selector.reason = reason
@@ -321,6 +343,7 @@
         responder, splitter = self._responder, self._splitter
         load = self._state.loads.get_or_create(entry.incarnation)
         received = asyncio.Event()
+        answered_count = splitter.count + ANSWERED_EVENTS
 
         def forward_events(data: bytes) -> None:
             received.set()
@@ -331,6 +354,8 @@
                 self._state.wait_queue.notify()
             self._record.record_event()
             pace.record_event(monotonic_s())
+            if splitter.count >= answered_count:
+                self._clear_parts()
             if not responder.is_started:
                 responder.start_stream(head.status, list(head.headers))
             responder.send(events)
@@ -456,6 +481,55 @@
         self._state.metrics.retry(self._selector.reason)
         return True
 
+    # Parts of prompts that crash engines
+
+    def _rejected_part(self) -> str | None:
+        return self._state.prompt_quarantine.rejected_part(self._request.shared_parts)
+
+    def _clear_parts(self) -> None:
+        """Note that an engine has answered a request with these parts."""
+        if self._are_parts_cleared:
+            return
+        self._are_parts_cleared = True
+        quarantine = self._state.prompt_quarantine
+        known = quarantine.rejected
+        if quarantine.clear(self._request.shared_parts, monotonic_s()):
+            self._state.prompt_quarantine_changed()
+        if quarantine.rejected != known:
+            self._state.log_rejected_parts(self._state.settings.host)
+
+    async def _note_crash(self, entry: ServerEntry, reason: str) -> None:
+        """Suspect the parts of the prompt if the engine crashed with this request.
+
+        A connection that breaks while the engine still listens shows no crash.
+        """
+        is_broken = reason in (
+            ExchangeOutcome.RESET.value,
+            ExchangeOutcome.CLOSED.value,
+        )
+        parts = self._request.shared_parts
+        if not (is_broken and parts and self._selector.is_engine):
+            return
+        state = self._state
+        pool = state.pools.get_or_create(entry)
+        if not await pool.refuses_connections(CONNECT_TIMEOUT_S):
+            return
+        quarantine = state.prompt_quarantine
+        known = quarantine.rejected
+        process = prompt_quarantine.process_number(entry.incarnation)
+        if quarantine.record_crash(parts, process, monotonic_s()):
+            state.metrics.event("engine_crash_suspects")
+            state.log.event(
+                "engine_crashed",
+                server=entry.server,
+                started_ms=entry.started_ms,
+                request=self._request.request_id,
+                parts=",".join(parts),
+            )
+            state.prompt_quarantine_changed()
+        if quarantine.rejected != known:
+            state.log_rejected_parts(state.settings.host)
+
     def _send_failure(self) -> None:
         """Send the caller the final response if no further attempt is allowed."""
         if self._responder.is_started:
@@ -463,6 +537,10 @@
             self.log_end("broken_off", reason=self._selector.reason)
         elif self._has_unknown_outcome:
             self._reject_unknown_outcome()
+        elif (part := self._rejected_part()) is not None:
+            remaining_s = self._state.prompt_quarantine.remaining_s(part, monotonic_s())
+            status = http.HTTPStatus.SERVICE_UNAVAILABLE
+            self._reject("prompt_rejected", status, remaining_s)
         else:
             self._reject_not_run(self._selector.reason)
 
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -12,6 +12,8 @@
 from sequoiapoint.platform.servers import PlatformServerCodec
 from sequoiapoint.protocol.gateway import (
     CallerRequest,
+    EngineSpec,
+    HeldModel,
     Repeatability,
     Route,
     ServerEntry,
@@ -28,6 +30,8 @@
     0.0, 2, 0,
 )  # fmt: skip
 SIGNED = (b"server-seal", b"s")
+CRASH = "crash"
+"""In place of a response: the server's process ends."""
 
 
 class Site:
@@ -40,6 +44,8 @@
 
     def __init__(self, monkeypatch, *servers):
         self.sent, self.logged, self.responses = [], [], {}
+        self.crashed = set()
+        self.route = ROUTE
         self.on_connect = lambda server: None
         self.answer = None
         self.state = GatewayState(
@@ -70,7 +76,10 @@
         monkeypatch.setattr(
             self.state.pools,
             "get_or_create",
-            lambda entry: SimpleNamespace(acquire=lambda t: self._connect(entry)),
+            lambda entry: SimpleNamespace(
+                acquire=lambda t: self._connect(entry),
+                refuses_connections=lambda t: self._refuses_connections(entry),
+            ),
         )
 
     def _log(self, name, outcome="", **fields):
@@ -86,13 +95,20 @@
     def _send(self, entry, accepts):
         self.sent.append(entry.server)
         exchange = Exchange(asyncio.get_running_loop(), accepts)
-        status, headers = self.responses[entry.server].pop(0)
+        response = self.responses[entry.server].pop(0)
+        if response is CRASH:
+            exchange.finish(ExchangeOutcome.CLOSED)
+            return exchange
+        status, headers = response
         accepts(status, headers)
         exchange.head.set_result((status, headers))
         exchange.outcome.set_result(ExchangeOutcome.COMPLETE)
         return exchange
 
-    async def request(self, budget_s=1.0):
+    async def _refuses_connections(self, entry):
+        return entry.server in self.crashed
+
+    async def request(self, budget_s=1.0, body=b"", **fields):
         """Send one request; return the status and headers of its response."""
         responder = SimpleNamespace(
             is_started=False,
@@ -100,11 +116,11 @@
                 self, "answer", (status, dict(headers))
             ),
         )
-        request = CallerRequest("id", "GET", "h", "/r/x", (), b"", budget_s)
+        request = CallerRequest("id", "GET", "h", "/r/x", (), body, budget_s, **fields)
         slots = SimpleNamespace(is_active=False, release=lambda *a: None)
         slots.ticket = lambda: _Ticket()
         await RequestForwarder(
-            self.state, slots, request, ROUTE, monotonic_s(), responder
+            self.state, slots, request, self.route, monotonic_s(), responder
         ).run()
         return self.answer
 
@@ -229,3 +245,57 @@
     site.responses = {"s-1": [refusal(value), (200, [SIGNED])]}
     assert asyncio.run(site.request())[0] == 200
     assert site.sent == ["s-1", "s-1"]
+
+
+def engine_site(monkeypatch, count):
+    """Return a site of engines that hold the same model and crash on request."""
+    engines = [
+        replace(ENTRY, server=f"s-{n}", models=(HeldModel("oak"),))
+        for n in range(count)
+    ]
+    site = Site(monkeypatch, *engines)
+    spec = EngineSpec(8, 100.0, 2, 1.0, {"oak": None})
+    site.state.configuration.services["web"] = ServiceSpec("web", 100, spec)
+    site.route = replace(ROUTE, repeatability=Repeatability.AT_MOST_ONCE)
+    return site
+
+
+@pytest.mark.parametrize(
+    ("has_crashed", "deadly_status", "servers_hit"), [(True, 503, 3), (False, 502, 5)]
+)
+def test_requests_with_one_deadly_part_do_not_reach_one_engine_after_the_other(
+    monkeypatch, has_crashed, deadly_status, servers_hit
+):
+    """One part of prompts crashed engines all day, in requests that all differ.
+
+    A connection that breaks while its engine still listens shows no crash.
+    """
+    site = engine_site(monkeypatch, 6)
+    site.responses = {f"s-{n}": [CRASH] for n in range(6)}
+
+    async def request(*parts):
+        before = len(site.sent)
+        body = str(before).encode()
+        response = await site.request(body=body, model="oak", shared_parts=parts)
+        for server in site.sent[before:]:
+            if response[0] != 200:
+                site.state.fleet.remove(server)
+                site.crashed |= {server} if has_crashed else set()
+        return response
+
+    site.state.prompt_quarantine.clear(["shared"], monotonic_s())
+    site._refuses_connections = lambda entry: _result(has_crashed)
+    responses = [asyncio.run(request("shared", "deadly")) for _ in range(5)]
+    assert [status for status, _ in responses[:3]] == [502] * 3
+    assert responses[4][0] == deadly_status
+    assert len(site.sent) == servers_hit
+    if has_crashed:
+        assert 0 < responses[4][1][b"retry-after"] <= 600.0
+    for server in site.responses:
+        site.responses[server] = [(200, [SIGNED])]
+    status, _ = asyncio.run(request("shared", "sound"))
+    assert status == 200
+
+
+async def _result(value):
+    return value
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -89,7 +89,8 @@
         """Return a server for the next attempt, waiting for one if necessary.
 
         :return: None if the request should be given up: too little time remains, the
-            limit on its wait has passed, or too many connections have failed.
+            limit on its wait has passed, too many connections have failed, or a part of
+            its prompt is rejected.
         """
         self._asked_servers = set()
         with self._slots.ticket() as ticket:
@@ -124,6 +125,8 @@
                     return None
                 if self.connect_failures >= MAX_CONNECT_FAILURES:
                     return None
+                if state.prompt_quarantine.rejected_part(self._request.shared_parts):
+                    return None
                 entry = await self._acquire(ticket, now)
                 if entry is not None:
                     return entry
--- a/sequoiapoint/platform/callers.py
+++ b/sequoiapoint/platform/callers.py
@@ -13,6 +13,12 @@
     return names.parse_integer((value or b"").partition(b",")[0].strip()) or 0
 
 
+def _shared_parts(value: bytes | None) -> tuple[str, ...]:
+    """Decode the ids of ``ID:TOKENS,...``, except the last, which is not shared."""
+    parts = [part.partition(b":")[0].strip() for part in (value or b"").split(b",")]
+    return tuple(part.decode("latin-1").lower() for part in parts[:-1] if part)
+
+
 class PlatformCallerCodec:
     """Decodes callers' requests and encodes the gateway's own response headers."""
 
@@ -48,6 +54,7 @@
             model=model,
             adapter=adapter,
             prompt_tokens=_prompt_tokens(first_values.get(names.TOKEN_COUNT)),
+            shared_parts=_shared_parts(first_values.get(names.PROMPT_PARTS)),
             last_event_id=first_values.get(names.LAST_EVENT_ID, b"").decode("latin-1"),
         )
 
--- a/sequoiapoint/platform/callers_test.py
+++ b/sequoiapoint/platform/callers_test.py
@@ -83,6 +83,10 @@
         (b"token-count", b"12", "prompt_tokens", 12),
         (b"token-count", b",7", "prompt_tokens", 0),
         (b"model", b"oak", "adapter", ""),
+        (b"prompt-prefix", b"AB:1, c:2,d:3", "shared_parts", ("ab", "c")),
+        (b"prompt-prefix", b"ab:1", "shared_parts", ()),
+        (b"prompt-prefix", b"", "shared_parts", ()),
+        (b"prompt-prefix", b",,:4,d:3", "shared_parts", ()),
     ],
 )
 def test_invalid_header_values_are_ignored(name, value, field, expected):
--- a/sequoiapoint/protocol/digest.capnp
+++ b/sequoiapoint/protocol/digest.capnp
@@ -34,6 +34,12 @@
   models @2 :List(HeldModel);
 }
 
+struct SuspectPart {
+  part @0 :Text;                # Id of a part of prompts.
+  crashes @1 :List(UInt32);     # Engine processes that crashed with it in flight.
+  isCleared @2 :Bool;           # A request with it has been answered since.
+}
+
 struct Suspicion {
   fingerprint @0 :Text;
   deaths @1 :List(Text);
@@ -77,6 +83,7 @@
   capacity @19 :UInt32;         # The sender's, in thousandths of a core.
   leavingServers @20 :List(Process); # Servers that have announced that they leave.
   serverAgeMs @21 :Int64 = -1;  # Since the last read of the servers; -1 if not known.
+  suspectParts @22 :List(SuspectPart);
 }
 
 struct Record {
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -75,6 +75,8 @@
     :param leaving_servers: Server processes that have announced that they leave.
     :param server_age_s: Time since the read of the store that brought the sender to
         ``server_end``, or confirmed it, in seconds; None if it is not known.
+    :param suspect_parts: Parts of prompts with the numbers of the engine processes that
+        crashed with them in flight, and whether they are cleared.
     """
 
     host: str
@@ -99,6 +101,7 @@
     capacity: int = 0
     leaving_servers: tuple[Incarnation, ...] = ()
     server_age_s: float | None = None
+    suspect_parts: tuple[tuple[str, frozenset[int], bool], ...] = ()
 
     @property
     def sender(self) -> Member:
@@ -178,6 +181,10 @@
             for server, started in digest.leaving_servers
         ],
         serverAgeMs=_encode_age(digest.server_age_s),
+        suspectParts=[
+            {"part": part, "crashes": sorted(crashes), "isCleared": is_cleared}
+            for part, crashes, is_cleared in digest.suspect_parts
+        ],
     )
     return message.to_bytes_packed()
 
@@ -234,6 +241,10 @@
                 (p.server, p.startedMs) for p in message.leavingServers
             ),
             server_age_s=_decode_age(message.serverAgeMs),
+            suspect_parts=tuple(
+                (s.part, frozenset(s.crashes), s.isCleared)
+                for s in message.suspectParts
+            ),
         )
     except capnp.KjException as error:
         raise ValueError(f"not a digest: {error}") from error
--- a/sequoiapoint/protocol/digests_test.py
+++ b/sequoiapoint/protocol/digests_test.py
@@ -50,6 +50,10 @@
     members=MEMBERS,
     relays=MEMBERS,
     is_demand_report=st.booleans(),
+    server_age_s=st.none() | st.integers(0, 9000).map(lambda ms: ms / 1000),
+    suspect_parts=st.lists(
+        st.tuples(TEXT, st.frozensets(NUMBER, max_size=3), st.booleans()), max_size=3
+    ).map(tuple),
 )
 
 
--- a/sequoiapoint/protocol/gateway.py
+++ b/sequoiapoint/protocol/gateway.py
@@ -201,6 +201,8 @@
     :param adapter: The requested adapter of that model; "" for none.
     :param prompt_tokens: The size of the prompt.
     :param last_event_id: The event id after which a stream resumes; "" for its start.
+    :param shared_parts: The ids of the parts of its prompt that other requests may
+        have too, in order.
     """
 
     request_id: str
@@ -214,6 +216,7 @@
     adapter: str = ""
     prompt_tokens: int = 0
     last_event_id: str = ""
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -381,6 +381,17 @@
         self._open.add(connection)
         return connection
 
+    async def refuses_connections(self, timeout_s: float) -> bool:
+        """Tell whether the peer's host is up but nothing listens at the address.
+
+        :param timeout_s: The time for opening a connection, in seconds.
+        """
+        connection = await self._connect(timeout_s)
+        if isinstance(connection, Failure):
+            return connection.reason == "connect_refused"
+        connection.close()
+        return False
+
     def _failure(self, reason: str, detail: str = "") -> Failure:
         return Failure(FailureKind.NOT_SENT, reason, "connect", self._address, detail)
 
