Reuse connections only while the kernel cannot end them during an attempt

Cause: the connection had been idle since the partition began, so that the kernel's keep-alive ended it 1.2 s after the request was sent, just before the attempt's own timeout. What the kernel ends is not reset. A connection is now reused for 1.5 s at most; with the attempt's 1.2 s that is below the kernel's 3 s, and a request does not wait 1.2 s on a connection that a partition has cut.

The test fails before. Not covered: requests that may not be repeated have no timeout of their own before their deadline.

--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -8,7 +8,10 @@
 import pytest
 
 from sequoiapoint.node.gateway_state import GatewayState
-from sequoiapoint.node.request_forwarder import RequestForwarder
+from sequoiapoint.node.request_forwarder import (
+    STREAM_IDLE_TIMEOUT_S,
+    RequestForwarder,
+)
 from sequoiapoint.platform.servers import PlatformServerCodec
 from sequoiapoint.protocol.gateway import (
     CallerRequest,
@@ -21,6 +24,7 @@
     ServiceSpec,
 )
 from sequoiapoint.protocol.gateway_settings import Bounds
+from sequoiapoint.transport import async_http_client
 from sequoiapoint.transport.async_http_client import Exchange, ExchangeOutcome
 from sequoiapoint.transport.clock import monotonic_s
 
@@ -247,6 +251,19 @@
     assert site.sent == ["s-1", "s-1"]
 
 
+def test_an_attempt_times_out_before_the_kernel_ends_its_connection():
+    """Bytes of a request reached a server that had left, after a network partition.
+
+    A connection that the process ends is reset, which discards such bytes.
+    """
+    kernel_s = (
+        async_http_client.KEEPALIVE_IDLE_S
+        + async_http_client.KEEPALIVE_INTERVAL_S * async_http_client.KEEPALIVE_PROBES
+    )
+    assert kernel_s > async_http_client.MAX_IDLE_S + STREAM_IDLE_TIMEOUT_S
+    assert 1000 * STREAM_IDLE_TIMEOUT_S < async_http_client.DEAD_PEER_TIMEOUT_MS
+
+
 def engine_site(monkeypatch, count):
     """Return a site of engines that hold the same model and crash on request."""
     engines = [
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -34,8 +34,10 @@
 """How long before the idle timeout stated by the peer a connection is closed."""
 DEFAULT_IDLE_TIMEOUT_S = 0.4
 """Idle timeout if the peer states none; the peer's timeout is then below one second."""
-MAX_IDLE_S = 15.0
-"""Maximum idle time of a connection, whatever timeout the peer states."""
+MAX_IDLE_S = 1.5
+"""Maximum idle time of a connection, whatever timeout the peer states.  The kernel must
+not end a connection before the shortest timeout of a request that is sent on it: bytes
+of the request that a network partition holds back could still be delivered later."""
 MAX_HEAD_BYTES = 65_536
 """Maximum size of a response head; a larger one is treated as malformed."""
 
