Bound what a response may be, in its head, its body and its events

A server that sends bytes without end filled a host's memory until the request timed out: a body with neither length nor chunks 1,452 MB in 3 s, one header line 96 MB and growing (the users' measurements); a host has 300 MB.

Cause: the limit on a head counted whole headers only, and bodies and incomplete events were collected without a limit. Now bytes are counted as they arrive: 64 KB in a head, 1 MB before the request's own response (informational and late ones), 4 MB in a collected body, 1 MB in an event; beyond that the connection is closed and the attempt fails at once. Streams go on without a limit, with flow control.

A response that has neither length nor chunks and ends with its connection was treated rightly before: complete, or broken off inside an event; it has tests now, for streams too.

--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -348,6 +348,8 @@
         def forward_events(data: bytes) -> None:
             received.set()
             events = splitter.feed(data)
+            if splitter.is_too_large:
+                connection.close()
             if not events:
                 return
             if load.note_first_event(self._attempt_number):
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -13,6 +13,7 @@
     RequestForwarder,
 )
 from sequoiapoint.platform.servers import PlatformServerCodec
+from sequoiapoint.protocol.event_stream import MAX_EVENT_BYTES
 from sequoiapoint.protocol.gateway import (
     CallerRequest,
     EngineSpec,
@@ -34,6 +35,8 @@
     0.0, 2, 0,
 )  # fmt: skip
 SIGNED = (b"server-seal", b"s")
+END, ABORTED = "end", "aborted"
+"""How a stream to the caller ended."""
 CRASH = "crash"
 """In place of a response: the server's process ends."""
 
@@ -49,6 +52,7 @@
     def __init__(self, monkeypatch, *servers):
         self.sent, self.logged, self.responses = [], [], {}
         self.crashed = set()
+        self.streamed, self.is_endless, self.exchange = [], False, None
         self.route = ROUTE
         self.on_connect = lambda server: None
         self.answer = None
@@ -65,6 +69,7 @@
             metrics=SimpleNamespace(
                 refusal=lambda *a: None,
                 retry=lambda *a: None,
+                first_token=lambda *a: None,
                 request=lambda *a: None,
                 event=lambda *a: None,
             ),
@@ -93,9 +98,15 @@
         self.on_connect(entry.server)
         return SimpleNamespace(
             send=lambda head, body, accepts: self._send(entry, accepts),
-            close=lambda: None,
+            close=self._close,
+            pause=lambda: None,
+            resume=lambda: None,
         )
 
+    def _close(self):
+        if self.exchange is not None:
+            self.exchange.finish(ExchangeOutcome.ABANDONED)
+
     def _send(self, entry, accepts):
         self.sent.append(entry.server)
         exchange = Exchange(asyncio.get_running_loop(), accepts)
@@ -103,10 +114,14 @@
         if response is CRASH:
             exchange.finish(ExchangeOutcome.CLOSED)
             return exchange
-        status, headers = response
+        status, headers, *body = response
         accepts(status, headers)
         exchange.head.set_result((status, headers))
-        exchange.outcome.set_result(ExchangeOutcome.COMPLETE)
+        for part in body:
+            exchange.receive(part)
+        if not self.is_endless:
+            exchange.outcome.set_result(ExchangeOutcome.COMPLETE)
+        self.exchange = exchange
         return exchange
 
     async def _refuses_connections(self, entry):
@@ -119,7 +134,17 @@
             send_response=lambda status, headers, body=b"": setattr(
                 self, "answer", (status, dict(headers))
             ),
+            set_flow_control=lambda pause, resume: None,
+            send=self.streamed.append,
+            end_stream=lambda: self.streamed.append(END),
+            abort=lambda: self.streamed.append(ABORTED),
         )
+
+        def start_stream(status, headers):
+            responder.is_started = True
+            self.answer = (status, dict(headers))
+
+        responder.start_stream = start_stream
         request = CallerRequest("id", "GET", "h", "/r/x", (), body, budget_s, **fields)
         slots = SimpleNamespace(is_active=False, release=lambda *a: None)
         slots.ticket = lambda: _Ticket()
@@ -316,3 +341,50 @@
 
 async def _result(value):
     return value
+
+
+EVENT = b"id: 1\ndata: x\n\n"
+
+
+def stream_site(monkeypatch, body):
+    """Return a site whose server answers a stream that ends with its connection."""
+    site = Site(monkeypatch, ENTRY)
+    site.route = replace(
+        ROUTE, is_stream=True, repeatability=Repeatability.AT_MOST_ONCE, attempts=1
+    )
+    site.responses = {"s-1": [(200, [SIGNED], body)]}
+    return site
+
+
+@pytest.mark.parametrize(
+    ("body", "expected"),
+    [
+        (EVENT, [EVENT, END]),
+        (2 * EVENT, [2 * EVENT, END]),
+        (EVENT + b"id: 2\nda", [EVENT, ABORTED]),
+        (EVENT + b"id: 2\ndata: x\n", [EVENT, ABORTED]),
+    ],
+)
+def test_a_stream_that_ends_with_its_connection_is_complete_after_an_event(
+    monkeypatch, body, expected
+):
+    """A response has neither a length nor chunks; inside an event it was broken off."""
+    site = stream_site(monkeypatch, body)
+    asyncio.run(site.request())
+    assert site.streamed == expected
+
+
+def test_a_stream_that_ends_inside_its_first_event_is_a_failure(monkeypatch):
+    site = stream_site(monkeypatch, EVENT[:-1])
+    status, _ = asyncio.run(site.request())
+    assert (status, site.streamed) == (502, [])
+
+
+def test_an_event_without_end_closes_the_connection(monkeypatch):
+    """Bytes without end filled a host's memory until the request's deadline."""
+    site = stream_site(monkeypatch, EVENT + b"data: " + b"x" * MAX_EVENT_BYTES)
+    site.is_endless = True
+    started_at = monotonic_s()
+    asyncio.run(site.request(budget_s=5.0))
+    assert monotonic_s() - started_at < 1.0
+    assert site.streamed == [EVENT, ABORTED]
--- a/sequoiapoint/protocol/event_stream.py
+++ b/sequoiapoint/protocol/event_stream.py
@@ -6,6 +6,8 @@
 
 import re
 
+MAX_EVENT_BYTES = 1_048_576
+"""Maximum size of an event; thousands of tokens."""
 _EVENT_END = b"\n\n"
 _ANY_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r|\r\n\n|\n\r\n")
 _ID = re.compile(rb"(?:\A|[\r\n])id: ?([^\r\n]*)")
@@ -30,6 +32,11 @@
         """Tell whether bytes after the last returned event are buffered."""
         return bool(self._partial)
 
+    @property
+    def is_too_large(self) -> bool:
+        """Tell whether the buffered event exceeds ``MAX_EVENT_BYTES``."""
+        return len(self._partial) > MAX_EVENT_BYTES
+
     @property
     def last_id(self) -> str:
         """Return the id of the last returned event that has one, else the first id."""
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -40,6 +40,14 @@
 of the request that a network partition holds back could still be delivered later."""
 MAX_HEAD_BYTES = 65_536
 """Maximum size of a response head; a larger one is treated as malformed."""
+MAX_BODY_BYTES = 4_194_304
+"""Maximum size of a body that is collected; four times a full page of the store."""
+MAX_READ_BYTES = 262_144
+"""Maximum number of bytes that the event loop reads at once; limits on received bytes
+are exact to one such read."""
+MAX_SKIPPED_BYTES = 1_048_576
+"""Maximum size of what may precede a request's response on a connection: informational
+responses, and late ones to other requests."""
 
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
@@ -53,6 +61,7 @@
     MALFORMED = "malformed"
     TIMED_OUT = "timed_out"
     ABANDONED = "abandoned"
+    TOO_LARGE = "too_large"
 
 
 @dataclass(frozen=True)
@@ -86,6 +95,7 @@
         self.on_body: Callable[[bytes], None] | None = None
         self._accepts = accepts
         self._body: list[bytes] = []
+        self._body_bytes = 0
 
     def accepts(self, status: int, headers: Headers) -> bool:
         """Tell whether a response belongs to the request."""
@@ -95,13 +105,23 @@
         """Pass a part of the body to ``on_body`` or buffer it."""
         if self.on_body is not None:
             self.on_body(data)
+            return
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_BODY_BYTES:
+            self._body.clear()
         else:
             self._body.append(data)
 
+    @property
+    def is_too_large(self) -> bool:
+        """Tell whether more than ``MAX_BODY_BYTES`` had to be collected."""
+        return self._body_bytes > MAX_BODY_BYTES
+
     def take_body(self) -> bytes:
         """Remove and return the buffered part of the body."""
         body = b"".join(self._body)
         self._body.clear()
+        self._body_bytes = 0
         return body
 
     def finish(self, outcome: ExchangeOutcome) -> None:
@@ -126,6 +146,9 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: Headers = []
         self._head_bytes = 0
+        self._received_in_head = 0
+        self._skipped_bytes = 0
+        self._is_in_head = True
         self._is_framed = False
         self._is_discarding = False
         self._is_informational = False
@@ -159,6 +182,7 @@
         self._exchange = exchange
         self._parser = httptools.HttpResponseParser(self)
         self._reset_message()
+        self._skipped_bytes = 0
         self._is_head_request = head.startswith(b"HEAD ")
         self._transport.write(head + body if body else head)
         return exchange
@@ -203,6 +227,9 @@
         if self._exchange is None:
             self.close()
             return
+        if self._is_unlimited(len(data)):
+            self._end(ExchangeOutcome.MALFORMED)
+            return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -212,6 +239,22 @@
         if self._has_surplus_bytes:
             self.close()
 
+    def _is_unlimited(self, received: int) -> bool:
+        """Tell whether the peer sends too much before the request's response.
+
+        The parser itself collects a line of any length.
+
+        :param received: The number of bytes that have just arrived.
+        """
+        if self._is_in_head:
+            self._received_in_head += received
+        if not self._exchange.head.done():
+            self._skipped_bytes += received
+        return (
+            self._received_in_head > MAX_HEAD_BYTES + MAX_READ_BYTES
+            or self._skipped_bytes > MAX_SKIPPED_BYTES + MAX_READ_BYTES
+        )
+
     def eof_received(self) -> bool:
         """End the response; without framing, the end of the connection completes it."""
         if self._exchange is not None:
@@ -251,6 +294,7 @@
         exchange = self._exchange
         if exchange is None:
             return
+        self._is_in_head = False
         status = self._parser.get_status_code()
         self._is_informational = status < 200
         if self._is_informational:
@@ -272,8 +316,12 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body to the exchange."""
-        if self._exchange is not None and not self._is_discarding:
-            self._exchange.receive(data)
+        exchange = self._exchange
+        if exchange is None or self._is_discarding:
+            return
+        exchange.receive(data)
+        if exchange.is_too_large:
+            self._end(ExchangeOutcome.TOO_LARGE)
 
     def on_message_complete(self) -> None:
         """End the exchange and release the connection if it can be reused."""
@@ -289,6 +337,8 @@
     def _reset_message(self) -> None:
         self._headers = []
         self._head_bytes = 0
+        self._received_in_head = 0
+        self._is_in_head = True
         self._is_framed = False
         self._is_discarding = False
         self._is_informational = False
--- a/sequoiapoint/transport/async_http_client_test.py
+++ b/sequoiapoint/transport/async_http_client_test.py
@@ -255,3 +255,55 @@
         return result
 
     assert asyncio.run(run()) == expected
+
+
+ENDLESS = 2 * (
+    async_http_client.MAX_BODY_BYTES
+    + async_http_client.MAX_SKIPPED_BYTES
+    + async_http_client.MAX_READ_BYTES
+)
+
+
+@pytest.mark.parametrize(
+    ("start", "part", "reason"),
+    [
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65_536, "too_large"),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"10000\r\n" + b"x" * 65_536 + b"\r\n",
+            "too_large",
+        ),
+        (b"HTTP/1.1 200 OK\r\nX: ", b"x" * 65_536, "malformed"),
+        (b"HTTP/1.1 200 OK\r\n", b"X: y\r\n" * 8_192, "malformed"),
+        (b"HTTP/1.1 200 ", b"x" * 65_536, "malformed"),
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 2_048, "malformed"),
+    ],
+)
+def test_bytes_without_end_close_the_connection_before_the_timeout(start, part, reason):
+    """A response without end filled a host's memory until its request timed out."""
+    sent = 0
+
+    async def serve(reader, writer):
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        with contextlib.suppress(ConnectionError):
+            while sent < ENDLESS:
+                writer.write(part)
+                await writer.drain()
+                sent += len(part)
+
+    async def scenario():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        started_at = monotonic_s()
+        failure = await async_http_client.call(
+            ConnectionPool(address), address, HttpCall("GET", "/x"), 5.0
+        )
+        server.close()
+        return failure, monotonic_s() - started_at
+
+    failure, elapsed_s = asyncio.run(scenario())
+    assert failure.reason == reason
+    assert elapsed_s < 2.5
+    assert sent < ENDLESS
