Refresh a replica less and less often while nothing newer is to be had

Read in the change: while the store is down every host of a zone asked two others and, later, the store ten times a second. The pause between two attempts now doubles up to 0.8 s, and a host that is no relay turns to the store only if no relay answers. The loop is a module of its own (node/replica_refresher.py).

--- a/sequoiapoint/coordination/replica_refresh.py
+++ b/sequoiapoint/coordination/replica_refresh.py
@@ -6,8 +6,9 @@
 their sum.  The age of the replica covers all of them.  A host whose replica is too old
 asks other hosts, and then the store, whatever it knows of the cause.
 
-The relays of a zone turn to the store first; the other hosts ask the relays before, and
-follow at different times, so that the store is not called by a whole zone at once.
+The relays of a zone turn to the store first.  The other hosts ask the relays before,
+and follow, at different times, only if no relay answers: while the store is down, relays
+that answer have no newer state, and a whole zone must not call the store.
 """
 
 from dataclasses import dataclass
@@ -19,6 +20,8 @@
 """The same for the first host that is no relay to turn to the store."""
 OWN_READ_SPREAD_SHARE = 0.1
 """Part of that time over which the hosts of a zone turn to the store."""
+MAX_PAUSE_S = 0.8
+"""Maximum pause between two attempts; it doubles with each one that brings nothing."""
 TIMEOUT_SHARE = 0.2
 """Timeout of each call to refresh a replica, as a share of that time: after one that
 fails there is time for another."""
@@ -33,7 +36,12 @@
 
 
 def decide(
-    age_s: float, drain_s: float, is_relay: bool, position: int, hosts: int
+    age_s: float,
+    drain_s: float,
+    is_relay: bool,
+    position: int,
+    hosts: int,
+    has_answer: bool = False,
 ) -> Refresh:
     """Return what to do about a replica of the given age.
 
@@ -41,8 +49,18 @@
     :param drain_s: Time within which a leaving server must get no requests.
     :param position: The host's position in the order of its zone.
     :param hosts: The number of hosts of the zone.
+    :param has_answer: Whether a host that was asked last has answered.
     """
     own_read_share = STALE_SHARE
     if not is_relay:
         own_read_share = OWN_READ_SHARE + OWN_READ_SPREAD_SHARE * position / hosts
-    return Refresh(age_s > STALE_SHARE * drain_s, age_s > own_read_share * drain_s)
+    reads_store = age_s > own_read_share * drain_s and (is_relay or not has_answer)
+    return Refresh(age_s > STALE_SHARE * drain_s, reads_store)
+
+
+def next_pause_s(pause_s: float) -> float:
+    """Return the pause after an attempt that has brought nothing.
+
+    :param pause_s: The pause before it.
+    """
+    return min(MAX_PAUSE_S, 2.0 * pause_s)
--- a/sequoiapoint/coordination/replica_refresh_test.py
+++ b/sequoiapoint/coordination/replica_refresh_test.py
@@ -21,6 +21,14 @@
     assert decide(age_s, 2.0, is_relay, position, 10) == expected
 
 
+@pytest.mark.parametrize(("is_relay", "expected"), [(True, True), (False, False)])
+def test_a_zone_does_not_turn_to_a_store_that_its_relays_cannot_read(
+    is_relay, expected
+):
+    """Replays an outage: relays answer, but have no newer state."""
+    assert decide(9.0, 2.0, is_relay, 1, 50, True) == Refresh(True, expected)
+
+
 @pytest.mark.parametrize("hosts", [2, 12, 200])
 def test_the_last_host_still_has_time_for_two_calls_within_the_limit(hosts):
     latest_share = next(
--- a/sequoiapoint/node/topic_exchange.py
+++ b/sequoiapoint/node/topic_exchange.py
@@ -10,9 +10,10 @@
 import http
 from urllib.parse import parse_qs, urlencode, urlsplit
 
-from sequoiapoint.coordination import distribution_tree, replica_refresh
+from sequoiapoint.coordination import distribution_tree
 from sequoiapoint.coordination.store_reading import StoreReading, ZoneView
 from sequoiapoint.node.gateway_state import GatewayState
+from sequoiapoint.node.replica_refresher import ReplicaRefresher
 from sequoiapoint.node.store_watch import StoreWatch, TopicWatch
 from sequoiapoint.protocol.digests import (
     Digest,
@@ -41,8 +42,6 @@
 shortest limit for applying a configuration."""
 MAX_LAGGING_FETCHES = 2
 """Number of peers that are asked for a change, one after the other."""
-AGE_CHECK_INTERVAL_S = 0.1
-"""Interval at which the age of the servers' replica is checked."""
 LAG_CHECK_INTERVAL_S = 0.2
 """Interval at which topics are checked for lag."""
 MAX_CONFIGURATION_LAG_S = 0.4
@@ -83,6 +82,7 @@
         self._advanced = asyncio.Event()
         # By topic: an announced end offset that this host lacks, and since when.
         self._awaited: dict[str, tuple[int, float]] = {}
+        self._refresher = ReplicaRefresher(state, peers, watch.servers, self._fetch)
         watch.reads_via_relay = self.reads_via_relay
 
     async def start(self) -> None:
@@ -98,7 +98,7 @@
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._run_fetches(self._watch.configuration))
             tasks.create_task(self._run_fetches(self._watch.servers))
-            tasks.create_task(self._run_refreshes(self._watch.servers))
+            tasks.create_task(self._refresher.run())
 
     async def _run_fetches(self, watch: TopicWatch) -> None:
         requested = self._fetch_requested[watch.topic]
@@ -111,43 +111,6 @@
             requested.clear()
             await self._fetch_if_lagging(watch)
 
-    async def _run_refreshes(self, watch: TopicWatch) -> None:
-        """Refresh a replica that is too old, from other hosts and the store at once."""
-        drain_s = self._state.settings.bounds.server_drain_s
-        timeout_s = replica_refresh.TIMEOUT_SHARE * drain_s
-        while True:
-            await asyncio.sleep(AGE_CHECK_INTERVAL_S)
-            now = monotonic_s()
-            if not watch.content.is_known:
-                continue
-            own, members = self._state.settings.host, self._peers.listed_members()
-            refresh = replica_refresh.decide(
-                watch.freshness.age_s(now),
-                drain_s,
-                self._peers.is_relay(now),
-                members.index(own) if own in members else 0,
-                max(1, len(members)),
-            )
-            calls = []
-            if refresh.asks_peers:
-                self._state.metrics.event("replica_stale")
-                calls += [
-                    self._fetch(watch, peer, timeout_s, is_held=False)
-                    for peer in self._refresh_sources(watch, now)
-                ]
-            if refresh.reads_store:
-                calls.append(watch.refresh(timeout_s))
-            await asyncio.gather(*calls)
-
-    def _refresh_sources(self, watch: TopicWatch, now: float) -> list[Peer]:
-        """Return the hosts to ask for a newer state: relays, and those ahead."""
-        known = watch.content.end
-        ahead = [p for p in self._peers.live(now) if self._known_end(p, watch) > known]
-        ahead.sort(key=lambda peer: -self._known_end(peer, watch))
-        relays = (self._peers.peer(m.host) for m in self._peers.own_relays(now))
-        sources = {peer.host: peer for peer in (*ahead, *relays) if peer is not None}
-        return list(sources.values())[:MAX_LAGGING_FETCHES]
-
     def note_advance(self) -> None:
         """Answer the held fetches of other hosts, as a topic has advanced."""
         self._advanced.set()
@@ -263,10 +226,11 @@
         peer: Peer,
         timeout_s: float = FETCH_TIMEOUT_S,
         is_held: bool = True,
-    ) -> None:
+    ) -> bool:
         """Fetch a topic from another host.
 
         :param is_held: Whether the other host waits for a change if it has none yet.
+        :return: Whether the host has answered.
         """
         pool = self._pools.setdefault(peer.address, ConnectionPool(peer.address))
         query = urlencode({"from": watch.content.end, "hold": int(is_held)})
@@ -275,15 +239,15 @@
         response = await call(pool, peer.address, request, timeout_s)
         if isinstance(response, Failure):
             self._record_failure(watch, peer, response)
-            return
+            return False
         if response.status != http.HTTPStatus.OK:
             self._record_failure(watch, peer, f"status {response.status}")
-            return
+            return False
         try:
             state = decode_topic_state(response.body)
         except ValueError as error:
             self._record_failure(watch, peer, error)
-            return
+            return False
         self._state.log.event(
             "topic_fetch",
             "taken",
@@ -296,6 +260,7 @@
         watch.merge_peer_state(state)
         if state.age_s is not None:
             watch.note_announcement(state.end, state.age_s, started_at)
+        return True
 
     def _record_failure(self, watch: TopicWatch, peer: Peer, error: object) -> None:
         self._state.metrics.event("topic_fetch_failed")
--- a/tests/leaving_lag_test.py
+++ b/tests/leaving_lag_test.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import contextlib
 import functools
 import json
 import random
@@ -16,7 +17,8 @@
 
 import pytest
 
-from sequoiapoint.node import store_watch, topic_exchange
+from sequoiapoint.coordination.replica_refresh import MAX_PAUSE_S
+from sequoiapoint.node import replica_refresher, store_watch, topic_exchange
 from sequoiapoint.node.store_watch import StoreWatch
 from sequoiapoint.node.topic_exchange import TopicExchange
 from sequoiapoint.platform.store import PlatformStoreCodec
@@ -50,6 +52,7 @@
 """Time after which a reader that has lost the store reports it: half a second of failed
 calls, where a long poll hangs after its timeout."""
 NETWORK_S = 0.003
+GIVE_UP_S = 10.0
 
 
 def entry(count, state):
@@ -67,7 +70,7 @@
     """
 
     def __init__(self, loop, fault, leaving, acked_at):
-        self.loop, self.fault = loop, fault
+        self.loop, self.fault, self.calls = loop, fault, []
         servers = [(0.0, "s-1", entry(1, "ready"))]
         servers += [(0.3 * n, "s-2", entry(n, "ready")) for n in range(60)]
         servers.append((acked_at, "s-1", leaving))
@@ -92,6 +95,8 @@
         """Return the time of a host's last read of the store."""
         if member == READER and self.fault in REPORTED_AFTER_S:
             now = min(now, FAULT_S)
+        if self.fault == "store_down":
+            now = min(now, FAULT_S)
         phase = 0.1 * len(member.host)
         return (now - phase) // READ_PERIOD_S * READ_PERIOD_S + phase
 
@@ -133,6 +138,7 @@
     async def call(self, pool, address, request, timeout_s):
         """Answer a call to the store or to another host."""
         path, _, query = request.target.partition("?")
+        self.calls.append((self.loop.now, address, query))
         fields = dict(pair.split("=") for pair in query.split("&"))
         if address == STORE:
             return await self.call_store(path, fields)
@@ -150,6 +156,9 @@
         return Response(200, [], encode_topic_state(state))
 
     async def call_store(self, path, fields):
+        if self.fault == "store_down" and self.has_failed:
+            await asyncio.sleep(NETWORK_S)
+            return Failure(FailureKind.UNKNOWN, "reset", path, STORE)
         topic, start = fields["topic"], int(fields.get("from", 0))
         until = self.loop.now + int(fields.get("wait-ms", 0)) / 1000
         while self.end(topic, self.loop.now) <= start and self.loop.now < until:
@@ -203,8 +212,9 @@
             e.server == "s-1" and e.state is ServerState.READY
             for e in state.fleet.entries.values()
         )
-        while any(e.server == "s-1" for e in state.fleet.ready_servers("lm")):
-            await asyncio.sleep(0.01)
+        async with asyncio.timeout(GIVE_UP_S):
+            while any(e.server == "s-1" for e in state.fleet.ready_servers("lm")):
+                await asyncio.sleep(0.01)
         return world.loop.now - acked_at
     finally:
         assert not [task.exception() for task in tasks if task.done()]
@@ -215,8 +225,12 @@
 
 def known_after_s(monkeypatch, fault, leaving, acked_at):
     loop = VirtualTimeLoop()
-    world = World(loop, fault, leaving, acked_at)
-    for module in (store_watch, topic_exchange, store_client):
+    return _play(monkeypatch, World(loop, fault, leaving, acked_at), acked_at)
+
+
+def _play(monkeypatch, world, acked_at):
+    loop = world.loop
+    for module in (replica_refresher, store_watch, topic_exchange, store_client):
         monkeypatch.setattr(module, "monotonic_s", loop.time)
     for module in (topic_exchange, store_client):
         monkeypatch.setattr(module, "call", world.call)
@@ -245,3 +259,16 @@
     lag = functools.partial(known_after_s, monkeypatch, fault, value)
     lags = {round(0.15 * n, 2): lag(FAULT_S - 0.3 + 0.15 * n) for n in range(16)}
     assert max(lags.values()) < Bounds().server_drain_s
+
+
+def test_a_host_makes_few_calls_while_the_store_is_down(monkeypatch):
+    """All hosts of a zone have a replica that is too old, and no host a newer one."""
+    world = World(VirtualTimeLoop(), "store_down", entry(9, "draining"), FAULT_S + 10.0)
+    with contextlib.suppress(TimeoutError):
+        _play(monkeypatch, world, FAULT_S + 10.0)
+    refreshes = [
+        at
+        for at, address, query in world.calls
+        if address != STORE and "hold=0" in query and at > FAULT_S
+    ]
+    assert 0 < len(refreshes) <= 2 * (10.0 / MAX_PAUSE_S + 6)
