Release the slot of a request whose prompt is rejected after the choice of an engine

Read in the change: the check between the choice and the attempt returned without releasing the slot that an allocator had granted. The attempt itself checks before it sends, and its slot is released.

--- a/sequoiapoint/coordination/replica_refresh.py
+++ b/sequoiapoint/coordination/replica_refresh.py
@@ -7,8 +7,8 @@
 asks other hosts, and then the store, whatever it knows of the cause.
 
 The relays of a zone turn to the store first.  The other hosts ask the relays before,
-and follow, at different times, only if no relay answers: while the store is down, relays
-that answer have no newer state, and a whole zone must not call the store.
+and follow, at different times, only if no relay answers: while the store is down, the
+relays that answer have no newer state, and a whole zone must not call the store.
 """
 
 from dataclasses import dataclass
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -165,7 +165,7 @@
             )
         while True:
             entry = await self._selector.select()
-            if entry is None or self._rejected_part() is not None:
+            if entry is None:
                 self._send_failure()
                 return
             attempt_number = next(_attempt_numbers)
