--- a/sequoiapoint/node/gateway_state.py
+++ b/sequoiapoint/node/gateway_state.py
@@ -178,8 +178,8 @@
         self.replan_requested.set()
         self.wait_queue.notify()
 
-    def log_rejected_parts(self, source: str) -> None:
-        """Log the parts of prompts that are rejected after a change; wake requests.
+    def apply_rejected_parts(self, source: str) -> None:
+        """Wake the waiting requests after a change of the rejected parts, and log it.
 
         :param source: The host that the change comes from.
         """
--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -297,7 +297,7 @@
         if any(changes):
             self.schedule_digest()
         if quarantine.rejected != known:
-            self._state.log_rejected_parts(digest.host)
+            self._state.apply_rejected_parts(digest.host)
 
     def _log_aggregator(self, now: float) -> None:
         """Log which aggregator this host follows when that changes."""
--- a/sequoiapoint/node/peer_exchange_test.py
+++ b/sequoiapoint/node/peer_exchange_test.py
@@ -49,7 +49,7 @@
             demand=LocalDemand(),
             quarantine=Quarantine(3),
             prompt_quarantine=PromptQuarantine(),
-            log_rejected_parts=lambda source: None,
+            apply_rejected_parts=lambda source: None,
             wait_queue=SimpleNamespace(notify=lambda: None),
             replan_requested=SimpleNamespace(set=lambda: None),
             host_count=1,
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -498,7 +498,7 @@
         if quarantine.clear(self._request.shared_parts, monotonic_s()):
             self._state.prompt_quarantine_changed()
         if quarantine.rejected != known:
-            self._state.log_rejected_parts(self._state.settings.host)
+            self._state.apply_rejected_parts(self._state.settings.host)
 
     async def _note_crash(self, entry: ServerEntry, reason: str) -> None:
         """Suspect the parts of the prompt if the engine crashed with this request.
@@ -530,7 +530,7 @@
             )
             state.prompt_quarantine_changed()
         if quarantine.rejected != known:
-            state.log_rejected_parts(state.settings.host)
+            state.apply_rejected_parts(state.settings.host)
 
     def _send_failure(self) -> None:
         """Send the caller the final response if no further attempt is allowed."""
