Decode organisations, keys and allowances from the configuration

Types and settings that the entry, the age of the configuration and the allowances build on. Nothing uses them yet, and a configuration without organisations decodes as before.

--- a/sequoiapoint/platform/store.py
+++ b/sequoiapoint/platform/store.py
@@ -11,12 +11,15 @@
 
 from sequoiapoint.platform import headers as names
 from sequoiapoint.platform.servers import ModelStatus
+from sequoiapoint.protocol.api_keys import key_digest
 from sequoiapoint.protocol.gateway import (
+    Allowance,
     CallerLimits,
     EngineSpec,
     GatewayConfiguration,
     GroupMembership,
     ModelSpec,
+    Organisation,
     Repeatability,
     Route,
     ServerEntry,
@@ -31,6 +34,8 @@
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 SERVER_TOPIC = "keyed.servers"
+TOKEN_UNIT = "token_count"
+"""Unit of allowances that count tokens."""
 _CALL_PREFIX = "/sequoiapoint/log-"
 _JSON = [(b"Content-Type", b"application/json")]
 _READ_HEADER = struct.Struct(">QQ")
@@ -70,6 +75,7 @@
     gap_aim_ms: float = 0.0
     service: str = ""
     split: list[_Split] = []
+    public: bool = False
 
     def route(self) -> Route:
         """Convert to the gateway's data model."""
@@ -91,6 +97,7 @@
             max_event_gap_s=self.gap_aim_ms / 1000.0,
             attempts=max(1, self.attempts),
             priority=self.priority,
+            is_public=self.public,
         )
 
 
@@ -142,6 +149,29 @@
     engine: _Engine | None = None
 
 
+class _Tenant(_WireModel):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    unit: str = ""
+    plain_tokens: float = 1.0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+    def organisation(self) -> Organisation:
+        """Convert to the gateway's data model."""
+        allowance = None
+        if self.rate_per_s > 0:
+            counts_tokens = self.unit == TOKEN_UNIT
+            allowance = Allowance(
+                rate_per_s=self.rate_per_s,
+                burst=max(0.0, self.burst),
+                counts_tokens=counts_tokens,
+                plain_cost=self.plain_tokens if counts_tokens else 1.0,
+            )
+        return Organisation(self.name, self.priority, allowance)
+
+
 class _Limits(_WireModel):
     max_header_bytes: int
     max_body_bytes: int
@@ -154,6 +184,18 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
+    tenants: list[_Tenant] | None = None
+
+    def _organisations(self) -> dict[bytes, Organisation] | None:
+        """Return the organisation of each key by the key's digest."""
+        if self.tenants is None:
+            return None
+        organisations = {}
+        for tenant in self.tenants:
+            organisation = tenant.organisation()
+            for key in tenant.api_keys:
+                organisations[key_digest(key.encode())] = organisation
+        return organisations
 
     def configuration(self) -> GatewayConfiguration:
         """Convert to the gateway's data model."""
@@ -174,6 +216,7 @@
                 header_timeout_s=self.limits.header_timeout_ms / 1000.0,
                 idle_timeout_s=self.limits.idle_timeout_ms / 1000.0,
             ),
+            organisations=self._organisations(),
         )
 
 
--- a/sequoiapoint/protocol/gateway.py
+++ b/sequoiapoint/protocol/gateway.py
@@ -86,6 +86,7 @@
     :param max_event_gap_s: The maximum pause between events that counts as on time.
     :param attempts: The maximum number of servers to which one request may be sent.
     :param priority: The urgency; 0 is the most urgent.
+    :param is_public: Whether requests need no key although there are organisations.
     """
 
     name: str
@@ -100,6 +101,7 @@
     max_event_gap_s: float
     attempts: int
     priority: int
+    is_public: bool = False
 
     @property
     def may_repeat(self) -> bool:
@@ -122,14 +124,48 @@
     idle_timeout_s: float = 15.0
 
 
+@dataclass(frozen=True)
+class Allowance:
+    """What an organisation may ask for, over all hosts.
+
+    :param rate_per_s: Units a second.
+    :param burst: Units that may be asked for at once, beyond the rate.
+    :param counts_tokens: Whether the units are tokens instead of requests.
+    :param plain_cost: The units that a request without tokens costs.
+    """
+
+    rate_per_s: float
+    burst: float
+    counts_tokens: bool = False
+    plain_cost: float = 1.0
+
+
+@dataclass(frozen=True)
+class Organisation:
+    """An organisation whose callers send a key with their requests.
+
+    :param priority: Precedes the priority of the route; None if only the route's holds.
+    :param allowance: None if the organisation has no limit.
+    """
+
+    name: str
+    priority: int | None = None
+    allowance: Allowance | None = None
+
+
 @dataclass(frozen=True)
 class GatewayConfiguration:
-    """One version of the operators' configuration."""
+    """One version of the operators' configuration.
+
+    :param organisations: The organisation of each key, by the digest of the key (see
+        ``protocol.api_keys``); None if requests need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, ServiceSpec]
     limits: CallerLimits
+    organisations: Mapping[bytes, Organisation] | None = None
 
     def least_urgent_priority(self, service: str) -> int:
         """Return the least urgent priority of a service's routes; 0 is most urgent."""
@@ -207,6 +243,11 @@
         have too, in order.
     :param resumes: The id of the caller's attempt that received the first event of the
         stream that this one resumes; "" for none.
+    :param tokens: The tokens that it may take, of the prompt and of the output; None if
+        the request does not state them.
+    :param key_digest: The digest of the caller's key; b"" without a valid one.
+    :param organisation: The organisation for which the request was admitted; "" for
+        none, None if the configuration in force has no organisations.
     """
 
     request_id: str
@@ -222,6 +263,9 @@
     last_event_id: str = ""
     shared_parts: tuple[str, ...] = ()
     resumes: str = ""
+    tokens: int | None = None
+    key_digest: bytes = b""
+    organisation: str | None = None
 
     @property
     def path(self) -> str:
@@ -235,12 +279,16 @@
 
     :param running: The number of running requests.
     :param waiting: The number of queued requests.
-    :param slots: The number of requests that it can run concurrently.
+    :param slots: The number of requests that it can run concurrently; None if the
+        server does not state it.
+    :param slowness: How long work takes at the moment, as a multiple of the usual time;
+        None if the server does not state it.
     """
 
     running: int
-    waiting: int
-    slots: int
+    waiting: int = 0
+    slots: int | None = None
+    slowness: float | None = None
 
 
 @dataclass(frozen=True)
--- a/sequoiapoint/protocol/gateway_settings.py
+++ b/sequoiapoint/protocol/gateway_settings.py
@@ -35,6 +35,15 @@
     """Length of the window in which retries are counted."""
     store_load_window_s: float = pydantic.Field(default=5.0, gt=0)
     """Length of the window in which loads from the weight store are counted."""
+    key_revocation_s: float | None = pydantic.Field(default=None, gt=0)
+    """Time after which a withdrawn key must not be accepted at any host, reachable or
+    not; None if only hosts in contact with the others must know of it."""
+    allowance_window_s: float = pydantic.Field(default=8.0, gt=0)
+    """Length of the window in which organisations' allowances are verified."""
+    allowance_over_share: float = pydantic.Field(default=0.1, ge=0)
+    """Share by which an organisation may exceed its allowance in a window."""
+    allowance_slack: float = pydantic.Field(default=0.0, ge=0)
+    """Units by which it may exceed it besides, over all hosts."""
 
 
 class GatewaySettings(_StrictModel):
