Decode callers' keys, and tell servers the organisation

The configuration names organisations; servers expect the name of the one that holds the caller's key, and must get neither the key nor a name that the caller has sent. The key is reduced to its digest at decoding.

Integers of more than 15 digits in headers are invalid: a deadline of 400 digits raised OverflowError, one of 5,000 digits ValueError.

--- a/sequoiapoint/platform/callers.py
+++ b/sequoiapoint/platform/callers.py
@@ -1,11 +1,16 @@
 """Codec of callers' requests in the platform's wire format."""
 
+import re
+from collections.abc import Iterable
+
 from sequoiapoint.platform import headers as names
+from sequoiapoint.protocol.api_keys import key_digest
 from sequoiapoint.protocol.gateway import CallerRequest
 from sequoiapoint.protocol.ports import Headers
 
 READINESS_PATH = "/sequoiapoint/readyz"
 _NOT_FORWARDED = names.HOP_BY_HOP | names.SET_BY_GATEWAY | {b"host"}
+_BEARER = re.compile(rb"bearer +(\S+)", re.IGNORECASE)
 
 
 def _prompt_tokens(value: bytes | None) -> int:
@@ -13,6 +18,16 @@
     return names.parse_integer((value or b"").partition(b",")[0].strip()) or 0
 
 
+def _tokens(value: bytes | None) -> int | None:
+    """Decode the tokens of ``PROMPT,OUTPUT`` in total.
+
+    :return: The sum of the numbers that are valid; None without one.
+    """
+    parts = [names.parse_integer(n.strip()) for n in (value or b"").split(b",")[:2]]
+    numbers = [number for number in parts if number is not None]
+    return sum(numbers) if numbers else None
+
+
 def _shared_parts(value: bytes | None) -> tuple[str, ...]:
     """Decode the ids of ``ID:TOKENS,...``, except the last, which is not shared."""
     parts = [part.partition(b":")[0].strip() for part in (value or b"").split(b",")]
@@ -57,8 +72,25 @@
             shared_parts=_shared_parts(first_values.get(names.PROMPT_PARTS)),
             last_event_id=first_values.get(names.LAST_EVENT_ID, b"").decode("latin-1"),
             resumes=first_values.get(names.RESUMES, b"").decode("latin-1"),
+            tokens=_tokens(first_values.get(names.TOKEN_COUNT)),
+            key_digest=self.key_digest(headers),
         )
 
+    def key_digest(self, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+        """Return the digest of the key that a caller has sent, b"" without one.
+
+        Anything but one header of the form ``Bearer KEY`` is no key.
+        """
+        values = [value for name, value in headers if name == names.AUTHORIZATION]
+        match = _BEARER.fullmatch(values[0].strip()) if len(values) == 1 else None
+        return b"" if match is None else key_digest(match[1])
+
+    def without_credentials(
+        self, headers: Iterable[tuple[bytes, bytes]]
+    ) -> tuple[tuple[bytes, bytes], ...]:
+        """Return the headers that are left without a key and an organisation's name."""
+        return tuple(pair for pair in headers if pair[0] not in names.CREDENTIALS)
+
     def refusal_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
         """Return the headers of a response that the gateway itself generates."""
         headers: Headers = []
--- a/sequoiapoint/platform/headers.py
+++ b/sequoiapoint/platform/headers.py
@@ -21,6 +21,11 @@
 STORE_ERA = b"store-era"
 RETRY_AFTER = b"retry-after"
 CONTENT_ENCODING = b"content-encoding"
+AUTHORIZATION = b"authorization"
+ORGANISATION = b"tenant"
+
+MAX_DIGITS = 15
+"""Maximum number of digits of an integer in a header."""
 
 HOP_BY_HOP = frozenset(
     {
@@ -55,6 +60,9 @@
 )
 """Request headers that only the gateway sets; a caller's are not forwarded as sent."""
 
+CREDENTIALS = frozenset({AUTHORIZATION, ORGANISATION})
+"""Request headers that are not forwarded while the configuration has organisations."""
+
 GATEWAY_ONLY = frozenset(
     {SERVER_LOAD, SERVER_ID, NOT_RUN, SERVER_LEAVING, SERVER_LIMIT, SERVER_BRITTLE}
 )
@@ -73,7 +81,11 @@
 
 
 def parse_integer(value: bytes | None) -> int | None:
-    """Parse a header's value as a non-negative integer; return None if invalid."""
-    if value is None or not value.isdigit():
+    """Parse a header's value as a non-negative integer; return None if invalid.
+
+    Longer numbers than ``MAX_DIGITS`` are invalid: they do not fit into the integers of
+    messages between hosts, and Python converts neither very long ones nor their floats.
+    """
+    if value is None or len(value) > MAX_DIGITS or not value.isdigit():
         return None
     return int(value)
--- a/sequoiapoint/platform/servers.py
+++ b/sequoiapoint/platform/servers.py
@@ -135,6 +135,9 @@
     ) -> bytes:
         """Encode the head of a request to a server.
 
+        While the configuration has organisations, the server is told the one for which
+        the request was admitted, whatever the caller has sent, and never a key.
+
         :param remaining_s: The remaining time that the caller waits, in seconds.
         :param priority: The priority at an engine, 0 being the most urgent; None to
             send none.
@@ -142,7 +145,15 @@
             start.
         """
         lines = [f"{request.method} {request.target} HTTP/1.1".encode("latin-1")]
-        lines += [name + b": " + value for name, value in request.headers]
+        are_keys_in_force = request.organisation is not None
+        dropped = names.CREDENTIALS if are_keys_in_force else frozenset()
+        lines += [
+            name + b": " + value
+            for name, value in request.headers
+            if name not in dropped
+        ]
+        if request.organisation:
+            lines.append(names.ORGANISATION + b": " + request.organisation.encode())
         remaining_ms = max(1, int(remaining_s * 1000))
         lines.append(names.BUDGET_MS + b": %d" % remaining_ms)
         lines.append(names.EXPECTED_SERVER + b": " + entry.server.encode("latin-1"))
--- a/sequoiapoint/platform/store.py
+++ b/sequoiapoint/platform/store.py
@@ -150,7 +150,8 @@
 
 
 class _Tenant(_WireModel):
-    name: str
+    # Sent to servers in a header.
+    name: Annotated[str, pydantic.Field(pattern=r"^[^\x00-\x1f\x7f]+$")]
     api_keys: list[str] = []
     priority: int | None = None
     unit: str = ""
--- a/sequoiapoint/protocol/ports.py
+++ b/sequoiapoint/protocol/ports.py
@@ -5,7 +5,7 @@
 implements them.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from sequoiapoint.protocol.gateway import (
@@ -53,6 +53,14 @@
     ) -> CallerRequest | None:
         """Decode a request; return None if it has no request id."""
 
+    def key_digest(self, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+        """Return the digest of the key that a caller has sent, b"" without one."""
+
+    def without_credentials(
+        self, headers: Iterable[tuple[bytes, bytes]]
+    ) -> tuple[tuple[bytes, bytes], ...]:
+        """Return the headers without a key and without an organisation's name."""
+
     def refusal_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
         """Return the headers of a response that the gateway itself generates."""
 
