Admit requests by the key of their organisation

Requests without a key or with an unknown one get 401 on routes that are not public; 503 if the configuration may lack the removal of a key for longer than the bound. A detour carries the digest and no credentials; requests of organisations use a call that older builds do not know and refuse. The priority of the organisation precedes that of the route: pairs of both are ranked, and the rank is used where the route's priority was.

Tests of request handler, forwarder, detours and platform pass.

--- a/sequoiapoint/node/detour_exchange.py
+++ b/sequoiapoint/node/detour_exchange.py
@@ -21,6 +21,7 @@
     ServerReply,
     UnknownReply,
     decode_detour_reply,
+    detour_path,
     encode_detour_request,
 )
 from sequoiapoint.protocol.digests import Member
@@ -57,7 +58,14 @@
 """Number of connection pools from which those without a connection are removed."""
 
 UNABLE_REASONS = frozenset(
-    {"cut_off", "draining", "no_configuration", "older_configuration", "no_route"}
+    {
+        "cut_off",
+        "draining",
+        "no_configuration",
+        "older_configuration",
+        "configuration_too_old",
+        "no_route",
+    }
 )
 """Reasons for which a helper refuses a request that another one may run."""
 
@@ -190,7 +198,7 @@
             )
         body = encode_detour_request(request)
         head = encode_request_head(
-            HttpCall("POST", DETOUR_PATH, body=body), helper.address
+            HttpCall("POST", detour_path(request), body=body), helper.address
         )
         exchange = connection.send(head, body, lambda status, headers: True)
         waiter = _Waiter(self, helper, deadline + REPLY_GRACE_S, may_leave)
--- a/sequoiapoint/node/detour_server.py
+++ b/sequoiapoint/node/detour_server.py
@@ -1,7 +1,8 @@
 """Runs requests for hosts that are cut off from servers.
 
 Each request is run as if its caller had sent it to this host, with the time and the
-attempts that are left.  It never goes on to a third host.
+attempts that are left.  It never goes on to a third host.  This host looks its key up
+again in its own configuration, which is not older than that of the other host.
 """
 
 import asyncio
@@ -9,6 +10,8 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from sequoiapoint.coordination.entry import Rejected
+from sequoiapoint.node import admission
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.peer_exchange import PeerExchange
 from sequoiapoint.node.request_forwarder import RequestForwarder
@@ -24,7 +27,7 @@
     encode_detour_reply,
     with_budget,
 )
-from sequoiapoint.protocol.gateway import Route
+from sequoiapoint.protocol.gateway import CallerRequest, Route
 from sequoiapoint.protocol.ports import Headers
 from sequoiapoint.transport.async_http_server import InboundRequest, Responder
 
@@ -121,11 +124,12 @@
             self._state.log.event("detour_malformed", error=error)
             responder.send_response(int(http.HTTPStatus.BAD_REQUEST), [])
             return
-        state, request = self._state, message.request
+        state, request = self._state, self._with_key(message.request)
         route = None
         if state.routes is not None:
             route = state.routes.find(request.host, request.path)
-        reason = self._unable_reason(message, route)
+        admitted = self._admit(message, request, route)
+        reason = admitted.reason if isinstance(admitted, RefusalReply) else ""
         detour_responder = DetourResponder(responder)
         state.log.event(
             "detour",
@@ -136,16 +140,40 @@
             attempts_left=message.attempts_left,
             reason=reason,
         )
-        if reason:
-            status = int(http.HTTPStatus.SERVICE_UNAVAILABLE)
-            detour_responder.send_reply(RefusalReply(status, reason, None))
+        if isinstance(admitted, RefusalReply):
+            detour_responder.send_reply(admitted)
             return
+        message = replace(message, request=admitted)
         self.busy_count += 1
         try:
             await self._run(message, route, inbound.arrived_s, detour_responder)
         finally:
             self.busy_count -= 1
 
+    def _with_key(self, request: CallerRequest) -> CallerRequest:
+        """Return a request with the digest of the caller's key.
+
+        A host that has no organisations in force, or that is of an older build, has not
+        decided on the key and sends the caller's headers as they are.
+        """
+        if request.organisation is not None:
+            return request
+        digest = self._state.adapter.callers.key_digest(request.headers)
+        return replace(request, key_digest=digest)
+
+    def _admit(
+        self, message: DetourRequest, request: CallerRequest, route: Route | None
+    ) -> CallerRequest | RefusalReply:
+        """Return the request as this host runs it, or why it does not."""
+        reason = self._unable_reason(message, route)
+        if reason:
+            return RefusalReply(int(http.HTTPStatus.SERVICE_UNAVAILABLE), reason, None)
+        decision = admission.decide_entry(self._state, request, route)
+        if isinstance(decision, Rejected):
+            refused = admission.refusal(self._state, request.request_id, decision)
+            return RefusalReply(refused.status, refused.reason, refused.retry_after_s)
+        return replace(request, organisation=decision.name)
+
     def _unable_reason(self, message: DetourRequest, route: Route | None) -> str:
         """Return why this host cannot help; "" if it can."""
         state = self._state
--- a/sequoiapoint/node/detour_server_test.py
+++ b/sequoiapoint/node/detour_server_test.py
@@ -1,6 +1,7 @@
 """Requests that this host runs for another one, with a scripted request forwarder."""
 
 import asyncio
+import random
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -11,6 +12,7 @@
 from sequoiapoint.node.detour_server import DetourServer
 from sequoiapoint.node.request_forwarder_test import ROUTE
 from sequoiapoint.node.request_record import reject
+from sequoiapoint.platform.callers import PlatformCallerCodec
 from sequoiapoint.protocol.detours import (
     DetourRequest,
     RefusalReply,
@@ -19,7 +21,12 @@
     decode_detour_reply,
     encode_detour_request,
 )
-from sequoiapoint.protocol.gateway import CallerRequest
+from sequoiapoint.protocol.gateway import (
+    CallerLimits,
+    CallerRequest,
+    GatewayConfiguration,
+)
+from sequoiapoint.protocol.gateway_settings import Bounds
 from sequoiapoint.state.reachability import Reachability
 from sequoiapoint.transport.async_http_server import InboundRequest
 from sequoiapoint.transport.clock import monotonic_s
@@ -60,7 +67,11 @@
         monkeypatch.setattr(detour_server, "RequestForwarder", Forwarder)
         self.state = SimpleNamespace(
             is_draining=False,
-            configuration=SimpleNamespace(version=7),
+            configuration=GatewayConfiguration(7, (), {}, CallerLimits()),
+            configuration_age_s=lambda: 0.0,
+            settings=SimpleNamespace(bounds=Bounds()),
+            rng=random.Random(1),
+            adapter=SimpleNamespace(callers=PlatformCallerCodec()),
             routes=SimpleNamespace(find=lambda host, path: ROUTE),
             reachability=Reachability(),
             log=SimpleNamespace(event=lambda *a, **fields: None),
@@ -146,7 +157,7 @@
 
 
 def older_configuration(site):
-    site.state.configuration.version = 6
+    site.state.configuration = GatewayConfiguration(6, (), {}, CallerLimits())
 
 
 def no_route(site):
--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -15,7 +15,7 @@
 from sequoiapoint.node.reachability_monitor import ReachabilityMonitor
 from sequoiapoint.node.request_handler import RequestHandler
 from sequoiapoint.node.store_watch import StoreWatch
-from sequoiapoint.protocol.detours import DETOUR_PATH
+from sequoiapoint.protocol.detours import DETOUR_PATH, ORGANISATION_DETOUR_PATH
 from sequoiapoint.protocol.gateway_settings import (
     GatewaySettings,
     load_gateway_settings,
@@ -95,7 +95,8 @@
         exchange = PeerExchange(state, store, watch)
         placement = PlacementController(state, store, exchange)
         self._detour_server = DetourServer(state, exchange)
-        exchange.server.add_handler(DETOUR_PATH, self._detour_server.handle)
+        for path in (DETOUR_PATH, ORGANISATION_DETOUR_PATH):
+            exchange.server.add_handler(path, self._detour_server.handle)
         self._caller_server = AsyncHttpServer(
             RequestHandler(state, exchange).handle, self._log_malformed
         )
--- a/sequoiapoint/node/gateway_state.py
+++ b/sequoiapoint/node/gateway_state.py
@@ -131,6 +131,8 @@
     :param replan_requested: Set when the placement of models should be planned again.
     :param shared_state_changed: Called when the other hosts should learn of a
         change at once.
+    :param configuration_age_s: Returns the time since which the configuration may lack
+        a newer version, in seconds.
     """
 
     settings: GatewaySettings
@@ -157,6 +159,7 @@
     queue_deadline: float = math.inf
     replan_requested: asyncio.Event = field(default_factory=asyncio.Event)
     shared_state_changed: Callable[[], None] = lambda: None
+    configuration_age_s: Callable[[], float] = lambda: 0.0
     _retry_windows: dict[str, RetryWindow] = field(default_factory=dict)
 
     def retry_window(self, service: str) -> RetryWindow:
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -16,6 +16,8 @@
 import xxhash
 
 from sequoiapoint.coordination import prompt_quarantine, waiting
+from sequoiapoint.coordination.entry import Rejected
+from sequoiapoint.node import admission
 from sequoiapoint.node.detour_exchange import DetourOutcome, DetourResult
 from sequoiapoint.node.gateway_state import GatewayState, crash_name
 from sequoiapoint.node.peer_exchange import PeerExchange
@@ -90,6 +92,9 @@
     """Nothing was sent, as the server stopped accepting requests after the choice."""
     NOT_PERMITTED = "not_permitted"
     """Nothing was sent, as the server has a limit and the request has no permit."""
+    NOT_ADMITTED = "not_admitted"
+    """Nothing was sent, as the request's key was removed since it was admitted, or as
+    the configuration has become too old to tell."""
     PROMPT_REJECTED = "prompt_rejected"
     """Nothing was sent, as a part of the prompt is rejected since the choice."""
     DELIVERED = "delivered"
@@ -209,6 +214,7 @@
         self._successor: _Successor | None = None
         self._has_left_silent = False
         self._rejected_attempts = 0
+        self._rejection: Rejected | None = None
 
     @property
     def _reachability(self) -> ServiceReachability:
@@ -269,7 +275,7 @@
             return
         if self._selector.is_engine:
             state.demand.note_request(
-                self._selector.demand_key, self._route.goal_s, self._route.priority
+                self._selector.demand_key, self._route.goal_s, self._selector.priority
             )
         is_resumed = self._route.is_stream and bool(self._request.last_event_id)
         while True:
@@ -316,7 +322,10 @@
                 continue
             if outcome in (_AttemptOutcome.SERVER_LEFT, _AttemptOutcome.NOT_PERMITTED):
                 continue
-            if outcome is _AttemptOutcome.PROMPT_REJECTED:
+            if outcome in (
+                _AttemptOutcome.PROMPT_REJECTED,
+                _AttemptOutcome.NOT_ADMITTED,
+            ):
                 self._send_failure()
                 return
             self._selector.tried_servers.add(entry.server)
@@ -341,6 +350,9 @@
 
         :return: Whether the request has ended; otherwise it may be sent again.
         """
+        if not self._is_still_admitted():
+            self._send_failure()
+            return True
         result = None
         if not self._is_on_detour:
             result = await self._detours.run(
@@ -400,6 +412,10 @@
                 last_event_id=self._splitter.last_id,
                 resumes=request.request_id,
             )
+        if request.organisation is not None:
+            callers = self._state.adapter.callers
+            headers = callers.without_credentials(request.headers)
+            request = replace(request, headers=headers)
         return DetourRequest(
             self._state.settings.host,
             self._state.configuration.version,
@@ -552,8 +568,23 @@
             return _AttemptOutcome.NOT_PERMITTED, "no_permit_before_sending"
         if self._rejected_part() is not None:
             return _AttemptOutcome.PROMPT_REJECTED, "rejected_before_sending"
+        if not self._is_still_admitted():
+            return _AttemptOutcome.NOT_ADMITTED, self._rejection.reason
         return None, ""
 
+    def _is_still_admitted(self) -> bool:
+        """Tell whether the configuration in force still admits the request.
+
+        The organisation for which it does so becomes that of the request.
+        """
+        decision = admission.decide_entry(self._state, self._request, self._route)
+        if isinstance(decision, Rejected):
+            self._rejection = decision
+            return False
+        if decision.name != self._request.organisation:
+            self._request = replace(self._request, organisation=decision.name)
+        return True
+
     async def _attempt(
         self,
         entry: ServerEntry,
@@ -572,6 +603,12 @@
                 if connection is _AttemptOutcome.NOT_CONNECTED:
                     self._slot_quality = SlotQuality.UNREACHABLE
                 return connection
+        elif not self._is_still_admitted():
+            # The connection was opened while another server had the request.
+            connection.close()
+            outcome = _AttemptOutcome.NOT_ADMITTED
+            self._log_attempt(entry, outcome.value, self._rejection.reason)
+            return outcome
         now = monotonic_s()
         pace = _StreamPace(now, self._route)
         events_before = self._splitter.count
@@ -584,7 +621,7 @@
             self._request,
             entry,
             self._remaining_s(),
-            self._route.priority if self._selector.is_engine else None,
+            self._sent_priority(),
             self._splitter.last_id,
         )
         self._head = None
@@ -618,6 +655,12 @@
             self._log_attempt(entry, outcome.value, reason)
         return outcome
 
+    def _sent_priority(self) -> int | None:
+        """Return the priority that an engine is told; None for other servers."""
+        if not self._selector.is_engine:
+            return None
+        return self._state.configuration.sent_priority(self._selector.priority)
+
     def _accept_response(self, status: int, headers: Headers) -> bool:
         """Tell whether a response belongs to this request, and store its head."""
         self._head = head = self._state.adapter.servers.decode_head(status, headers)
@@ -888,6 +931,8 @@
         try:
             if not is_avoided:
                 connection = await self._connect(candidate, selector)
+                # The silent server may still complete the request.
+                self._rejection = None
                 if not isinstance(connection, _AttemptOutcome):
                     successor = _Successor(candidate, number, selector, connection)
         finally:
@@ -1064,6 +1109,11 @@
             self.log_end("broken_off", reason=self._selector.reason)
         elif self._has_unknown_outcome:
             self._reject_unknown_outcome()
+        elif self._rejection is not None:
+            refused = admission.refusal(
+                self._state, self._request.request_id, self._rejection
+            )
+            self._reject(refused.reason, refused.status, refused.retry_after_s)
         elif (part := self._rejected_part()) is not None:
             remaining_s = self._state.prompt_quarantine.remaining_s(part, monotonic_s())
             status = http.HTTPStatus.SERVICE_UNAVAILABLE
@@ -1101,8 +1151,15 @@
             waited_ms=round(self._selector.waited_s * 1000),
             remaining_ms=round(self._remaining_s() * 1000),
             **self._record.request_fields(),
+            **self._rejection_fields(),
         )
 
+    def _rejection_fields(self) -> dict[str, object]:
+        """Return the age of the configuration that no longer admits the request."""
+        if self._rejection is None:
+            return {}
+        return {"configuration_age_s": round(self._state.configuration_age_s(), 2)}
+
     # Server health and logging
 
     def _note_health(
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -17,8 +17,10 @@
 from sequoiapoint.platform.servers import PlatformServerCodec
 from sequoiapoint.protocol.event_stream import MAX_EVENT_BYTES
 from sequoiapoint.protocol.gateway import (
+    CallerLimits,
     CallerRequest,
     EngineSpec,
+    GatewayConfiguration,
     HeldModel,
     Repeatability,
     Route,
@@ -91,8 +93,8 @@
             started_ms=1,
             rng=random.Random(1),
         )
-        self.state.configuration = SimpleNamespace(
-            version=1, services={"web": ServiceSpec("web", 100)}
+        self.state.configuration = GatewayConfiguration(
+            1, (), {"web": ServiceSpec("web", 100)}, CallerLimits()
         )
         for entry in servers:
             self.state.fleet.put(entry)
--- a/sequoiapoint/node/request_handler.py
+++ b/sequoiapoint/node/request_handler.py
@@ -1,9 +1,9 @@
-"""Handles callers' requests: decodes each, finds its route and forwards it."""
+"""Handles callers' requests: decodes each, admits it and forwards it."""
 
 import asyncio
 import http
 
-from sequoiapoint.coordination import waiting
+from sequoiapoint.node.admission import Admission
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.peer_exchange import PeerExchange
 from sequoiapoint.node.request_forwarder import RequestForwarder
@@ -17,6 +17,7 @@
     def __init__(self, state: GatewayState, exchange: PeerExchange) -> None:
         self._state = state
         self._exchange = exchange
+        self._admission = Admission(state)
 
     async def handle(self, inbound: InboundRequest, responder: Responder) -> None:
         """Handle one request: forward it to a server, or reject it."""
@@ -27,28 +28,16 @@
         if request is None:
             reject(state, responder, "", "no_request_id", http.HTTPStatus.BAD_REQUEST)
             return
-        if state.routes is None:
-            reject(
-                state,
-                responder,
-                request.request_id,
-                "no_configuration",
-                http.HTTPStatus.SERVICE_UNAVAILABLE,
-                waiting.retry_after_s(False, state.rng.random()),
-            )
-            return
-        route = state.routes.find(request.host, request.path)
-        if route is None:
-            reject(
-                state,
-                responder,
-                request.request_id,
-                "no_route",
-                http.HTTPStatus.NOT_FOUND,
-            )
+        admitted = await self._admission.admit(request, responder)
+        if admitted is None:
             return
         forwarder = RequestForwarder(
-            state, self._exchange, request, route, inbound.arrived_s, responder
+            state,
+            self._exchange,
+            admitted.request,
+            admitted.route,
+            inbound.arrived_s,
+            responder,
         )
         try:
             await forwarder.run()
--- a/sequoiapoint/node/request_handler_test.py
+++ b/sequoiapoint/node/request_handler_test.py
@@ -7,7 +7,12 @@
 
 from sequoiapoint.node import request_handler
 from sequoiapoint.node.request_handler import RequestHandler
-from sequoiapoint.protocol.gateway import CallerRequest
+from sequoiapoint.protocol.gateway import (
+    CallerLimits,
+    CallerRequest,
+    GatewayConfiguration,
+)
+from sequoiapoint.protocol.gateway_settings import Bounds
 
 
 class Failing:
@@ -38,7 +43,9 @@
             )
         ),
         routes=SimpleNamespace(find=lambda host, path: "route"),
-        configuration=None,
+        configuration=GatewayConfiguration(1, (), {}, CallerLimits()),
+        configuration_age_s=lambda: 0.0,
+        settings=SimpleNamespace(bounds=Bounds()),
         metrics=SimpleNamespace(refusal=lambda reason: None),
         log=SimpleNamespace(event=lambda *a, **fields: None),
     )
--- a/sequoiapoint/node/request_record.py
+++ b/sequoiapoint/node/request_record.py
@@ -4,6 +4,7 @@
 from functools import singledispatch
 
 from sequoiapoint.node.gateway_state import GatewayState
+from sequoiapoint.protocol.api_keys import key_label
 from sequoiapoint.protocol.gateway import CallerRequest, Route, ServerEntry
 from sequoiapoint.transport.async_http_server import Responder
 from sequoiapoint.transport.clock import monotonic_s
@@ -102,12 +103,18 @@
         self._last_event_at = now
 
     def request_fields(self) -> dict[str, str]:
-        """Return what the caller asks for, for the log: a model, a stream to resume."""
+        """Return what the caller asks for, for the log: a model, a stream to resume.
+
+        With organisations, also the one for which it asks, with the label of the key.
+        """
         request, fields = self._request, {}
         if request.model:
             fields |= {"model": request.model, "adapter": request.adapter}
         if request.last_event_id:
             fields |= {"resumes": request.resumes, "after": request.last_event_id}
+        if request.organisation:
+            key = key_label(request.key_digest)
+            fields |= {"organisation": request.organisation, "key": key}
         return fields
 
     def log_attempt(
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -61,6 +61,7 @@
     """Selects the server for each attempt of one request.
 
     :ivar service: The service that runs the request.
+    :ivar priority: The urgency of the request; 0 is the most urgent.
     :ivar demand_key: Service, model and adapter under which the demand is counted.
     :ivar required_version: The software version at which a stream must go on, None if
         any server can run the request.
@@ -99,6 +100,7 @@
         self._route = route
         self._deadline = deadline
         self.service = _choose_service(state, route)
+        self.priority = state.configuration.priority(route, request.organisation)
         self._spec = state.configuration.services.get(self.service)
         self.demand_key = (self.service, request.model, request.adapter)
         self.required_version: str | None = None
@@ -216,7 +218,7 @@
                         state.demand.adjust(self.demand_key, now, waiting=1)
                         state.replan_requested.set()
                 await state.wait_queue.wait(
-                    self._route.priority,
+                    self.priority,
                     self._arrived_s + self._route.goal_s,
                     self._deadline,
                     MAX_WAIT_INTERVAL_S,
@@ -434,7 +436,7 @@
                 state.settings.host,
                 ticket.number,
                 tuple(servers),
-                self._route.priority,
+                self.priority,
                 self._deadline - now,
                 max(0.0, self._arrived_s + self._route.goal_s - now),
             )
--- a/sequoiapoint/protocol/detours.capnp
+++ b/sequoiapoint/protocol/detours.capnp
@@ -24,6 +24,11 @@
   sharedParts @14 :List(Text);
   lastEventId @15 :Text;
   resumes @16 :Text;              # Id of the attempt that began a resumed stream.
+  areKeysInForce @17 :Bool;       # Whether the origin has decided on a key; the headers
+                                  # are then without it.
+  organisation @18 :Text;         # For which the request was admitted; empty for none.
+  keyDigest @19 :Data;            # Of the caller's key; empty without one.
+  tokens @20 :Int64 = -1;         # That the request may take; -1 if not stated.
 }
 
 struct DetourReply {
--- a/sequoiapoint/protocol/detours.py
+++ b/sequoiapoint/protocol/detours.py
@@ -17,11 +17,17 @@
 _SCHEMA = capnp.load(str(Path(__file__).with_name("detours.capnp")))
 DETOUR_PATH = "/detours"
 """Target of the calls between hosts."""
+ORGANISATION_DETOUR_PATH = "/organisation-detours"
+"""Target of the calls that carry a request of an organisation.  Hosts of older builds,
+which would run it without the organisation's name, do not know this target and refuse
+it; they serve every target that begins with ``DETOUR_PATH``."""
 REPLY_HEADER = b"detour-reply"
 """Header of a call's response that carries the reply, in base64."""
 MAX_REQUEST_BYTES = 64_000_000
 """Maximum size of an encoded request, far above the largest body of a caller."""
 NO_TIME_MS = -1
+NO_TOKENS = -1
+"""Stands for a request that does not state its tokens."""
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -104,10 +110,19 @@
         sharedParts=list(request.shared_parts),
         lastEventId=request.last_event_id,
         resumes=request.resumes,
+        areKeysInForce=request.organisation is not None,
+        organisation=request.organisation or "",
+        keyDigest=request.key_digest,
+        tokens=NO_TOKENS if request.tokens is None else request.tokens,
     )
     return encoded.to_bytes()
 
 
+def detour_path(message: DetourRequest) -> str:
+    """Return the target of the call that carries a request."""
+    return ORGANISATION_DETOUR_PATH if message.request.organisation else DETOUR_PATH
+
+
 def decode_detour_request(data: bytes) -> DetourRequest:
     """Decode the body of a call.
 
@@ -130,6 +145,9 @@
                 last_event_id=message.lastEventId,
                 shared_parts=tuple(message.sharedParts),
                 resumes=message.resumes,
+                tokens=None if message.tokens == NO_TOKENS else message.tokens,
+                key_digest=bytes(message.keyDigest),
+                organisation=message.organisation if message.areKeysInForce else None,
             )
             return DetourRequest(
                 message.origin,
--- a/sequoiapoint/protocol/gateway.py
+++ b/sequoiapoint/protocol/gateway.py
@@ -10,6 +10,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from sequoiapoint.protocol.priorities import PriorityRanks
+
 Incarnation = tuple[str, int]
 """One process of a server: the server id and the Unix time of its start, in ms."""
 
@@ -167,16 +169,43 @@
     limits: CallerLimits
     organisations: Mapping[bytes, Organisation] | None = None
 
+    def priority(self, route: Route, organisation: str | None) -> int:
+        """Return how urgent a request is; 0 is the most urgent.
+
+        :param organisation: The organisation for which it was admitted, "" or None
+            without one.
+        """
+        first = self._priorities.get(organisation or "")
+        return self._ranks.rank(first, route.priority)
+
+    def sent_priority(self, priority: int) -> int:
+        """Return the priority that servers are told for one that ``priority`` gives."""
+        return self._ranks.sent(priority)
+
     def least_urgent_priority(self, service: str) -> int:
-        """Return the least urgent priority of a service's routes; 0 is most urgent."""
+        """Return the least urgent priority of a service's requests."""
         return self._least_urgent.get(service, 0)
 
+    @functools.cached_property
+    def _priorities(self) -> Mapping[str, int | None]:
+        organisations = (self.organisations or {}).values()
+        return {
+            organisation.name: organisation.priority for organisation in organisations
+        }
+
+    @functools.cached_property
+    def _ranks(self) -> PriorityRanks:
+        routes = {route.priority for route in self.routes}
+        return PriorityRanks(self._priorities.values(), routes)
+
     @functools.cached_property
     def _least_urgent(self) -> Mapping[str, int]:
         priorities: dict[str, int] = {}
         for route in self.routes:
+            holders = [""] if route.is_public else [*self._priorities] or [""]
+            least_urgent = max(self.priority(route, holder) for holder in holders)
             for service, _ in route.targets:
-                priorities[service] = max(priorities.get(service, 0), route.priority)
+                priorities[service] = max(priorities.get(service, 0), least_urgent)
         return priorities
 
 
