Let a leader keep its lease while some engines crash

A leader polls all engines over new connections, so the ones that crash look like a cut of its own links. The lease is given up only when a round of probes has failed as well, and a round probes three servers in place of one. The new test of the monitor failed before for nine of 45 crashed engines.

--- a/sequoiapoint/node/placement_controller.py
+++ b/sequoiapoint/node/placement_controller.py
@@ -97,10 +97,14 @@
             tasks.create_task(self._run_planning())
 
     def _reaches_engines(self) -> bool:
-        """Tell whether this host is not cut off from engines, as far as is known."""
+        """Tell whether this host is not cut off from engines, as probes have shown.
+
+        A leader polls all engines, so it is the first that fails to connect to several
+        that have crashed.  Orders stop for seconds when it gives the lease up.
+        """
         configuration = self._state.configuration
         return configuration is None or not any(
-            self._state.reachability.service(service.name).is_cut_off
+            self._state.reachability.service(service.name).is_confirmed
             for service in configuration.services.values()
             if service.engine is not None
         )
--- a/sequoiapoint/node/reachability_monitor.py
+++ b/sequoiapoint/node/reachability_monitor.py
@@ -19,6 +19,9 @@
 """Interval of probes while the host is cut off, whatever the number of services."""
 PROBE_TIMEOUT_S = 0.4
 """Timeout of a probe, which needs no slot of a server."""
+PROBED_SERVERS = 3
+"""Number of servers that are probed at the same time.  Some of them may have crashed,
+which does not show that this host is cut off."""
 MAX_LOGGED_SERVERS = 5
 """Number of failed servers that are logged."""
 
@@ -94,23 +97,36 @@
             self._discard_stopped_processes()
             services = self._state.reachability.services()
             for name, service in services.items():
-                if service.is_cut_off and not await self._probe(name, service):
+                if not service.is_cut_off:
+                    continue
+                if not await self._probe_some(name, service):
+                    service.note_probes_failed()
                     break
 
     def _discard_stopped_processes(self) -> None:
         entries = self._state.fleet.entries.values()
         self._state.reachability.retain({entry.incarnation for entry in entries})
 
-    async def _probe(self, name: str, service: ServiceReachability) -> bool:
+    async def _probe_some(self, name: str, service: ServiceReachability) -> bool:
+        """Probe several servers of a service.
+
+        :return: Whether any of them has responded, or there is none.
+        """
+        entries = self._state.fleet.ready_servers(name)
+        if not entries:
+            return True
+        chosen = self._state.rng.sample(entries, min(PROBED_SERVERS, len(entries)))
+        probes = (self._probe(name, service, entry) for entry in chosen)
+        return any(await asyncio.gather(*probes))
+
+    async def _probe(
+        self, name: str, service: ServiceReachability, entry: ServerEntry
+    ) -> bool:
         """Open a connection to a server and request data over it.
 
         :return: Whether the server has responded.
         """
         state = self._state
-        entries = state.fleet.ready_servers(name)
-        if not entries:
-            return True
-        entry: ServerEntry = state.rng.choice(entries)
         pool = ConnectionPool(entry.address)
         started_at = monotonic_s()
         request = state.adapter.servers.report_call(entry)
--- /dev/null
+++ b/sequoiapoint/node/reachability_monitor_test.py
@@ -0,0 +1,87 @@
+"""Tests of the probes of a host that seems to be cut off from servers."""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from sequoiapoint.node import reachability_monitor
+from sequoiapoint.node.placement_controller import PlacementController
+from sequoiapoint.node.reachability_monitor import ReachabilityMonitor
+from sequoiapoint.protocol.errors import Failure, FailureKind
+from sequoiapoint.protocol.gateway import ServerEntry, ServerState
+from sequoiapoint.state.reachability import Reachability
+from sequoiapoint.transport.clock import monotonic_s
+
+SERVICE = "lm"
+
+
+def entry(number):
+    address = f"10.0.0.{number}:1"
+    return ServerEntry(
+        f"s-{number}", SERVICE, address, "z", ServerState.READY, 1, 8, ()
+    )
+
+
+def monitor_of(monkeypatch, servers, crashed):
+    """Return a monitor whose probes fail at the crashed servers, and its state."""
+
+    async def call(pool, address, request, timeout_s):
+        if int(address.split(".")[3].partition(":")[0]) in crashed:
+            return Failure(FailureKind.NOT_SENT, "refused", "connect", address)
+        return SimpleNamespace(status=200, headers=[], body=b"")
+
+    monkeypatch.setattr(reachability_monitor, "call", call)
+    entries = [entry(number) for number in range(servers)]
+    state = SimpleNamespace(
+        reachability=Reachability(),
+        fleet=SimpleNamespace(
+            ready_servers=lambda name: entries,
+            entries={e.server: e for e in entries},
+        ),
+        adapter=SimpleNamespace(servers=SimpleNamespace(report_call=lambda e: None)),
+        metrics=SimpleNamespace(event=lambda name: None),
+        log=SimpleNamespace(event=lambda *args, **fields: None),
+        wait_queue=SimpleNamespace(notify=lambda: None),
+        rng=random.Random(7),
+        configuration=SimpleNamespace(
+            services={SERVICE: SimpleNamespace(name=SERVICE, engine=object())}
+        ),
+    )
+    return ReachabilityMonitor(state), state
+
+
+async def probe_for(monitor, seconds):
+    task = asyncio.ensure_future(monitor.run())
+    await asyncio.sleep(seconds)
+    task.cancel()
+
+
+@pytest.mark.parametrize(
+    ("crashed", "reaches_engines"), [(range(9), True), (range(45), False)]
+)
+def test_a_leader_keeps_the_lease_while_some_engines_crash(
+    monkeypatch, crashed, reaches_engines
+):
+    """Guards against seconds without orders each time that engines crash.
+
+    Replays a leader before 45 engines, of which nine crash within a second.  It polls
+    all of them, so it failed to connect to more than three, took itself for cut off and
+    gave the lease up.
+    """
+    monitor, state = monitor_of(monkeypatch, 45, set(crashed))
+    service = state.reachability.service(SERVICE)
+    controller = SimpleNamespace(_state=state)
+    reached = []
+
+    async def run():
+        probes = asyncio.ensure_future(probe_for(monitor, 0.4))
+        for number in range(4):
+            service.note_connect_failure((f"s-{number}", 1), monotonic_s())
+        while not probes.done():
+            await asyncio.sleep(0.01)
+            reached.append(PlacementController._reaches_engines(controller))
+
+    asyncio.run(run())
+    assert all(reached) is reaches_engines
--- a/sequoiapoint/state/reachability.py
+++ b/sequoiapoint/state/reachability.py
@@ -65,6 +65,8 @@
     """Whether this host reaches the servers of one service.
 
     :ivar is_cut_off: Whether it reaches none of them, as far as is known.
+    :ivar is_confirmed: Whether probes have failed since, so that it is not only a part
+        of the servers that crashed.
     :ivar changed_at: When that last changed, in seconds.
     :ivar data_at: When data last arrived from any of them, in seconds.
     """
@@ -74,6 +76,7 @@
         # When the newest connection that has delivered data was opened.
         self._connected_at = -math.inf
         self.is_cut_off = False
+        self.is_confirmed = False
         self.changed_at = -math.inf
         self.data_at = -math.inf
 
@@ -148,6 +151,7 @@
             if self._connected_at <= self.changed_at and servers:
                 return None
             self.is_cut_off, self.changed_at = False, now
+            self.is_confirmed = False
             return ReachabilityChange.REGAINED
         failures = self.failures(servers, now)
         is_lost = (
@@ -160,6 +164,10 @@
         self.is_cut_off, self.changed_at = True, now
         return ReachabilityChange.LOST
 
+    def note_probes_failed(self) -> None:
+        """Record that no server has responded to probes, while the host is cut off."""
+        self.is_confirmed = self.is_cut_off
+
     def retain(self, servers: Collection[Incarnation]) -> None:
         """Remove the evidence about all other processes, except those in use."""
         self._evidence = {
--- a/sequoiapoint/state/reachability_test.py
+++ b/sequoiapoint/state/reachability_test.py
@@ -93,3 +93,18 @@
     apply(service, FAILED_THREE)
     service.update(SERVERS, START + 0.4)
     assert service.update([], START + 0.5) is ReachabilityChange.REGAINED
+
+
+def test_only_failed_probes_confirm_that_a_host_is_cut_off():
+    """Guards against a leader that gives the lease up as some engines crash."""
+    service = ServiceReachability()
+    service.note_probes_failed()
+    assert not service.is_confirmed
+    apply(service, FAILED_THREE)
+    service.update(SERVERS, START + 0.4)
+    assert (service.is_cut_off, service.is_confirmed) == (True, False)
+    service.note_probes_failed()
+    assert service.is_confirmed
+    apply(service, [("received", 4, 0.6, 0.5)])
+    service.update(SERVERS, START + 0.6)
+    assert (service.is_cut_off, service.is_confirmed) == (False, False)
