Entries of servers that no message can carry name no server

An entry may come from another writer. A key with bytes that are not readable, a start of 31 digits or port 99999 passed the check: requests to such a server failed with an encoding error, and digests that name its process could not be encoded.

--- a/sequoiapoint/platform/store.py
+++ b/sequoiapoint/platform/store.py
@@ -1,7 +1,9 @@
 """Codec of calls to the platform's store and of operators' and servers' records."""
 
 import base64
+import ipaddress
 import json
+import re
 import struct
 from collections.abc import Callable, Iterator
 from typing import Annotated, Any, Literal, TypeVar
@@ -41,10 +43,32 @@
 _READ_HEADER = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
 
-PositiveInt = Annotated[pydantic.StrictInt, pydantic.Field(gt=0)]
+MAX_SLOTS = 1_000_000
+MAX_COUNT = 2**53
+"""Maximum of a time in milliseconds and of a number of reports: messages between hosts
+carry integers of 64 bits, and an entry may come from another writer."""
+_SERVER_ID = re.compile(r"[\x21-\x7e]+")
+"""Server ids that a header can carry."""
+
+
+def _usable_address(address: str) -> str:
+    """Return an address.
+
+    :raises ValueError: No connection can be opened to it.
+    """
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not 0 < int(port) < 2**16:
+        raise ValueError(f"port {port} is not valid")
+    return address
+
+
+Slots = Annotated[pydantic.StrictInt, pydantic.Field(gt=0, le=MAX_SLOTS)]
+Count = Annotated[pydantic.StrictInt, pydantic.Field(ge=0, le=MAX_COUNT)]
 Address = Annotated[
     pydantic.StrictStr,
     pydantic.Field(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"),
+    pydantic.AfterValidator(_usable_address),
 ]
 
 
@@ -226,12 +250,12 @@
     addr: Address
     zone: pydantic.StrictStr
     state: Literal["ready", "draining"]
-    slots: PositiveInt
+    slots: Slots
     version: pydantic.StrictStr
     # The number of reports since the start; in a report "seq" counts orders.
-    seq: pydantic.StrictInt
+    seq: Count
     # The Unix time of the process's start, in milliseconds.
-    born: pydantic.StrictInt = 0
+    born: Count = 0
     models: list[ModelStatus] | None = None
     # Only validated: a server about to be reclaimed also has the state "draining".
     remaining_ms: pydantic.StrictInt | pydantic.StrictFloat | None = None
@@ -441,6 +465,8 @@
 
     def decode_server(self, record: StoreRecord) -> ServerEntry | Unreadable:
         """Decode a server's entry."""
+        if not _SERVER_ID.fullmatch(record.key):
+            return Unreadable(record.key, "the key is no server id")
         try:
             return _ServerEntry.model_validate_json(record.value or b"").entry(
                 record.key
--- a/sequoiapoint/platform/store_test.py
+++ b/sequoiapoint/platform/store_test.py
@@ -1,5 +1,6 @@
 import base64
 import contextlib
+import ipaddress
 import json
 import struct
 
@@ -144,6 +145,13 @@
         ENTRY | {"state": "resting"},
         ENTRY | {"born": "yesterday"},
         ENTRY | {"born": 1.5},
+        ENTRY | {"born": 10**30},
+        ENTRY | {"born": -1},
+        ENTRY | {"seq": 10**30},
+        ENTRY | {"slots": 10**30},
+        ENTRY | {"addr": "10.0.0.1:99999"},
+        ENTRY | {"addr": "10.0.0.1:0"},
+        ENTRY | {"addr": "10.0.0.999:80"},
         ENTRY | {"models": [{"adapters": []}]},
         ENTRY | {"models": "oak"},
     ],
@@ -155,6 +163,37 @@
     assert unreadable.reason
 
 
+@pytest.mark.parametrize("key", ["", "s\ufffd", "s 1", "s\r\nx: y", "\xe9"])
+def test_a_server_id_that_no_header_can_carry_names_no_server(key):
+    """Each request that was sent to such a server failed with an encoding error."""
+    assert isinstance(CODEC.decode_server(record(ENTRY, key)), Unreadable)
+
+
+@hypothesis.given(
+    st.sampled_from(sorted(ENTRY)),
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text()
+    | st.lists(st.text()),
+)
+def test_an_entry_with_any_value_names_a_usable_server_or_none(name, value):
+    entry = CODEC.decode_server(record(ENTRY | {name: value}))
+    if not isinstance(entry, Unreadable):
+        host, _, port = entry.address.rpartition(":")
+        assert ipaddress.IPv4Address(host)
+        assert 0 < int(port) < 2**16
+        assert 0 <= entry.started_ms < 2**63
+        assert 0 < entry.slots < 2**31
+
+
+@pytest.mark.parametrize("name", ["", "a\r\nb: c", "a\x00", 7, None])
+def test_an_organisation_whose_name_no_header_can_carry_is_unreadable(name):
+    tenants = [{"name": name, "api-keys": ["k1"]}]
+    assert isinstance(configuration({"tenants": tenants}), Unreadable)
+
+
 def test_a_configuration_is_decoded():
     decoded = configuration()
     stream, plain = decoded.routes
