--- a/sequoiapoint/node/detour_exchange_test.py
+++ b/sequoiapoint/node/detour_exchange_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import socket
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -10,6 +11,7 @@
 from sequoiapoint.node import detour_exchange
 from sequoiapoint.node.detour_exchange import DetourExchange, DetourOutcome
 from sequoiapoint.protocol.detours import (
+    DETOUR_PATH,
     REPLY_HEADER,
     DetourRequest,
     RefusalReply,
@@ -75,6 +77,14 @@
     responder.send_response(404, [])
 
 
+async def be_older(helper, request, responder):
+    """Answer as a host of a build that cannot carry an organisation does."""
+    if request.target.startswith(DETOUR_PATH):
+        await ANSWERED(helper, request, responder)
+    else:
+        responder.send_response(404, [])
+
+
 ANSWERED = reply(ServerReply(200, ((b"server-seal", b"s"),), False, 1), b"answer")
 UNABLE = [
     reply(RefusalReply(503, reason, None)) for reason in detour_exchange.UNABLE_REASONS
@@ -115,7 +125,13 @@
             raise
 
 
-async def run(*behaviours, may_leave=False, budget_s=BUDGET_S, cancel_after_s=None):
+async def run(
+    *behaviours,
+    may_leave=False,
+    budget_s=BUDGET_S,
+    cancel_after_s=None,
+    request=REQUEST,
+):
     """Send a request; the first helper is asked first, as it is in the own zone.
 
     :return: The result, the helpers, and what was received of a stream.
@@ -139,7 +155,7 @@
     exchange = DetourExchange(state, peers)
     task = asyncio.ensure_future(
         exchange.run(
-            lambda: DetourRequest("o", 1, deadline - monotonic_s(), 2, False, REQUEST),
+            lambda: DetourRequest("o", 1, deadline - monotonic_s(), 2, False, request),
             lambda message, connection, exchange, data: received.append(data),
             deadline,
             may_leave,
@@ -240,3 +256,16 @@
     result, _, received = asyncio.run(run(break_stream))
     assert result.outcome is DetourOutcome.UNKNOWN
     assert b"".join(received) == EVENT
+
+
+@pytest.mark.parametrize(("organisation", "helper"), [("aspen", "h-1"), ("", "h-0")])
+def test_a_helper_of_an_older_build_gets_no_request_of_an_organisation(
+    organisation, helper
+):
+    """It ran the request, and no server got the name of the organisation."""
+    request = replace(REQUEST, organisation=organisation, key_digest=b"digest")
+    result, helpers, _ = asyncio.run(run(be_older, ANSWERED, request=request))
+    assert result.outcome is DetourOutcome.ANSWERED
+    assert result.helper == helper
+    sent = helpers[int(helper[-1])].requests[0][1].request
+    assert (sent.organisation, sent.key_digest) == (organisation, b"digest")
--- a/sequoiapoint/node/detour_server_test.py
+++ b/sequoiapoint/node/detour_server_test.py
@@ -13,6 +13,7 @@
 from sequoiapoint.node.request_forwarder_test import ROUTE
 from sequoiapoint.node.request_record import reject
 from sequoiapoint.platform.callers import PlatformCallerCodec
+from sequoiapoint.protocol.api_keys import key_digest
 from sequoiapoint.protocol.detours import (
     DetourRequest,
     RefusalReply,
@@ -25,6 +26,7 @@
     CallerLimits,
     CallerRequest,
     GatewayConfiguration,
+    Organisation,
 )
 from sequoiapoint.protocol.gateway_settings import Bounds
 from sequoiapoint.state.reachability import Reachability
@@ -185,6 +187,62 @@
     assert obstacle.__name__ in UNABLE_REASONS
 
 
+KEY = key_digest(b"k1")
+HOLDERS = {KEY: Organisation("aspen", 2)}
+CREDENTIALS = ((b"authorization", b"Bearer k1"), (b"tenant", b"forged"))
+BOUND_S = 5.0
+
+
+def keyed_site(monkeypatch, holders=HOLDERS, age_s=0.0):
+    site = Site(monkeypatch)
+    site.state.configuration = GatewayConfiguration(7, (), {}, CallerLimits(), holders)
+    site.state.configuration_age_s = lambda: age_s
+    site.state.settings.bounds = Bounds(key_revocation_s=BOUND_S)
+    Forwarder.behave, Forwarder.last = staticmethod(answer), None
+    return site
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"organisation": "aspen", "key_digest": KEY},
+        # From a host whose configuration has no organisations or whose build does not
+        # know them: the headers are the caller's.
+        {"headers": CREDENTIALS},
+        {"headers": (CREDENTIALS[0],), "key_digest": key_digest(b"other")},
+    ],
+)
+def test_a_request_runs_for_the_holder_of_its_key(monkeypatch, fields):
+    """A helper gave servers the name that the caller had sent."""
+    site = keyed_site(monkeypatch)
+    asyncio.run(site.handle(replace(MESSAGE, request=replace(REQUEST, **fields))))
+    assert Forwarder.last.request.organisation == "aspen"
+
+
+@pytest.mark.parametrize(
+    ("fields", "age_s", "status", "reason"),
+    [
+        ({"headers": CREDENTIALS[1:]}, 0.0, 401, "no_key"),
+        ({"organisation": "aspen"}, 0.0, 401, "no_key"),
+        ({"organisation": "", "key_digest": b"x"}, 0.0, 401, "unknown_key"),
+        ({"organisation": "aspen", "key_digest": b"x"}, 0.0, 401, "unknown_key"),
+        (
+            {"organisation": "aspen", "key_digest": KEY},
+            BOUND_S,
+            503,
+            "configuration_too_old",
+        ),
+    ],
+)
+def test_a_helper_looks_the_key_up_again(monkeypatch, fields, age_s, status, reason):
+    """A key that was removed is not accepted because another host has accepted it."""
+    site = keyed_site(monkeypatch, age_s=age_s)
+    asyncio.run(site.handle(replace(MESSAGE, request=replace(REQUEST, **fields))))
+    assert Forwarder.last is None
+    assert (site.reply().status, site.reply().reason) == (status, reason)
+    assert (reason in UNABLE_REASONS) == (status == 503)
+
+
 def test_a_drain_waits_for_requests_of_other_hosts(monkeypatch):
     site = Site(monkeypatch)
     counts = []
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -14,7 +14,10 @@
     STREAM_IDLE_TIMEOUT_S,
     RequestForwarder,
 )
+from sequoiapoint.platform.callers import PlatformCallerCodec
 from sequoiapoint.platform.servers import PlatformServerCodec
+from sequoiapoint.protocol.api_keys import key_digest, key_label
+from sequoiapoint.protocol.detours import RefusalReply
 from sequoiapoint.protocol.event_stream import MAX_EVENT_BYTES
 from sequoiapoint.protocol.gateway import (
     CallerLimits,
@@ -22,6 +25,7 @@
     EngineSpec,
     GatewayConfiguration,
     HeldModel,
+    Organisation,
     Repeatability,
     Route,
     ServerEntry,
@@ -172,7 +176,10 @@
             self.answer = (status, dict(headers))
 
         responder.start_stream = start_stream
-        request = CallerRequest("id", "GET", "h", "/r/x", (), body, budget_s, **fields)
+        fields.setdefault("headers", ())
+        request = CallerRequest(
+            "id", "GET", "h", "/r/x", body=body, budget_s=budget_s, **fields
+        )
         slots = SimpleNamespace(is_active=False, release=lambda *a: None)
         slots.ticket = lambda: _Ticket()
         slots.allocating_zone = lambda zone, now: zone
@@ -917,3 +924,115 @@
         return (await site.request(body=b"page"))[0]
 
     assert asyncio.run(run()) == status
+
+
+KEY = key_digest(b"k1")
+BOUND_S = 5.0
+ASPEN = GatewayConfiguration(
+    1,
+    (ROUTE,),
+    {"web": ServiceSpec("web", 100)},
+    CallerLimits(),
+    {KEY: Organisation("aspen", 2)},
+)
+REVOKED = replace(ASPEN, version=2, organisations={})
+NOT_RUN = (503, [(b"not-run", b"1")])
+REFUSED = RefusalReply(503, "full", None)
+
+
+def revoke(site):
+    site.state.configuration = REVOKED
+
+
+def grow_old(site):
+    site.state.configuration_age_s = lambda: BOUND_S
+
+
+def keyed_site(monkeypatch, *responses):
+    """Return a site with organisations, at whose servers requests get responses."""
+    servers = [replace(ENTRY, server=f"s-{n}") for n in range(len(responses))]
+    site = Site(monkeypatch, *servers)
+    site.responses = {server.server: list(responses) for server in servers}
+    site.state.configuration = ASPEN
+    site.state.settings.bounds = Bounds(key_revocation_s=BOUND_S)
+    return site
+
+
+@pytest.mark.parametrize(
+    ("change", "status", "reason"),
+    [(revoke, 401, "unknown_key"), (grow_old, 503, "configuration_too_old")],
+)
+@pytest.mark.parametrize("connects", [1, 2], ids=["first", "retry"])
+def test_a_request_is_not_sent_once_its_key_may_be_revoked(
+    monkeypatch, change, status, reason, connects
+):
+    """A request that waits or is retried outlasts the time in which its key is valid.
+
+    The first server states that it has not run the request.
+    """
+    site = keyed_site(monkeypatch, NOT_RUN, NOT_RUN)
+    seen = []
+
+    def on_connect(server):
+        seen.append(server)
+        if len(seen) == connects:
+            change(site)
+
+    site.on_connect = on_connect
+    answer = asyncio.run(site.request(organisation="aspen", key_digest=KEY))
+    assert answer[0] == status
+    assert (answer[1][b"retry-after"] is not None) == (status == 503)
+    assert len(site.sent) == connects - 1
+    refused = [entry for entry in site.logged if entry[0] == "request_refused"]
+    assert [outcome for _, outcome, _ in refused] == [reason]
+    assert refused[0][2]["key"] == key_label(KEY)
+
+
+@pytest.mark.parametrize("change", [revoke, grow_old])
+def test_a_request_that_may_have_run_is_not_refused_as_unauthorised(
+    monkeypatch, change
+):
+    """Its caller would take it for certainly not run."""
+    site = keyed_site(monkeypatch, CRASH, CRASH)
+    site.on_connect = lambda server: change(site) if site.sent else None
+    answer = asyncio.run(site.request(organisation="aspen", key_digest=KEY))
+    assert answer[0] == 502
+    assert len(site.sent) == 1
+
+
+@pytest.mark.parametrize("change", [revoke, grow_old])
+def test_a_request_takes_no_detour_once_its_key_may_be_revoked(monkeypatch, change):
+    site = keyed_site(monkeypatch, NOT_RUN)
+    site.state.reachability.service("web").is_cut_off = True
+    site.detours.results = [
+        (DetourResult(DetourOutcome.NO_HELPER, "h-2"),),
+    ]
+    change(site)
+    answer = asyncio.run(site.request(organisation="aspen", key_digest=KEY))
+    assert answer[0] in (401, 503)
+    assert site.detours.requests == []
+
+
+@pytest.mark.parametrize("organisation", [None, "", "aspen"])
+def test_a_detour_carries_credentials_only_without_organisations(
+    monkeypatch, organisation
+):
+    """A helper of an older build forwards all headers that it is sent."""
+    site = keyed_site(monkeypatch, NOT_RUN)
+    site.state.adapter.callers = PlatformCallerCodec()
+    if organisation is None:
+        site.state.configuration = replace(ASPEN, organisations=None)
+    site.route = replace(ROUTE, is_public=organisation == "")
+    site.state.reachability.service("web").is_cut_off = True
+    site.detours.results = [(DetourResult(DetourOutcome.REFUSED, "h-2", REFUSED),)]
+    headers = ((b"authorization", b"Bearer k1"), (b"tenant", b"x"), (b"a", b"b"))
+    asyncio.run(
+        site.request(organisation=organisation, key_digest=KEY, headers=headers)
+    )
+    (detour,) = site.detours.requests
+    assert (detour.request.organisation, detour.request.key_digest) == (
+        organisation,
+        KEY,
+    )
+    expected = headers if organisation is None else headers[2:]
+    assert detour.request.headers == expected
--- a/sequoiapoint/platform/servers_test.py
+++ b/sequoiapoint/platform/servers_test.py
@@ -1,4 +1,5 @@
 import json
+from dataclasses import replace
 
 import pytest
 
@@ -44,6 +45,26 @@
     assert head[-2:] == ["", ""]
 
 
+CREDENTIALS = ((b"authorization", b"Bearer k"), (b"tenant", b"forged"))
+
+
+@pytest.mark.parametrize(
+    ("organisation", "expected"),
+    [
+        (None, ["authorization: Bearer k", "tenant: forged"]),
+        ("", []),
+        ("aspen", ["tenant: aspen"]),
+    ],
+)
+def test_a_server_gets_the_organisation_and_no_key(organisation, expected):
+    """With organisations, nothing that the caller has sent may name one."""
+    headers = REQUEST.headers + CREDENTIALS
+    request = replace(REQUEST, headers=headers, organisation=organisation)
+    head = lines(CODEC.request_head(request, ENTRY, 1.0, None, ""))
+    names = ("authorization", "tenant")
+    assert [line for line in head if line.startswith(names)] == expected
+
+
 def test_a_priority_beyond_the_engines_range_is_sent_as_their_least_urgent():
     assert "request-prio: 9" in lines(CODEC.request_head(REQUEST, ENTRY, 1.0, 12, ""))
 
--- a/sequoiapoint/protocol/detours_test.py
+++ b/sequoiapoint/protocol/detours_test.py
@@ -35,6 +35,9 @@
     last_event_id=TEXT,
     shared_parts=st.lists(TEXT, max_size=3).map(tuple),
     resumes=TEXT,
+    tokens=st.none() | st.integers(0, 2**40),
+    key_digest=BYTES,
+    organisation=st.none() | TEXT,
 )
 REQUESTS = st.builds(
     DetourRequest, TEXT, COUNT, SECONDS, COUNT, st.booleans(), CALLER_REQUESTS
