--- a/standins/site/backends.py
+++ b/standins/site/backends.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import time
-from collections import Counter, deque
+from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 
 from sequoiapoint.transport.async_http_server import (
@@ -16,6 +16,8 @@
 EVENT_INTERVAL_S = 0.02
 ADAPTER_LOAD_S = 0.01
 MODEL_LOAD_S = 0.2
+CREDENTIAL_HEADERS = (b"tenant", b"authorization", b"request-prio")
+"""Headers that servers record: who a request is from, and how urgent it is."""
 FALL_S = 3.0
 """Time for which a brittle server is down after it has turned too many away."""
 FALL_WINDOW_S = 1.0
@@ -77,6 +79,8 @@
     :param held: An engine's resident models with their resident adapters, empty for a
         plain server.
     :param runs: How often each request began to run here, by its id.
+    :param credentials: What the requests that began to run here carried, by their ids:
+        the values of each header in ``CREDENTIAL_HEADERS``.
     :param orders: The orders that it accepted, in order of arrival.
     :param violations: The orders that exceeded its slots, one line each.
     :param running: The number of requests that are running.
@@ -107,6 +111,9 @@
     is_engine: bool = False
     faults: Faults = field(default_factory=Faults)
     runs: Counter = field(default_factory=Counter)
+    credentials: dict[str, list[dict[str, list[str]]]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     orders: list[dict] = field(default_factory=list)
     rejected_orders: int = 0
     violations: list[str] = field(default_factory=list)
@@ -231,6 +238,7 @@
             return
         try:
             self.runs[header(request, b"request-id")] += 1
+            self._record_credentials(request)
             if self.faults.poison and request.body == self.faults.poison:
                 asyncio.get_running_loop().create_task(self.crash(0.3))
                 await asyncio.sleep(10)
@@ -243,6 +251,14 @@
         finally:
             self._release_slot()
 
+    def _record_credentials(self, request: InboundRequest) -> None:
+        self.credentials[header(request, b"request-id")].append(
+            {
+                name.decode(): [v.decode() for n, v in request.headers if n == name]
+                for name in CREDENTIAL_HEADERS
+            }
+        )
+
     async def _take_slot(self) -> bool:
         """Wait for a slot; return False if there is no room to wait."""
         if self.running < self.slots:
--- a/standins/site/deployment.py
+++ b/standins/site/deployment.py
@@ -102,6 +102,16 @@
     } | changes
 
 
+def organisation(name: str, *keys: str, **changes: Any) -> dict:
+    """Return an organisation in the form in which operators write it."""
+    return {"name": name, "api-keys": list(keys)} | changes
+
+
+def bearer(key: str, **headers: str) -> dict[str, str]:
+    """Return the headers of a caller with a key."""
+    return {"Authorization": f"Bearer {key}"} | headers
+
+
 @dataclass
 class Reply:
     """The response that a caller received.
@@ -227,11 +237,18 @@
 
     :param plain: The number of plain servers.
     :param zones: The number of zones over which the gateways are distributed.
+    :param first_configuration: The configuration in the store when they start.
     """
 
     def __init__(
-        self, gateways: int = 2, engines: int = 2, plain: int = 2, zones: int = 2
+        self,
+        gateways: int = 2,
+        engines: int = 2,
+        plain: int = 2,
+        zones: int = 2,
+        first_configuration: dict | None = None,
     ) -> None:
+        self._first_configuration = first_configuration or configuration()
         self._counts = (gateways, engines, plain)
         self._zones = zones
         self._loop = asyncio.new_event_loop()
@@ -291,7 +308,7 @@
         self.store = Store()
         self.store_address = f"127.0.0.1:{free_port()}"
         await self.store.server.start(self.store_address)
-        self.store.write("keyed.op", "config", configuration())
+        self.store.write("keyed.op", "config", self._first_configuration)
         for number in range(engines):
             held = {MODELS[number % len(MODELS)]: set()}
             engine = Backend(
--- a/standins/site/linked_deployment.py
+++ b/standins/site/linked_deployment.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+from typing import Any
 
 from standins.site.deployment import Gateway, SiteDeployment, free_port
 from standins.soak.link import Cut, Link
@@ -16,7 +17,7 @@
     :ivar server_links: The links by the servers' ids.
     """
 
-    def __init__(self, *counts: int, **options: int) -> None:
+    def __init__(self, *counts: int, **options: Any) -> None:
         super().__init__(*counts, **options)
         self.server_links: dict[str, Link] = {}
 
