--- a/sequoiapoint/node/gateway_state.py
+++ b/sequoiapoint/node/gateway_state.py
@@ -13,6 +13,7 @@
 )
 from sequoiapoint.coordination.quarantine import Quarantine
 from sequoiapoint.coordination.retry_window import RetryWindow
+from sequoiapoint.protocol.api_keys import key_labels
 from sequoiapoint.protocol.gateway import (
     GatewayConfiguration,
     Incarnation,
@@ -182,8 +183,25 @@
             return False
         self.configuration = configuration
         self.routes = RouteTable(configuration)
+        self._log_key_changes(known, configuration)
         return True
 
+    def _log_key_changes(
+        self, known: GatewayConfiguration | None, current: GatewayConfiguration
+    ) -> None:
+        """Log which keys a configuration adds and removes, by their labels."""
+        before = set((known.organisations if known else None) or ())
+        after = set(current.organisations or ())
+        if before == after:
+            return
+        self.log.event(
+            "keys_changed",
+            version=current.version,
+            keys=len(after),
+            added=key_labels(after - before),
+            removed=key_labels(before - after),
+        )
+
     def note_server_leaving(self, entry: ServerEntry, source: str, now: float) -> None:
         """Note that a server leaves, and tell the other hosts with the next digest.
 
--- a/tests/organisations_test.py
+++ b/tests/organisations_test.py
@@ -188,6 +188,10 @@
     site.call(site.store.write, "keyed.op", "config", keyed(3, NEW_KEY))
     site.wait(lambda: statuses(ASPEN_KEY) == {401}, APPLY_S)
     assert statuses(NEW_KEY) == {200}
+    removed = key_label(key_digest(ASPEN_KEY.encode()))
+    for gateway in site.gateways:
+        (line,) = [e for e in gateway.events("keys_changed") if " version=3 " in e]
+        assert f" removed={removed} " in line
 
 
 def test_a_host_without_a_configuration_answers_503(site):
