--- a/sequoiapoint/node/silent_server_test.py
+++ b/sequoiapoint/node/silent_server_test.py
@@ -127,6 +127,16 @@
     site.state.fleet.put(replace(ENTRY, server="s-2", version="v2"))
 
 
+def no_longer_admitted(site):
+    keyed = replace(site.state.configuration, version=2, organisations={})
+
+    def come_into_force(server):
+        if server == "s-2":
+            site.state.configuration = keyed
+
+    site.on_connect = come_into_force
+
+
 OBSTACLES = [
     no_other,
     others_full,
@@ -135,6 +145,7 @@
     no_retry_left,
     version_uncertain,
     others_of_another_version,
+    no_longer_admitted,
 ]
 
 
