Messages with which hosts ask for the age of the configuration

The reply carries the version in force in place of the position in the topic: after the store has come back older, a host with an outdated version can be at a later position. Numbers of questions are random 64-bit numbers, so that a reply to an earlier process of the same host is not taken for one to the present process. Ages are rounded up.

--- /dev/null
+++ b/sequoiapoint/protocol/configuration_age.py
@@ -0,0 +1,116 @@
+"""Messages by which hosts ask each other for the age of the configuration; their codec.
+
+They share a UDP port with the digests.
+"""
+
+import math
+from dataclasses import dataclass
+from functools import singledispatch
+from pathlib import Path
+from typing import Any
+
+import capnp
+
+_SCHEMA = capnp.load(str(Path(__file__).with_name("configuration_age.capnp")))
+PREFIX = b"\xfb"
+"""First byte of a datagram with such a message.  The packed form of a digest begins
+with another byte, as its first word has zero bytes."""
+NUMBER_BITS = 64
+"""Length of the number of a question."""
+MAX_AGE_MS = 2**32 - 1
+"""The longest time that a message can carry."""
+MAX_VERSION = 2**63 - 1
+"""The highest version of a configuration that a message can carry."""
+
+
+@dataclass(frozen=True)
+class AgeQuestion:
+    """Asks a host for the age of its configuration.
+
+    :param number: Random, so that the reply to a question of an earlier process of the
+        asking host is not taken for the reply to a later one.
+    :param host: The asking host.
+    """
+
+    number: int
+    host: str
+
+
+@dataclass(frozen=True)
+class AgeReply:
+    """The reply to a question.
+
+    :param number: The number of the question.
+    :param version: The version of the configuration in force at the replying host.
+    :param age_s: Time before the reply until which no newer version was acknowledged.
+    """
+
+    number: int
+    version: int
+    age_s: float
+
+
+@dataclass(frozen=True)
+class AgeNotice:
+    """Tells a host that the sender has read the store.
+
+    It is no evidence, as it may have waited at a suspended receiver.
+
+    :param age_s: As in a reply.
+    """
+
+    age_s: float
+
+
+AgeMessage = AgeQuestion | AgeReply | AgeNotice
+
+
+def _age_ms(age_s: float) -> int:
+    """Return an age in milliseconds, rounded up: it must not appear younger."""
+    return min(MAX_AGE_MS, max(0, math.ceil(1000 * age_s)))
+
+
+@singledispatch
+def _fields(message: object) -> dict[str, Any]:
+    """Return the fields of a message in the schema."""
+    raise TypeError(f"not a message about ages: {type(message).__name__}")
+
+
+@_fields.register
+def _(message: AgeQuestion) -> dict[str, Any]:
+    return {"number": message.number, "question": {"host": message.host}}
+
+
+@_fields.register
+def _(message: AgeReply) -> dict[str, Any]:
+    reply = {"version": message.version, "ageMs": _age_ms(message.age_s)}
+    return {"number": message.number, "reply": reply}
+
+
+@_fields.register
+def _(message: AgeNotice) -> dict[str, Any]:
+    return {"notice": {"noticeAgeMs": _age_ms(message.age_s)}}
+
+
+def encode_age_message(message: AgeMessage) -> bytes:
+    """Encode a message as a datagram."""
+    encoded = _SCHEMA.ConfigurationAgeMessage.new_message(**_fields(message))
+    return PREFIX + encoded.to_bytes_packed()
+
+
+def decode_age_message(data: bytes) -> AgeMessage:
+    """Decode a datagram that begins with ``PREFIX``.
+
+    :raises ValueError: The data is not a message about ages.
+    """
+    try:
+        message = _SCHEMA.ConfigurationAgeMessage.from_bytes_packed(data[len(PREFIX) :])
+        kind = message.which()
+        if kind == "question":
+            return AgeQuestion(message.number, message.question.host)
+        if kind == "reply":
+            reply = message.reply
+            return AgeReply(message.number, reply.version, reply.ageMs / 1000)
+        return AgeNotice(message.notice.noticeAgeMs / 1000)
+    except capnp.KjException as error:
+        raise ValueError(f"not a message about ages: {error}") from error
