Keep the age of the configuration known, with questions to other hosts

A host asks the aggregator of its zone when its configuration is older than 0.33 of the bound: the aggregator's next poll of the store has ended by then, so that each question brings newer evidence. Without a reply, or beyond 0.42 of the bound, a host asks the other relay and relays of another zone, then reads the store: relays first, the other hosts of a zone one after the other within a quarter of the bound. One that is served tells its zone's relays and goes on reading until others have newer evidence. Long polls last at most 0.15 of the bound where it is set.

--- a/sequoiapoint/coordination/configuration_age.py
+++ b/sequoiapoint/coordination/configuration_age.py
@@ -19,23 +19,12 @@
 ERA_SETTLING_S = 3.0
 """Time after an era of the store was first seen from which on reads count: operators
 write their newest records again within two seconds of the store's return."""
-MARGIN_SHARE = 0.02
-"""Part of the bound by which requests are rejected early, for clocks that run at
-different rates."""
 MAX_PENDING_REPLIES = 16
 """Number of replies that are kept until the configuration reaches their version."""
 STORE = "store"
 """Source of the evidence of an own read of the store."""
 
 
-def limit_s(bound_s: float) -> float:
-    """Return the age from which on requests with a key are rejected, in seconds.
-
-    :param bound_s: Time after which a withdrawn key must not be accepted.
-    """
-    return bound_s * (1.0 - MARGIN_SHARE)
-
-
 class ConfigurationAge:
     """Tracks the evidence for the configuration in force.
 
--- a/sequoiapoint/node/gateway_state.py
+++ b/sequoiapoint/node/gateway_state.py
@@ -133,7 +133,8 @@
     :param shared_state_changed: Called when the other hosts should learn of a
         change at once.
     :param configuration_age_s: Returns the time since which the configuration may lack
-        a newer version, in seconds.
+        a newer version, in seconds; 0 if that is not bounded, infinity if nothing is
+        known.
     """
 
     settings: GatewaySettings
--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 
 from sequoiapoint.coordination.fan_out import BYTES_PER_MBIT
+from sequoiapoint.node.configuration_age_exchange import ConfigurationAgeExchange
 from sequoiapoint.node.datagrams import decode_datagram
 from sequoiapoint.node.detour_exchange import DetourExchange
 from sequoiapoint.node.digest_sender import DigestSender
@@ -23,6 +24,7 @@
 from sequoiapoint.node.slot_exchange import SlotExchange
 from sequoiapoint.node.store_watch import StoreWatch
 from sequoiapoint.node.topic_exchange import TOPIC_PATH, TopicExchange
+from sequoiapoint.protocol.configuration_age import PREFIX as AGE_MESSAGE_PREFIX
 from sequoiapoint.protocol.digests import (
     Digest,
     Member,
@@ -86,6 +88,7 @@
     :ivar slots: The exchange of slot messages with allocators.
     :ivar permits: The exchange of permit messages with allocators.
     :ivar origins: The exchange of the origins of streams.
+    :ivar configuration_age: The exchange about the age of the configuration.
     :ivar detours: The requests that this host sends through other hosts.
     :ivar server: The server for calls of other hosts.
     """
@@ -107,13 +110,17 @@
         self.slots = SlotExchange(state, self.peers, self._sender)
         self.permits = PermitExchange(state, self.peers, self._sender)
         self.origins = OriginExchange(state, watch, self.peers, self._sender)
+        self._topics = TopicExchange(state, store, watch, self.peers)
+        self.configuration_age = ConfigurationAgeExchange(
+            state, store, watch, self.peers, self._sender, self._topics.fetch
+        )
         self._exchanges_by_prefix = {
             SLOT_MESSAGE_PREFIX: self.slots,
             PERMIT_MESSAGE_PREFIX: self.permits,
             ORIGIN_MESSAGE_PREFIX: self.origins,
+            AGE_MESSAGE_PREFIX: self.configuration_age,
         }
         self.detours = DetourExchange(state, self.peers)
-        self._topics = TopicExchange(state, store, watch, self.peers)
         self.server = PeerServer(state, {TOPIC_PATH: self._topics.serve})
         self._registry = HostRegistry(
             state, store, self.peers, self._local_member, self.schedule_digest
@@ -141,6 +148,7 @@
             tasks.create_task(self._sender.run())
             tasks.create_task(self.slots.run())
             tasks.create_task(self._topics.run())
+            tasks.create_task(self.configuration_age.run())
 
     async def stop(self) -> None:
         """Send a last digest, which announces the shutdown, and stop listening."""
--- a/sequoiapoint/node/store_watch.py
+++ b/sequoiapoint/node/store_watch.py
@@ -20,11 +20,12 @@
     StoreRecord,
     Unreadable,
 )
+from sequoiapoint.protocol.gateway_settings import Bounds
 from sequoiapoint.protocol.positions import era_of
 from sequoiapoint.state.keyed_topic import KeyedTopic, TopicChange
 from sequoiapoint.state.store_outage import StoreOutage
 from sequoiapoint.state.topic_freshness import ChangeLag, TopicFreshness
-from sequoiapoint.transport.clock import monotonic_s
+from sequoiapoint.transport.clock import monotonic_s, since_boot_s
 from sequoiapoint.transport.store_client import (
     CALL_TIMEOUT_S,
     ERA_CHANGED,
@@ -38,6 +39,9 @@
 """The same, as a share of the time within which a configuration must be in force.  The
 store may not wake a poll that begins while it takes a change; the rest of the time is
 for the way from the reader to all hosts."""
+KEY_CONFIGURATION_WAIT_SHARE = 0.15
+"""The same, as a share of the time after which a withdrawn key must not be accepted at
+any host.  The evidence that a poll brings is as old as the poll is long."""
 SERVER_WAIT_SHARE = 0.1
 """Maximum wait of a long poll for server entries, as a share of the time within which a
 leaving server must stop receiving new requests.  The entries change all the time, and a
@@ -90,6 +94,9 @@
         store holds after it has come back older.
     :ivar content: This host's replica of the topic.
     :ivar freshness: Until when the replica is known to be complete.
+    :ivar on_read: Called when the result of a read of the store has been applied, with
+        the time at which the call began, on the clock that includes the suspension of
+        the system, in seconds.
     """
 
     def __init__(
@@ -116,6 +123,7 @@
         self._is_store_lost = False
         self.content = KeyedTopic()
         self.freshness = TopicFreshness()
+        self.on_read: Callable[[float], None] = lambda started_at: None
 
     @property
     def topic(self) -> str:
@@ -207,17 +215,18 @@
             pass
 
     async def _load_snapshot(self) -> Failure | None:
-        started_at = monotonic_s()
+        started_at, begun_at = monotonic_s(), since_boot_s()
         response = await self._store.newest(self._topic)
         if isinstance(response, Failure):
             return response
         change = self.content.replace(*response, self._keeps)
         self._note_read(started_at)
         self._on_change(change)
+        self.on_read(begun_at)
         return None
 
     async def _read_changes(self, wait_s: float, timeout_s: float) -> Failure | None:
-        started_at = monotonic_s()
+        started_at, begun_at = monotonic_s(), since_boot_s()
         response = await self._store.read(
             self._topic, self.content.end, wait_s, timeout_s
         )
@@ -226,6 +235,7 @@
         change = self.content.apply(response)
         self._note_read(started_at)
         self._on_change(change)
+        self.on_read(begun_at)
         return None
 
     def _note_read(self, started_at: float) -> None:
@@ -252,6 +262,17 @@
             )
 
 
+def _configuration_wait_s(bounds: Bounds) -> float:
+    """Return the maximum wait of a long poll for a configuration, in seconds."""
+    wait_s = min(
+        MAX_CONFIGURATION_WAIT_S,
+        CONFIGURATION_WAIT_SHARE * bounds.configuration_apply_s,
+    )
+    if bounds.key_revocation_s is None:
+        return wait_s
+    return min(wait_s, KEY_CONFIGURATION_WAIT_SHARE * bounds.key_revocation_s)
+
+
 class StoreWatch:
     """Watches the topics of a gateway host and applies their changes.
 
@@ -280,10 +301,7 @@
             state,
             store,
             self._codec.configuration_topic(),
-            min(
-                MAX_CONFIGURATION_WAIT_S,
-                CONFIGURATION_WAIT_SHARE * state.settings.bounds.configuration_apply_s,
-            ),
+            _configuration_wait_s(state.settings.bounds),
             0.0,
             self._on_configuration,
             lambda: self.reads_via_relay(),
--- a/sequoiapoint/node/topic_exchange.py
+++ b/sequoiapoint/node/topic_exchange.py
@@ -77,7 +77,7 @@
         self._advanced = asyncio.Event()
         # By topic: an announced end offset that this host lacks, and since when.
         self._awaited: dict[str, tuple[int, float]] = {}
-        self._refresher = ReplicaRefresher(state, peers, watch.servers, self._fetch)
+        self._refresher = ReplicaRefresher(state, peers, watch.servers, self.fetch)
         watch.reads_via_relay = self.reads_via_relay
 
     async def run(self) -> None:
@@ -189,7 +189,7 @@
         known = watch.content.end
         for peer in ahead[:MAX_LAGGING_FETCHES]:
             if watch.content.end <= known:
-                await self._fetch(watch, peer, LAGGING_FETCH_TIMEOUT_S)
+                await self.fetch(watch, peer, LAGGING_FETCH_TIMEOUT_S)
 
     async def _fetch_along_tree(self, watch: TopicWatch, aggregator: Peer) -> None:
         """Fetch a change from this host's source, or else from another host."""
@@ -202,12 +202,12 @@
         for name in (first, second):
             source = None if name is None else self._peers.peer(name)
             if source is not None and watch.content.end <= known:
-                await self._fetch(watch, source)
+                await self.fetch(watch, source)
 
     def _known_end(self, peer: Peer, watch: TopicWatch) -> int:
         return _known_end(peer.digest, watch, self._watch)
 
-    async def _fetch(
+    async def fetch(
         self,
         watch: TopicWatch,
         peer: Peer,
@@ -216,6 +216,7 @@
     ) -> bool:
         """Fetch a topic from another host.
 
+        :param timeout_s: The timeout, in seconds.
         :param is_held: Whether the other host waits for a change if it has none yet.
         :return: Whether the host has answered.
         """
--- a/sequoiapoint/transport/metrics.py
+++ b/sequoiapoint/transport/metrics.py
@@ -1,5 +1,7 @@
 """OpenTelemetry metrics, exposed in the Prometheus text format."""
 
+import math
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
@@ -66,6 +68,11 @@
             description="Upper bound on the time from the store's acknowledgement that "
             "a server leaves until this host applied it",
         )
+        self._configuration_age = meter.create_histogram(
+            "configuration_age_seconds",
+            unit="s",
+            description="Time for which a newer configuration may have been missed",
+        )
         self._duration = meter.create_histogram(
             "request_seconds", unit="s", description="Time to the end of a request"
         )
@@ -114,6 +121,11 @@
         """Record how late, at most, this host learned that a server leaves."""
         self._leaving_lag.record(seconds)
 
+    def configuration_age(self, seconds: float) -> None:
+        """Record for how long a newer configuration may have been missed."""
+        if math.isfinite(seconds):
+            self._configuration_age.record(seconds)
+
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(REGISTRY)
