Process tests: a withdrawn key stops working within the bound

Store silent to all hosts, to some, a paused host, a host that starts without the store, a store that comes back older (with none, one or all hosts restarted) and a zone that is cut off; bound 2 s, with the shares of a deployment.

--- a/standins/site/deployment.py
+++ b/standins/site/deployment.py
@@ -238,6 +238,7 @@
     :param plain: The number of plain servers.
     :param zones: The number of zones over which the gateways are distributed.
     :param first_configuration: The configuration in the store when they start.
+    :param bounds: The bounds in the gateways' settings that are not the default ones.
     """
 
     def __init__(
@@ -247,10 +248,12 @@
         plain: int = 2,
         zones: int = 2,
         first_configuration: dict | None = None,
+        bounds: dict[str, float] | None = None,
     ) -> None:
         self._first_configuration = first_configuration or configuration()
         self._counts = (gateways, engines, plain)
         self._zones = zones
+        self._bounds = bounds or {}
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._folder = tempfile.TemporaryDirectory()
@@ -345,6 +348,7 @@
             "peer_address": f"127.0.0.1:{ports['peer']}",
             "metrics_address": f"127.0.0.1:{ports['metrics']}",
             "store": store or self.store_address,
+            "bounds": self._bounds,
         }
         gateway.settings.write_text("// a test's settings\n" + json.dumps(settings))
         gateway.start()
--- a/standins/site/linked_deployment.py
+++ b/standins/site/linked_deployment.py
@@ -1,7 +1,7 @@
-"""A deployment in which each server is behind a link that can be disturbed.
+"""Deployments in which the servers or the store are behind links that can be disturbed.
 
-Gateways are cut off from servers one by one, while callers, the store and the other
-gateways still reach them.
+Gateways are cut off from servers, or from the store, one by one, while callers and the
+other gateways still reach them.
 """
 
 from collections.abc import Iterable
@@ -51,3 +51,36 @@
         for link in self.server_links.values():
             self.call(link.heal)
             self.call(link.end_cut)
+
+
+class LinkedStoreDeployment(SiteDeployment):
+    """A deployment with a link between the gateways and the store.
+
+    The servers and operators reach the store in any case.
+
+    :ivar store_link: The link.
+    """
+
+    async def _start_platform(self, engines: int, plain: int) -> None:
+        await super()._start_platform(engines, plain)
+        self.store_link = Link(f"127.0.0.1:{free_port()}", self.store_address)
+        await self.store_link.start()
+        self.store_address = self.store_link.address
+
+    async def _stop_platform(self) -> None:
+        await self.store_link.stop()
+        await super()._stop_platform()
+
+    def silence_store(self) -> None:
+        """Hold all bytes between the gateways and the store, until ``heal``."""
+        self.call(self.store_link.block, "in", "out")
+
+    def cut_off_store(self, gateways: Iterable[Gateway]) -> None:
+        """Let the calls of gateways to the store stall, until ``heal``."""
+        processes = {gateway.process.pid for gateway in gateways}
+        self.call(self.store_link.cut_off, processes, Cut.SILENT)
+
+    def heal(self) -> None:
+        """End all disturbances."""
+        self.call(self.store_link.heal)
+        self.call(self.store_link.end_cut)
