--- a/sequoiapoint/coordination/age_inquiry.py
+++ b/sequoiapoint/coordination/age_inquiry.py
@@ -111,6 +111,14 @@
         self._has_read = False
         self._is_supplier = False
 
+    def is_calm(self, age_s: float, bound_s: float) -> bool:
+        """Tell whether a configuration is so young that there is nothing to decide."""
+        share = SUPPLIER_ASK_SHARE if self._is_supplier else self._ask_share
+        if age_s > share * bound_s:
+            return False
+        self._note_young()
+        return True
+
     def decide(self, view: View, now: float) -> Inquiry:
         """Return what to do now; what is returned counts as done.
 
@@ -119,8 +127,7 @@
         share = view.age_s / view.bound_s
         is_old = share > WIDE_SHARE
         if not is_old:
-            self._old_since = self._unread_since = None
-            self._has_read = False
+            self._note_young()
         else:
             self._old_since = now if self._old_since is None else self._old_since
             if self._unread_since is None and view.do_reads_count:
@@ -156,6 +163,10 @@
         """
         self._is_supplier = is_newer and not is_reader
 
+    def _note_young(self) -> None:
+        self._old_since = self._unread_since = None
+        self._has_read = False
+
     def _interval_s(self, view: View, now: float) -> float:
         """Return the minimum time until the next questions.
 
--- a/sequoiapoint/node/configuration_age_exchange.py
+++ b/sequoiapoint/node/configuration_age_exchange.py
@@ -125,14 +125,18 @@
             return
         now = since_boot_s()
         self._age.note_version(self._version)
+        if not self._inquirer.is_calm(self._age.age_s(now), bound_s):
+            self._inquire(bound_s, now)
+        if self.is_active:
+            self._observe(bound_s, now)
+
+    def _inquire(self, bound_s: float, now: float) -> None:
         inquiry = self._inquirer.decide(self._view(bound_s, now), now)
         if inquiry.asks:
             self._ask(self._targets(inquiry), now)
         if inquiry.reads_store and (self._read is None or self._read.done()):
             loop = asyncio.get_running_loop()
             self._read = loop.create_task(self.read_store(bound_s))
-        if self.is_active:
-            self._observe(bound_s, now)
 
     async def read_store(self, bound_s: float) -> None:
         """Read the store; if that helps, tell the relays of the zone.
