Decode only what has changed in a server's entry

Each server writes its entry about once a second, mostly with nothing new but the number of reports, and every host decoded and validated all of it. The codec now keeps each server's last decoded entry with the bytes before and after that number; if they are the same, only the number is read. An entry with escapes, several such keys or a count that is not its own is always decoded completely.

--- a/sequoiapoint/platform/store.py
+++ b/sequoiapoint/platform/store.py
@@ -2,8 +2,10 @@
 
 import base64
 import json
+import re
 import struct
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
 from typing import Annotated, Any, Literal, TypeVar
 from urllib.parse import urlencode
 
@@ -40,6 +42,11 @@
 _JSON = [(b"Content-Type", b"application/json")]
 _READ_HEADER = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
+_REPORT_COUNT = re.compile(rb'"seq"\s*:\s*(0|[1-9][0-9]{0,17})(?=\s*[,}])')
+"""The number of reports in an entry.  A quote within a string has a backslash before
+it, so in valid JSON this is always a key."""
+MAX_KNOWN_ENTRIES = 4096
+"""Number of servers whose last entry is kept in decoded form."""
 
 PositiveInt = Annotated[pydantic.StrictInt, pydantic.Field(gt=0)]
 Address = Annotated[
@@ -317,9 +324,21 @@
         position += length
 
 
+@dataclass(frozen=True)
+class _KnownEntry:
+    """A decoded entry, and its bytes before and after the number of reports."""
+
+    prefix: bytes
+    suffix: bytes
+    entry: ServerEntry
+
+
 class PlatformStoreCodec:
     """Encodes calls to the store and decodes its responses."""
 
+    def __init__(self) -> None:
+        self._known_entries: dict[str, _KnownEntry] = {}
+
     def decode_era(self, headers: Headers) -> int | None:
         """Decode how often the store has come back from an older copy.
 
@@ -439,13 +458,43 @@
         return wire.configuration()
 
     def decode_server(self, record: StoreRecord) -> ServerEntry | Unreadable:
-        """Decode a server's entry."""
-        try:
-            return _ServerEntry.model_validate_json(record.value or b"").entry(
-                record.key
+        """Decode a server's entry.
+
+        Each server writes its entry about once a second, mostly with nothing new but
+        the number of reports; the rest is then taken from its last entry.
+        """
+        value = record.value or b""
+        counts = list(_REPORT_COUNT.finditer(value))
+        if len(counts) != 1 or b"\\" in value:
+            return self._decode_changed_server(record.key, value)
+        start, end = counts[0].span(1)
+        known = self._known_entries.get(record.key)
+        if (
+            known is not None
+            and value[:start] == known.prefix
+            and value[end:] == known.suffix
+        ):
+            return replace(known.entry, report_count=int(value[start:end]))
+        entry = self._decode_changed_server(record.key, value)
+        # Otherwise the count that was found is not the entry's own.
+        if isinstance(entry, ServerEntry) and (
+            entry.report_count == int(value[start:end])
+        ):
+            self._known_entries.pop(record.key, None)
+            self._known_entries[record.key] = _KnownEntry(
+                value[:start], value[end:], entry
             )
+            if len(self._known_entries) > MAX_KNOWN_ENTRIES:
+                del self._known_entries[next(iter(self._known_entries))]
+        return entry
+
+    def _decode_changed_server(
+        self, server: str, value: bytes
+    ) -> ServerEntry | Unreadable:
+        try:
+            return _ServerEntry.model_validate_json(value).entry(server)
         except pydantic.ValidationError as error:
-            return Unreadable(record.key, _first_error(error))
+            return Unreadable(server, _first_error(error))
 
 
 def _first_error(error: pydantic.ValidationError) -> str:
--- a/sequoiapoint/platform/store_test.py
+++ b/sequoiapoint/platform/store_test.py
@@ -120,6 +120,41 @@
     assert entry.models[0].adapters == {"a1"}
 
 
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [
+        (ENTRY, ENTRY | {"seq": 4}),
+        (ENTRY, ENTRY | {"seq": 4, "state": "draining"}),
+        (ENTRY, ENTRY | {"seq": 1, "born": ENTRY["born"] + 1}),
+        (ENTRY, ENTRY | {"seq": 4, "models": []}),
+        (ENTRY, ENTRY | {"seq": 4.5}),
+        (ENTRY, ENTRY | {"seq": -4}),
+        (ENTRY, ENTRY | {"seq": "4"}),
+        (ENTRY, ENTRY | {"seq": 4, "slots": 0}),
+        (ENTRY | {"seq": -3, "x": {"seq": 5}}, ENTRY | {"seq": -3, "x": {"seq": 6}}),
+        (ENTRY | {"x": {"seq": 5}}, ENTRY | {"x": {"seq": 6}}),
+        (ENTRY | {"zone": '"seq": 5'}, ENTRY | {"zone": '"seq": 6'}),
+        (ENTRY | {"zone": "\u00e9"}, ENTRY | {"zone": "\u00e9", "seq": 9}),
+    ],
+)
+def test_an_entry_is_decoded_the_same_whatever_came_before(before, after):
+    # Guards against a wrong part of the server's last entry being used again.
+    codec = PlatformStoreCodec()
+    codec.decode_server(record(before))
+    expected = PlatformStoreCodec().decode_server(record(after))
+    assert codec.decode_server(record(after)) == expected
+    assert codec.decode_server(record(before)) == CODEC.decode_server(record(before))
+
+
+def test_truncated_entries_are_unreadable_after_a_valid_one():
+    codec = PlatformStoreCodec()
+    value = record(ENTRY).value
+    codec.decode_server(record(ENTRY))
+    for length in range(len(value)):
+        truncated = StoreRecord(0, "s-1", value[:length] or None)
+        assert isinstance(codec.decode_server(truncated), Unreadable)
+
+
 def test_a_server_about_to_be_reclaimed_is_draining():
     entry = CODEC.decode_server(
         record(ENTRY | {"state": "draining", "remaining-ms": 1500})
