Wake the event loop of an idle host less often

An idle host ran some ten loops of 0.1 to 0.25 s, each with a wake-up of its own. Now - loops that remain periodic pause until common ticks of the process (with a random phase), - a host waits for an event instead of polling: for missing entries, for a topic that a digest announces, for connections of an HTTP server before it checks their time-outs, - the age of the replica is checked when it can be too old, the reachability of a service only while there is a failure that no later data refutes, - a host that is not the leader and has no waiting requests plans when a pass is requested, - the reader of the store is determined once in 20 ms for both topics and their fetches. Intervals while something lags, is missing, waits or fails are as before.

--- a/sequoiapoint/coordination/replica_refresh.py
+++ b/sequoiapoint/coordination/replica_refresh.py
@@ -58,6 +58,14 @@
     return Refresh(age_s > STALE_SHARE * drain_s, reads_store)
 
 
+def fresh_for_s(age_s: float, drain_s: float) -> float:
+    """Return for how long a replica need not be refreshed; less than 0 if it must be.
+
+    :param age_s: Its age in seconds, which grows no faster than time passes.
+    """
+    return STALE_SHARE * drain_s - age_s
+
+
 def next_pause_s(pause_s: float) -> float:
     """Return the pause after an attempt that has brought nothing.
 
--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -26,7 +26,7 @@
     InboundRequest,
     Responder,
 )
-from sequoiapoint.transport.clock import monotonic_s, wall_ms
+from sequoiapoint.transport.clock import monotonic_s, pause_to_tick_s, wall_ms
 from sequoiapoint.transport.decision_log import DecisionLog
 from sequoiapoint.transport.metrics import CONTENT_TYPE, Metrics
 from sequoiapoint.transport.store_client import StoreClient
@@ -207,7 +207,7 @@
 
     async def _run_housekeeping(self) -> None:
         while True:
-            await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
+            await asyncio.sleep(pause_to_tick_s(HOUSEKEEPING_INTERVAL_S))
             self._state.pools.close_idle(monotonic_s())
             if self._state.configuration is not None:
                 self._caller_server.limits = self._state.configuration.limits
--- a/sequoiapoint/node/lease_manager.py
+++ b/sequoiapoint/node/lease_manager.py
@@ -13,7 +13,7 @@
 from sequoiapoint.node.peer_exchange import PeerExchange
 from sequoiapoint.node.placement_exchange import MAX_LEADER_CANDIDATES
 from sequoiapoint.protocol.errors import Failure
-from sequoiapoint.transport.clock import monotonic_s, since_boot_s
+from sequoiapoint.transport.clock import monotonic_s, pause_to_tick_s, since_boot_s
 from sequoiapoint.transport.store_client import StoreClient
 
 GROUP = "engine-orders"
@@ -117,7 +117,7 @@
                     else CANDIDATE_RENEWAL_INTERVAL_S
                 )
             else:
-                pause_s = CANDIDATE_CHECK_INTERVAL_S
+                pause_s = pause_to_tick_s(CANDIDATE_CHECK_INTERVAL_S)
             if is_held != was_held:
                 was_held = is_held
                 self._notify_change(is_held)
--- a/sequoiapoint/node/placement_controller.py
+++ b/sequoiapoint/node/placement_controller.py
@@ -34,6 +34,9 @@
 
 PLAN_INTERVAL_S = 0.2
 """Interval of planning passes while none is requested."""
+IDLE_PLAN_INTERVAL_S = 1.0
+"""The same on a host that is not the leader and has no waiting requests: there is
+nothing to plan or to report until a pass is requested."""
 MIN_PLAN_INTERVAL_S = 0.01
 """Minimum time between two planning passes, so that one pass covers several requests
 that start to wait at about the same time."""
@@ -107,6 +110,7 @@
 
     def _reset(self) -> None:
         """Discard all state of engines and demand as the lease is acquired or lost."""
+        self._state.replan_requested.set()
         now = monotonic_s()
         self._records.clear()
         self._demand = DemandHistory(now)
@@ -117,18 +121,22 @@
 
     async def _run_planning(self) -> None:
         replan_requested = self._state.replan_requested
+        interval_s = PLAN_INTERVAL_S
         while True:
             try:
-                async with asyncio.timeout(PLAN_INTERVAL_S):
+                async with asyncio.timeout(interval_s):
                     await replan_requested.wait()
             except TimeoutError:
                 pass
             replan_requested.clear()
             started_at = monotonic_s()
+            interval_s = PLAN_INTERVAL_S
             if self._lease.is_held:
                 self._plan()
             elif self._state.demand.waiting():
                 self._exchange.placement.schedule_demand_report()
+            else:
+                interval_s = IDLE_PLAN_INTERVAL_S
             pause_s = _pause_s(monotonic_s() - started_at, MAX_PLAN_SHARE)
             await asyncio.sleep(max(MIN_PLAN_INTERVAL_S, pause_s))
 
--- a/sequoiapoint/node/reachability_monitor.py
+++ b/sequoiapoint/node/reachability_monitor.py
@@ -11,7 +11,7 @@
 from sequoiapoint.protocol.gateway import ServerEntry
 from sequoiapoint.state.reachability import ReachabilityChange, ServiceReachability
 from sequoiapoint.transport.async_http_client import ConnectionPool, call
-from sequoiapoint.transport.clock import monotonic_s
+from sequoiapoint.transport.clock import monotonic_s, pause_to_tick_s
 
 CHECK_INTERVAL_S = 0.1
 """Interval at which the evidence is examined."""
@@ -38,7 +38,7 @@
 
     async def _run_checks(self) -> None:
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            await asyncio.sleep(pause_to_tick_s(CHECK_INTERVAL_S))
             for name in self._state.reachability.services():
                 self.check(name)
 
@@ -46,6 +46,8 @@
         """Determine whether a service's servers can be reached; log a change."""
         state, now = self._state, monotonic_s()
         service = state.reachability.service(name)
+        if not service.is_cut_off and not service.has_failures(now):
+            return
         servers = {e.incarnation for e in state.fleet.ready_servers(name)}
         change = service.update(servers, now)
         if change is None:
--- a/sequoiapoint/node/replica_refresher.py
+++ b/sequoiapoint/node/replica_refresher.py
@@ -10,7 +10,7 @@
 from sequoiapoint.transport.clock import monotonic_s
 
 AGE_CHECK_INTERVAL_S = 0.1
-"""Interval at which the age of the replica is checked."""
+"""Interval at which the age of the replica is checked while it may be too old."""
 MAX_SOURCES = 2
 """Number of hosts that are asked at the same time."""
 
@@ -44,7 +44,7 @@
             refresh = self._decide()
             if not refresh.asks_peers:
                 self._has_answer = False
-                pause_s = AGE_CHECK_INTERVAL_S
+                pause_s = max(AGE_CHECK_INTERVAL_S, self._fresh_for_s())
                 continue
             self._state.metrics.event("replica_stale")
             await self._refresh(refresh)
@@ -55,6 +55,12 @@
                 else replica_refresh.next_pause_s(pause_s)
             )
 
+    def _fresh_for_s(self) -> float:
+        return replica_refresh.fresh_for_s(
+            self._watch.freshness.age_s(monotonic_s()),
+            self._state.settings.bounds.server_drain_s,
+        )
+
     def _decide(self) -> replica_refresh.Refresh:
         now = monotonic_s()
         own, members = self._state.settings.host, self._peers.listed_members()
--- a/sequoiapoint/node/slot_exchange.py
+++ b/sequoiapoint/node/slot_exchange.py
@@ -35,7 +35,7 @@
     encode_slot_message,
 )
 from sequoiapoint.state.peers import Peers
-from sequoiapoint.transport.clock import monotonic_s
+from sequoiapoint.transport.clock import monotonic_s, pause_to_tick_s
 
 REPLY_TIMEOUT_S = 0.06
 """Timeout of a request for a slot: ten round trips between zones, and short against the
@@ -143,7 +143,7 @@
     async def run(self) -> None:
         """Keep the allocation up to date until the process stops."""
         while True:
-            await asyncio.sleep(REFRESH_INTERVAL_S)
+            await asyncio.sleep(pause_to_tick_s(REFRESH_INTERVAL_S))
             self.refresh(monotonic_s())
 
     # Requests of this host
--- a/sequoiapoint/node/store_watch.py
+++ b/sequoiapoint/node/store_watch.py
@@ -24,7 +24,7 @@
 from sequoiapoint.state.keyed_topic import KeyedTopic, TopicChange
 from sequoiapoint.state.store_outage import StoreOutage
 from sequoiapoint.state.topic_freshness import ChangeLag, TopicFreshness
-from sequoiapoint.transport.clock import monotonic_s
+from sequoiapoint.transport.clock import monotonic_s, pause_to_tick_s
 from sequoiapoint.transport.store_client import (
     CALL_TIMEOUT_S,
     ERA_CHANGED,
@@ -131,7 +131,7 @@
             if era_of(self.content.end) < self._store.era:
                 needs_snapshot = True
             if not needs_snapshot and self._reads_via_relay():
-                await asyncio.sleep(RELAY_CHECK_INTERVAL_S)
+                await asyncio.sleep(pause_to_tick_s(RELAY_CHECK_INTERVAL_S))
                 continue
             failure = await (
                 self._load_snapshot()
@@ -268,6 +268,7 @@
         self._removed: dict[Incarnation, tuple[int, int]] = {}
         # By server: the earliest time at which its entry may have disappeared.
         self._vanished_after: dict[str, float] = {}
+        self._has_missing = asyncio.Event()
         self._logged_unreadable: set[tuple[str, str]] = set()
         self._outage = StoreOutage(
             MIN_OUTAGE_SHARE * state.settings.bounds.server_drain_s
@@ -432,6 +433,7 @@
             removed_after = now - self.servers.change_lag().total_s
             self._state.fleet.mark_missing(server, max(removed_after, returned_at))
             self._vanished_after.setdefault(server, removed_after)
+            self._has_missing.set()
             outcome = "vanished"
         else:
             self._note_removed(server)
@@ -476,8 +478,11 @@
 
     async def _remove_missing(self) -> None:
         while True:
-            await asyncio.sleep(MISSING_CHECK_INTERVAL_S)
-            self._drop_missing()
+            await self._has_missing.wait()
+            self._has_missing.clear()
+            while self._state.fleet.has_missing:
+                await asyncio.sleep(pause_to_tick_s(MISSING_CHECK_INTERVAL_S))
+                self._drop_missing()
 
     def _drop_missing(self) -> None:
         """Remove the missing servers whose entries have not come back in time."""
--- a/sequoiapoint/node/topic_exchange.py
+++ b/sequoiapoint/node/topic_exchange.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import http
+import math
 from urllib.parse import parse_qs, urlencode, urlsplit
 
 from sequoiapoint.coordination import distribution_tree
@@ -39,7 +40,13 @@
 MAX_LAGGING_FETCHES = 2
 """Number of peers that are asked for a change, one after the other."""
 LAG_CHECK_INTERVAL_S = 0.2
-"""Interval at which topics are checked for lag."""
+"""Interval at which a topic that lags is checked."""
+IDLE_CHECK_INTERVAL_S = 1.0
+"""Interval at which a topic that does not lag is checked; a digest that announces a
+change requests a check."""
+READER_TTL_S = 0.02
+"""Time for which the reader of the store is not determined again: the topics and their
+fetches ask for it in the same wake-up."""
 MAX_CONFIGURATION_LAG_S = 0.4
 """Time for which this host may lag behind a peer's configuration before it fetches it
 from the peer.  It is short because the store responds to a waiting read at once."""
@@ -73,6 +80,7 @@
         # By topic: a peer's end offset, and since when this host has lagged behind it.
         self._lags: dict[str, tuple[int, float]] = {}
         self._reader = ""
+        self._reader_at = -math.inf
         self._reading = StoreReading(state.rng.random)
         self._advanced = asyncio.Event()
         # By topic: an announced end offset that this host lacks, and since when.
@@ -90,8 +98,13 @@
     async def _run_fetches(self, watch: TopicWatch) -> None:
         requested = self._fetch_requested[watch.topic]
         while True:
+            is_lagging = any(
+                self._known_end(peer, watch) > watch.content.end
+                for peer in self._peers.live(monotonic_s())
+            )
+            interval_s = LAG_CHECK_INTERVAL_S if is_lagging else IDLE_CHECK_INTERVAL_S
             try:
-                async with asyncio.timeout(LAG_CHECK_INTERVAL_S):
+                async with asyncio.timeout(interval_s):
                     await requested.wait()
             except TimeoutError:
                 pass
@@ -109,13 +122,18 @@
             self._watch.handle_announcement(
                 digest.server_end, digest.server_age_s, monotonic_s()
             )
-        if self._is_behind(digest) and self.reads_via_relay():
-            for requested in self._fetch_requested.values():
-                requested.set()
+        for watch in (self._watch.configuration, self._watch.servers):
+            is_behind = _known_end(digest, watch, self._watch) > watch.content.end
+            # A topic that is known to lag is checked at intervals.
+            if is_behind and (watch.topic not in self._lags or self.reads_via_relay()):
+                self._fetch_requested[watch.topic].set()
 
     def reads_via_relay(self) -> bool:
         """Tell whether a relay reads the store for this host; log a new reader."""
         now = monotonic_s()
+        if 0.0 <= now - self._reader_at < READER_TTL_S:
+            return self._reader != self._state.settings.host
+        self._reader_at = now
         reader = self._state.settings.host
         if not self._reading.reads_itself(self._zone_view(now), now):
             reader = self._peers.aggregator_host
@@ -153,12 +171,6 @@
                     del self._awaited[watch.topic]
         return max((now - since for _, since in self._awaited.values()), default=0.0)
 
-    def _is_behind(self, announced: Digest) -> bool:
-        return any(
-            _known_end(announced, watch, self._watch) > watch.content.end
-            for watch in (self._watch.configuration, self._watch.servers)
-        )
-
     async def _fetch_if_lagging(self, watch: TopicWatch) -> None:
         now = monotonic_s()
         aggregator = self._peers.aggregator(now, MAX_AGGREGATOR_AGE_S)
--- a/sequoiapoint/state/fleet.py
+++ b/sequoiapoint/state/fleet.py
@@ -184,6 +184,11 @@
         if server in self._entries:
             self._missing_since.setdefault(server, now)
 
+    @property
+    def has_missing(self) -> bool:
+        """Tell whether any entry is missing that may reappear."""
+        return bool(self._missing_since)
+
     def remove_missing(self, before: float) -> list[str]:
         """Remove and return the servers that have been missing since before a time."""
         removed = [s for s, at in self._missing_since.items() if at < before]
--- a/sequoiapoint/state/reachability.py
+++ b/sequoiapoint/state/reachability.py
@@ -126,6 +126,10 @@
             count += evidence.connect_failures
         return count
 
+    def has_failures(self, now: float) -> bool:
+        """Tell whether a failure of any process is not refuted by later data."""
+        return any(self._failures(e, now) for e in self._evidence.values())
+
     def failures(
         self, servers: Collection[Incarnation], now: float
     ) -> dict[Incarnation, int]:
--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -16,7 +16,7 @@
 from sequoiapoint.protocol.gateway import CallerLimits
 from sequoiapoint.protocol.ports import Headers
 from sequoiapoint.transport.async_http_client import set_liveness_options
-from sequoiapoint.transport.clock import monotonic_s
+from sequoiapoint.transport.clock import monotonic_s, pause_to_tick_s
 
 TIMEOUT_CHECK_INTERVAL_S = 0.25
 """Interval of the check for connection timeouts; a tenth of the shortest one."""
@@ -250,6 +250,7 @@
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         set_liveness_options(transport.get_extra_info("socket"), CALLER_TIMEOUT_MS)
         self._server.connections.add(self)
+        self._server.has_connections.set()
         if self._server.is_closed:
             transport.abort()
 
@@ -437,6 +438,7 @@
     :param handler: Responds to one request.
     :param on_rejected: Called with the status of each request that is rejected before
         it reaches the handler.
+    :ivar has_connections: Set when a connection is accepted.
     :ivar idle_closed: Number of connections closed because they were idle.
     """
 
@@ -444,6 +446,7 @@
         self._handler = handler
         self.on_rejected = on_rejected
         self.connections: set[ServerConnection] = set()
+        self.has_connections = asyncio.Event()
         self.limits = CallerLimits()
         self.is_draining = False
         self.is_closed = False
@@ -495,7 +498,10 @@
 
     async def _check_timeouts(self) -> None:
         while True:
-            await asyncio.sleep(TIMEOUT_CHECK_INTERVAL_S)
+            await self.has_connections.wait()
+            await asyncio.sleep(pause_to_tick_s(TIMEOUT_CHECK_INTERVAL_S))
+            if not self.connections:
+                self.has_connections.clear()
             now = monotonic_s()
             for connection in list(self.connections):
                 connection.check_timeouts(now)
