Let hosts keep the connections for fetches of topics

A host fetches the servers' changes from another one about every 0.6 s, but each fetch opened a connection: the server for other hosts stated no idle timeout, and without one a connection is used again for 0.4 s only. It now states one; the client's own limit of 1.5 s holds. Seen in a profile of 7 hosts for 12 s: 137 connections opened for 118 fetches and the reads of the store.

--- a/sequoiapoint/node/topic_exchange.py
+++ b/sequoiapoint/node/topic_exchange.py
@@ -60,6 +60,9 @@
 MAX_HOLD_S = 0.5
 """Time for which a host holds another host's fetch until it has the change itself."""
 TOPIC_PATH = "/topics/"
+KEEP_ALIVE = (b"Keep-Alive", b"timeout=10")
+"""Tells the peer that its next fetch, usually within a second, may use the connection
+again; it is below the idle timeout of the server for peers."""
 
 
 class TopicExchange:
@@ -290,7 +293,7 @@
         age_s = watch.freshness.known_age_s(monotonic_s())
         state = TopicState(records, content.end, is_complete, age_s)
         body = encode_topic_state(state)
-        responder.send_response(int(http.HTTPStatus.OK), [], body)
+        responder.send_response(int(http.HTTPStatus.OK), [KEEP_ALIVE], body)
 
     async def _await_advance(self, content: KeyedTopic, known: int) -> None:
         """Wait until a topic has advanced beyond an offset, for a limited time."""
