Grant an engine to which the host has an idle connection among equals

A host lists the engines to which it has an idle connection first in its request for a slot, and the allocator grants the first of several engines with the same load; penalties that differ by less than the tolerance no longer decide between them. The choice of plain servers stays as it is: with them most connections are used again already.

--- a/sequoiapoint/coordination/slot_allocator.py
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -299,7 +299,11 @@
         )
 
     def _best_engine(self, request: SlotRequest, now: float) -> Engine | None:
-        """Return the engine with the lowest cost that has a free slot."""
+        """Return the engine with the lowest cost that has a free slot.
+
+        Among equals it is the first candidate of the request; penalties that differ by
+        less than chance are equal.
+        """
         candidates = [
             engine
             for server in request.candidates
@@ -314,7 +318,7 @@
             key=lambda engine: (
                 engine.used / engine.slots
                 + PENALTY_COST * max(0.0, engine.penalty - tolerated),
-                engine.penalty,
+                int(engine.penalty / PENALTY_TOLERANCE),
             ),
         )
 
--- a/sequoiapoint/coordination/slot_allocator_test.py
+++ b/sequoiapoint/coordination/slot_allocator_test.py
@@ -45,6 +45,30 @@
     assert outcomes == [SlotOutcome.GRANTED] * 2 + [SlotOutcome.QUEUED] * 2
 
 
+@pytest.mark.parametrize(
+    ("used", "is_late", "expected"),
+    [
+        ({}, False, "e-2"),
+        ({"e-1": 1, "e-2": 1}, False, "e-2"),
+        ({"e-2": 1}, False, "e-1"),
+        ({}, True, "e-2"),
+    ],
+)
+def test_the_first_candidate_is_granted_among_equally_loaded_engines(
+    used, is_late, expected
+):
+    # Guards against a connection opened although another engine is as good.
+    slots = allocator(engine("e-1"), engine("e-2"))
+    if is_late:
+        late = slots.request(ask(1, candidates=("e-2",)), 0.0)
+        slots.release(released(late, SlotQuality.LATE), 0.0)
+    counts = {(server, 1): count for server, count in used.items()}
+    slots.set_report("other", counts, 0.0)
+    slots.expire(0.0)
+    reply = slots.request(ask(9, candidates=("e-2", "e-1")), 0.0)
+    assert reply.engine[0] == expected
+
+
 def test_a_freed_slot_goes_to_the_most_urgent_request_of_all_hosts():
     slots = allocator(engine("e-1", slots=1))
     first = slots.request(ask(1), 0.0)
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -415,7 +415,10 @@
             if e.server not in self.tried_servers
             and not state.loads.get_or_create(e.incarnation).is_avoided(now)
         ]
-        candidates = preferred or serving
+        # The allocator grants the first of several engines that are equally loaded.
+        candidates = sorted(
+            preferred or serving, key=lambda e: not state.pools.has_idle(e, now)
+        )
         silent_zones = set()
         zones = server_choice.zones_by_load(
             candidates, self._running(candidates, now), state.settings.zone
--- a/sequoiapoint/protocol/slots.py
+++ b/sequoiapoint/protocol/slots.py
@@ -51,7 +51,8 @@
     """A request for a slot.
 
     :param number: Identifies the request within the requesting host's process.
-    :param candidates: Engines of the zone that can run it, as far as the host knows.
+    :param candidates: Engines of the zone that can run it, as far as the host knows,
+        those first to which it need not open a connection.
         Hosts learn of adapters that their requests wait for before the allocator does.
     :param priority: The priority of its route; 0 is the most urgent.
     :param remaining_s: Time until its caller's deadline, in seconds.
