--- a/sequoiapoint/coordination/allowance_client.py
+++ b/sequoiapoint/coordination/allowance_client.py
@@ -58,6 +58,7 @@
 
     :param numbers: The numbers of this host's messages.
     :param draw: Returns random numbers from 0 to 1.
+    :ivar organisation: Its name.
     :ivar credit: What may be admitted without asking.
     """
 
@@ -69,8 +70,8 @@
         numbers: Iterator[int],
         draw: Callable[[], float],
     ) -> None:
+        self.organisation = organisation
         self._host = host
-        self._organisation = organisation
         self._numbers = numbers
         self._draw = draw
         self._waiting: list[tuple[Charge, Waiter]] = []
@@ -84,6 +85,16 @@
         """Tell whether requests wait for a reply."""
         return bool(self._waiting or (self._sent and self._sent.waiters))
 
+    def is_under_way(self, number: int) -> bool:
+        """Tell whether a message has neither been answered nor timed out."""
+        return self._sent is not None and self._sent.request.number == number
+
+    def expects(self, number: int) -> bool:
+        """Tell whether a reply to a message matters, be it late."""
+        late = self._timed_out
+        is_late = late is not None and late.request.number == number
+        return is_late or self.is_under_way(number)
+
     def submit(self, charge: Charge, waiter: Waiter, now: float) -> Decision | None:
         """Decide about a request; None if it waits for the allocator."""
         decision = self.credit.decide(charge, now, self._draw())
@@ -121,7 +132,7 @@
         request = AllowanceRequest(
             self._host,
             next(self._numbers),
-            self._organisation,
+            self.organisation,
             version,
             allowance.rate_per_s,
             allowance.burst,
--- a/sequoiapoint/coordination/allowance_credit.py
+++ b/sequoiapoint/coordination/allowance_credit.py
@@ -46,6 +46,16 @@
 """Mean time that callers are told meanwhile: until another host has taken over."""
 
 
+def request_cost(allowance: Allowance, tokens: int | None) -> float:
+    """Return the units that a request costs.
+
+    :param tokens: The tokens that it may take; None if it does not state them.
+    """
+    if not allowance.counts_tokens:
+        return 1.0
+    return allowance.plain_cost if tokens is None else float(max(0, tokens))
+
+
 @dataclass(frozen=True)
 class Granted:
     """A request is admitted, and its cost is charged."""
--- a/sequoiapoint/node/admission.py
+++ b/sequoiapoint/node/admission.py
@@ -8,13 +8,23 @@
 from dataclasses import dataclass, replace
 
 from sequoiapoint.coordination import entry, waiting
+from sequoiapoint.coordination.allowance_credit import Denied, request_cost
 from sequoiapoint.coordination.entry import Admitted, Rejected
+from sequoiapoint.node.allowance_exchange import AllowanceExchange
 from sequoiapoint.node.gateway_state import GatewayState
-from sequoiapoint.node.request_record import Refusal, reject
+from sequoiapoint.node.request_record import (
+    Refusal,
+    reject,
+    request_fingerprint,
+    send_refusal,
+)
 from sequoiapoint.protocol.api_keys import key_label
-from sequoiapoint.protocol.gateway import CallerRequest, Route
+from sequoiapoint.protocol.gateway import CallerRequest, Organisation, Route
 from sequoiapoint.transport.async_http_server import Responder
 
+OVER_ALLOWANCE = "over_allowance"
+RETURN_SHARE = 1.0 / 3.0
+"""Share of the time that callers have left up to which they wait for a stated time."""
 NO_ROUTE = Rejected("no_route", http.HTTPStatus.NOT_FOUND)
 
 
@@ -23,10 +33,12 @@
     """A request that may be forwarded.
 
     :param request: The request with the organisation for which it was admitted.
+    :param charge: The organisation that was charged and the units; None without limit.
     """
 
     request: CallerRequest
     route: Route
+    charge: tuple[Organisation, float] | None = None
 
 
 def decide_entry(
@@ -64,8 +76,9 @@
 class Admission:
     """The checks that a caller's request passes before it is forwarded."""
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(self, state: GatewayState, allowances: AllowanceExchange) -> None:
         self._state = state
+        self._allowances = allowances
 
     async def admit(
         self, request: CallerRequest, responder: Responder
@@ -83,7 +96,39 @@
         if isinstance(decision, Rejected):
             self._reject(request, responder, decision, route=route.name)
             return None
-        return AdmittedRequest(replace(request, organisation=decision.name), route)
+        admitted = AdmittedRequest(replace(request, organisation=decision.name), route)
+        organisation = decision.organisation
+        if organisation is None or organisation.allowance is None:
+            return admitted
+        cost = request_cost(organisation.allowance, request.tokens)
+        budget_s = route.timeout_s
+        if request.budget_s is not None:
+            budget_s = min(budget_s, request.budget_s)
+        charged = await self._allowances.admit(
+            organisation,
+            cost,
+            request_fingerprint(request),
+            RETURN_SHARE * budget_s,
+            request.request_id,
+        )
+        if isinstance(charged, Denied):
+            self._reject_over_allowance(request, responder, charged.wait_s)
+            return None
+        return replace(admitted, charge=(organisation, cost))
+
+    def _reject_over_allowance(
+        self, request: CallerRequest, responder: Responder, wait_s: float
+    ) -> None:
+        """Reject a request without a line of its own in the log.
+
+        An organisation may send several times its allowance; the exchange logs a
+        summary of what was denied every second.
+        """
+        state = self._state
+        status = int(http.HTTPStatus.TOO_MANY_REQUESTS)
+        refused = Refusal(request.request_id, OVER_ALLOWANCE, status, wait_s)
+        send_refusal(responder, state, refused)
+        state.metrics.refusal(OVER_ALLOWANCE)
 
     def _reject(
         self,
--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 
 from sequoiapoint.coordination.fan_out import BYTES_PER_MBIT
+from sequoiapoint.node.allowance_exchange import AllowanceExchange
 from sequoiapoint.node.datagrams import decode_datagram
 from sequoiapoint.node.detour_exchange import DetourExchange
 from sequoiapoint.node.digest_sender import DigestSender
@@ -23,6 +24,7 @@
 from sequoiapoint.node.slot_exchange import SlotExchange
 from sequoiapoint.node.store_watch import StoreWatch
 from sequoiapoint.node.topic_exchange import TOPIC_PATH, TopicExchange
+from sequoiapoint.protocol.allowances import PREFIX as ALLOWANCE_MESSAGE_PREFIX
 from sequoiapoint.protocol.digests import (
     Digest,
     Member,
@@ -85,6 +87,7 @@
     :ivar placement: The exchange of holdings and demand with the leader.
     :ivar slots: The exchange of slot messages with allocators.
     :ivar permits: The exchange of permit messages with allocators.
+    :ivar allowances: The exchange of allowance messages with allocators.
     :ivar origins: The exchange of the origins of streams.
     :ivar detours: The requests that this host sends through other hosts.
     :ivar server: The server for calls of other hosts.
@@ -106,10 +109,12 @@
         )
         self.slots = SlotExchange(state, self.peers, self._sender)
         self.permits = PermitExchange(state, self.peers, self._sender)
+        self.allowances = AllowanceExchange(state, self.peers, self._sender)
         self.origins = OriginExchange(state, watch, self.peers, self._sender)
         self._exchanges_by_prefix = {
             SLOT_MESSAGE_PREFIX: self.slots,
             PERMIT_MESSAGE_PREFIX: self.permits,
+            ALLOWANCE_MESSAGE_PREFIX: self.allowances,
             ORIGIN_MESSAGE_PREFIX: self.origins,
         }
         self.detours = DetourExchange(state, self.peers)
@@ -140,6 +145,7 @@
             tasks.create_task(self._run_urgent())
             tasks.create_task(self._sender.run())
             tasks.create_task(self.slots.run())
+            tasks.create_task(self.allowances.run())
             tasks.create_task(self._topics.run())
 
     async def stop(self) -> None:
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -13,15 +13,17 @@
 from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 
-import xxhash
-
 from sequoiapoint.coordination import prompt_quarantine, waiting
 from sequoiapoint.coordination.entry import Rejected
 from sequoiapoint.node import admission
 from sequoiapoint.node.detour_exchange import DetourOutcome, DetourResult
 from sequoiapoint.node.gateway_state import GatewayState, crash_name
 from sequoiapoint.node.peer_exchange import PeerExchange
-from sequoiapoint.node.request_record import RequestRecord, reject
+from sequoiapoint.node.request_record import (
+    RequestRecord,
+    reject,
+    request_fingerprint,
+)
 from sequoiapoint.node.server_selector import (
     CAPACITY_REASONS,
     CUT_OFF_REASON,
@@ -79,6 +81,11 @@
 """Failure reason if the server lacks the requested model or adapter, or is not the
 addressed one."""
 
+UNKNOWN_OUTCOME_STATUSES = frozenset(
+    {http.HTTPStatus.BAD_GATEWAY, http.HTTPStatus.GATEWAY_TIMEOUT}
+)
+"""Statuses of an error response to a request that may have run."""
+
 _T = TypeVar("_T")
 _attempt_numbers = itertools.count()
 
@@ -149,14 +156,6 @@
     return SlotQuality.LATE if pace.is_late else SlotQuality.ON_TIME
 
 
-def _fingerprint(request: CallerRequest) -> int:
-    """Return a number that identifies a request when its caller sends it again."""
-    digest = xxhash.xxh64(request.target.encode())
-    digest.update(request.model.encode())
-    digest.update(request.body)
-    return digest.intdigest()
-
-
 class RequestForwarder:
     """Forwards one request: its attempts, retries and final response.
 
@@ -191,7 +190,7 @@
         if request.budget_s is not None:
             budget_s = min(budget_s, request.budget_s)
         self._deadline = arrived_s + budget_s
-        self._fingerprint = _fingerprint(request)
+        self._fingerprint = request_fingerprint(request)
         self._selector = ServerSelector(
             state,
             exchange,
@@ -215,6 +214,17 @@
         self._has_left_silent = False
         self._rejected_attempts = 0
         self._rejection: Rejected | None = None
+        self._is_rejected_as_not_run = False
+        self._was_sent_elsewhere = False
+
+    @property
+    def was_certainly_not_run(self) -> bool:
+        """Tell whether no server has run the request, after its end.
+
+        Either the caller was told so, or it has left before anything was sent.
+        """
+        was_sent = self._record.attempts > 0 or self._was_sent_elsewhere
+        return self._is_rejected_as_not_run or not was_sent
 
     @property
     def _reachability(self) -> ServiceReachability:
@@ -355,6 +365,7 @@
             return True
         result = None
         if not self._is_on_detour:
+            self._was_sent_elsewhere = True
             result = await self._detours.run(
                 self._build_detour,
                 self._forward_detoured_stream,
@@ -1139,6 +1150,9 @@
         self._reject(self._selector.reason or "outcome_unknown", status, None)
 
     def _reject(self, reason: str, status: int, retry_after_s: float | None) -> None:
+        self._is_rejected_as_not_run = not (
+            self._has_unknown_outcome or status in UNKNOWN_OUTCOME_STATUSES
+        )
         reject(
             self._state,
             self._responder,
--- a/sequoiapoint/node/request_handler.py
+++ b/sequoiapoint/node/request_handler.py
@@ -17,7 +17,7 @@
     def __init__(self, state: GatewayState, exchange: PeerExchange) -> None:
         self._state = state
         self._exchange = exchange
-        self._admission = Admission(state)
+        self._admission = Admission(state, exchange.allowances)
 
     async def handle(self, inbound: InboundRequest, responder: Responder) -> None:
         """Handle one request: forward it to a server, or reject it."""
@@ -50,3 +50,7 @@
                 status = http.HTTPStatus.BAD_GATEWAY
                 reject(state, responder, request.request_id, "part_failed", status)
             raise
+        finally:
+            if admitted.charge is not None and forwarder.was_certainly_not_run:
+                organisation, cost = admitted.charge
+                self._exchange.allowances.refund(organisation, cost)
--- a/sequoiapoint/node/request_handler_test.py
+++ b/sequoiapoint/node/request_handler_test.py
@@ -54,6 +54,7 @@
         is_started=False,
         send_response=lambda status, headers: answers.append((status, headers)),
     )
+    exchange = SimpleNamespace(allowances=None)
     with pytest.raises(KeyError):
-        asyncio.run(RequestHandler(state, None).handle(inbound, responder))
+        asyncio.run(RequestHandler(state, exchange).handle(inbound, responder))
     assert answers == ([] if has_begun else [(502, ["id"])])
--- a/sequoiapoint/node/request_record.py
+++ b/sequoiapoint/node/request_record.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
+import xxhash
+
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.protocol.api_keys import key_label
 from sequoiapoint.protocol.gateway import CallerRequest, Route, ServerEntry
@@ -10,6 +12,14 @@
 from sequoiapoint.transport.clock import monotonic_s
 
 
+def request_fingerprint(request: CallerRequest) -> int:
+    """Return a number that identifies a request when its caller sends it again."""
+    digest = xxhash.xxh64(request.target.encode())
+    digest.update(request.model.encode())
+    digest.update(request.body)
+    return digest.intdigest()
+
+
 @dataclass(frozen=True)
 class Refusal:
     """An error response of the gateway itself.
--- a/standins/virtual/host_network.py
+++ b/standins/virtual/host_network.py
@@ -9,6 +9,7 @@
 from sequoiapoint.coordination.prompt_quarantine import PromptQuarantine
 from sequoiapoint.coordination.quarantine import Quarantine
 from sequoiapoint.node import (
+    allowance_exchange,
     digest_sender,
     origin_exchange,
     peer_exchange,
@@ -19,6 +20,7 @@
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.peer_exchange import DIGEST_INTERVAL_S, PeerExchange
 from sequoiapoint.protocol.gateway import ServerEntry, ServerState
+from sequoiapoint.protocol.gateway_settings import Bounds
 from sequoiapoint.state.brittle_servers import BrittleServers
 from sequoiapoint.state.demand import LocalDemand
 from sequoiapoint.state.fleet import Fleet
@@ -46,6 +48,7 @@
             link_mbps=network.link_mbps,
             cpu_share=0.5,
             cpu_speed=1.0 + (len(network.hosts) % 7 == 0),
+            bounds=network.bounds,
         )
         self.state = SimpleNamespace(
             settings=settings,
@@ -63,6 +66,7 @@
             shared_state_changed=lambda: None,
             wait_queue=SimpleNamespace(notify=lambda: None),
             replan_requested=SimpleNamespace(set=lambda: None),
+            configuration=None,
             host_count=1,
             recent_max_host_count=1,
             log=SimpleNamespace(event=self._log),
@@ -124,6 +128,7 @@
         self.state.host_count = exchange.peers.record_host_count(now)
         self.state.recent_max_host_count = exchange.peers.recent_max_host_count()
         exchange._send_counts(now)
+        exchange.allowances.refresh()
         exchange.placement.broadcast_holdings(now)
         exchange.placement.send_demand(now)
 
@@ -131,8 +136,9 @@
 class HostNetwork:
     """Hosts in zones, each of which knows the others' addresses from the store."""
 
-    def __init__(self, monkeypatch, zones, hosts_in_zone, link_mbps=20.0):
+    def __init__(self, monkeypatch, zones, hosts_in_zone, link_mbps=20.0, bounds=None):
         self.link_mbps = link_mbps
+        self.bounds = bounds or Bounds()
         self.rng = random.Random(7)
         self.now = 100.0
         self.hosts, self.sent, self.stopped_hosts = [], [], set()
@@ -142,7 +148,9 @@
         self.isolated_zones, self.isolated_hosts = set(), set()
         self.blocked_pairs = set()
         """Pairs of hosts that do not hear each other, each as a frozenset."""
+        monkeypatch.setattr(allowance_exchange, "since_boot_s", lambda: self.now)
         for module in (
+            allowance_exchange,
             peer_exchange,
             topic_exchange,
             digest_sender,
