--- a/sequoiapoint/node/peer_exchange_test.py
+++ b/sequoiapoint/node/peer_exchange_test.py
@@ -3,6 +3,13 @@
 import pytest
 
 from sequoiapoint.node.peer_exchange import DIGEST_INTERVAL_S
+from sequoiapoint.protocol import (
+    allowances,
+    configuration_age,
+    origins,
+    permits,
+    slots,
+)
 from sequoiapoint.state.peers import LIVENESS_TIMEOUT_S, RELAY_FAILOVER_S
 from standins.virtual.host_network import SERVER, HostNetwork
 
@@ -229,3 +236,9 @@
                 "",
             )
             assert host.exchange.peers.host_count(network.now) == 10
+
+
+def test_each_kind_of_message_has_a_first_byte_of_its_own():
+    """Two kinds that were added at the same time had the same one."""
+    kinds = (allowances, configuration_age, origins, permits, slots)
+    assert len({kind.PREFIX for kind in kinds}) == len(kinds)
