--- a/sequoiapoint/node/allowance_exchange.py
+++ b/sequoiapoint/node/allowance_exchange.py
@@ -48,7 +48,7 @@
 """Time for which the allocator of an organisation is not determined again."""
 SUMMARY_INTERVAL_S = 1.0
 """Interval of the log lines on denied requests."""
-NUMBER_BITS = 24
+NUMBER_BITS = 20
 """Bits of a message's number that count; those above tell processes apart."""
 
 
@@ -146,12 +146,12 @@
         version = 0 if configuration is None else configuration.version
         while (request := client.next_message(version, since_boot_s())) is not None:
             self._by_number[request.number] = client
-            if not self._send(client, request):
-                return
-            if request.number in self._by_number:
-                loop = asyncio.get_running_loop()
-                loop.call_later(RESEND_S, self._time_out, client, request.number)
+            # Set before the message is sent, so that no fault lets requests wait.
+            loop = asyncio.get_running_loop()
+            timer = loop.call_later(RESEND_S, self._time_out, client, request.number)
+            if not self._send(client, request) or client.is_under_way(request.number):
                 return
+            timer.cancel()
 
     def _send(self, client: AllowanceClient, request: AllowanceRequest) -> bool:
         """Send a message to the allocator, which may be this host.
