Share slots and the wait queue fairly between organisations

Of equally urgent requests, those of an organisation that sends five times its usual load filled the queues, and others of its priority were served as little as it was. Slots that become free, and the wait queue of a host, now go to the organisation that has had least for its weight, its allowance.

--- a/sequoiapoint/coordination/slot_allocator.py
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -6,7 +6,8 @@
 them, some engines get more requests than slots, and stop streams for more urgent ones,
 while others have free slots.  Here one host of the zone, the allocator, counts the
 requests at each engine as it grants slots.  No engine gets more requests than slots,
-and a slot that becomes free goes to the most urgent request that waits at any host.
+and a slot that becomes free goes to the most urgent request that waits at any host; of
+those that are equally urgent, to an organisation that has had little for its weight.
 
 The counts are corrected by the hosts' regular reports, so lost messages, requests sent
 without a grant and a change of the allocator have no lasting effect.
@@ -19,6 +20,7 @@
 from dataclasses import dataclass, field
 
 from sequoiapoint.coordination import waiting
+from sequoiapoint.coordination.fair_share import FairShare
 from sequoiapoint.protocol.gateway import Incarnation
 from sequoiapoint.protocol.slots import (
     NO_SERVER,
@@ -117,11 +119,19 @@
     goal_at: float
     order: int
 
-    def rank(self, now: float) -> tuple[int, bool, float, int]:
-        """Return a key that sorts the most urgent request first."""
-        priority = self.request.priority
-        key = waiting.urgency(priority, self.goal_at, self.deadline, now)
-        return (*key, self.order)
+    def rank(
+        self, shares: FairShare, now: float
+    ) -> tuple[int, bool, float, float, int]:
+        """Return a key that sorts the request to be granted a slot next first.
+
+        Of those that are equally urgent, up to their deadlines, it is one of the
+        organisation that has had the least for its weight.
+        """
+        priority, is_late, deadline = waiting.urgency(
+            self.request.priority, self.goal_at, self.deadline, now
+        )
+        position = shares.position(self.request.organisation)
+        return (priority, is_late, position, deadline, self.order)
 
 
 @dataclass
@@ -147,12 +157,17 @@
         self._hosts: dict[str, _Host] = {}
         self._queue: dict[tuple[str, int], _Queued] = {}
         self._order = itertools.count()
+        self._shares = FairShare()
 
     @property
     def queue_length(self) -> int:
         """Return the number of queued requests."""
         return len(self._queue)
 
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """Set the weights by which organisations share the slots that are short."""
+        self._shares.set_weights(weights)
+
     # Engines and counts
 
     def set_engines(self, engines: Iterable[Engine], now: float) -> None:
@@ -288,10 +303,13 @@
             and now - queued.asked_at <= QUEUE_TTL_S
             and queued.deadline > now
         )
-        return min(candidates, key=lambda queued: queued.rank(now), default=None)
+        return min(
+            candidates, key=lambda queued: queued.rank(self._shares, now), default=None
+        )
 
     def _grant(self, engine: Engine, request: SlotRequest, now: float) -> SlotReply:
         engine.used += 1
+        self._shares.note_served(request.organisation)
         host = self._hosts.setdefault(request.host, _Host(now))
         host.grants[request.number] = _Grant(engine.incarnation, now)
         return SlotReply(
--- a/sequoiapoint/node/gateway_state.py
+++ b/sequoiapoint/node/gateway_state.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from sequoiapoint.coordination import waiting
+from sequoiapoint.coordination.fair_share import FairShare
 from sequoiapoint.coordination.prompt_quarantine import (
     PromptQuarantine,
     process_number,
@@ -51,10 +52,17 @@
 
 
 class WaitQueue:
-    """Requests that wait for a server, woken in the order of their urgency."""
+    """Requests that wait for a server, woken in the order of their urgency.
+
+    Those that are equally urgent, up to their deadlines, are woken in an order that is
+    fair between organisations.
+
+    :ivar shares: What the organisations have been served at this host.
+    """
 
     def __init__(self) -> None:
-        self._waiting: dict[asyncio.Future[None], tuple[int, float, float]] = {}
+        self.shares = FairShare()
+        self._waiting: dict[asyncio.Future[None], tuple[int, float, float, str]] = {}
         self._by_number: dict[int, asyncio.Future[None]] = {}
 
     async def wait(
@@ -64,6 +72,7 @@
         deadline: float,
         timeout_s: float,
         number: int = 0,
+        organisation: str = "",
     ) -> None:
         """Wait for the next notification, or until the timeout in seconds expires.
 
@@ -72,7 +81,7 @@
         :param number: Identifies the request for ``wake``; 0 for none.
         """
         future = asyncio.get_running_loop().create_future()
-        self._waiting[future] = (priority, goal_at, deadline)
+        self._waiting[future] = (priority, goal_at, deadline, organisation)
         if number:
             self._by_number[number] = future
         try:
@@ -95,7 +104,13 @@
         """Wake all waiting requests, the most urgent first."""
         entries, self._waiting = self._waiting, {}
         now = monotonic_s()
-        for future in sorted(entries, key=lambda f: waiting.urgency(*entries[f], now)):
+        keys = {f: waiting.urgency(*entry[:3], now) for f, entry in entries.items()}
+        for future in self.shares.ordered(
+            entries,
+            lambda future: entries[future][3],
+            lambda future: keys[future],
+            lambda future: keys[future][:2],
+        ):
             if not future.done():
                 future.set_result(None)
 
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -257,6 +257,8 @@
         number = next(_attempt_numbers)
         load = self._state.loads.get_or_create(entry.incarnation)
         load.note_sent(number, monotonic_s(), selector.prompt_tokens)
+        shares = self._state.wait_queue.shares
+        shares.note_served(self._request.organisation or "")
         return number
 
     def _end_attempt(
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -223,6 +223,7 @@
                     self._deadline,
                     MAX_WAIT_INTERVAL_S,
                     ticket.number,
+                    self._request.organisation or "",
                 )
         finally:
             self.waited_s += monotonic_s() - started_at
@@ -442,6 +443,7 @@
                 self.priority,
                 self._deadline - now,
                 max(0.0, self._arrived_s + self._route.goal_s - now),
+                self._request.organisation or "",
             )
             outcome = await self._slots.ask(
                 ticket, zone, slot_request, zone in brittle_zones
--- a/sequoiapoint/node/slot_exchange.py
+++ b/sequoiapoint/node/slot_exchange.py
@@ -325,6 +325,9 @@
         self._update_role(now)
         if not self._is_aggregator:
             return
+        configuration = self._state.configuration
+        if configuration is not None:
+            self.allocator.set_weights(configuration.organisation_weights)
         self.allocator.set_engines(self._engines(now), now)
         self.allocator.set_report(self._own.host, self._state.loads.local_counts(), now)
         self.allocator.expire(now)
--- a/sequoiapoint/node/slot_exchange_test.py
+++ b/sequoiapoint/node/slot_exchange_test.py
@@ -43,6 +43,7 @@
             loads=ServerLoads(),
             brittle=BrittleServers(),
             wait_queue=WaitQueue(),
+            configuration=None,
             recent_max_host_count=100,
             is_draining=False,
             log=log,
--- a/sequoiapoint/protocol/gateway.py
+++ b/sequoiapoint/protocol/gateway.py
@@ -198,6 +198,21 @@
         routes = {route.priority for route in self.routes}
         return PriorityRanks(self._priorities.values(), routes)
 
+    @functools.cached_property
+    def organisation_weights(self) -> Mapping[str, float]:
+        """Return the weights by which organisations share what is short.
+
+        It is the requests a second of their allowances; those without one are left out.
+        """
+        weights: dict[str, float] = {}
+        for organisation in (self.organisations or {}).values():
+            allowance = organisation.allowance
+            if allowance is None or allowance.rate_per_s <= 0.0:
+                continue
+            cost = max(1.0, allowance.plain_cost) if allowance.counts_tokens else 1.0
+            weights[organisation.name] = allowance.rate_per_s / cost
+        return weights
+
     @functools.cached_property
     def _least_urgent(self) -> Mapping[str, int]:
         priorities: dict[str, int] = {}
--- a/sequoiapoint/protocol/slots.capnp
+++ b/sequoiapoint/protocol/slots.capnp
@@ -25,6 +25,7 @@
       priority @3 :UInt8;
       remainingMs @4 :UInt32;
       goalMs @5 :UInt32;
+      organisation @12 :Text; # Empty for none.
     }
     reply :group {
       outcome @6 :Outcome;
--- a/sequoiapoint/protocol/slots.py
+++ b/sequoiapoint/protocol/slots.py
@@ -58,6 +58,7 @@
     :param remaining_s: Time until its caller's deadline, in seconds.
     :param goal_s: Time in which its first event is on time, in seconds; 0 if it is late
         already.
+    :param organisation: The organisation for which it was admitted; "" for none.
     """
 
     host: str
@@ -66,6 +67,7 @@
     priority: int
     remaining_s: float
     goal_s: float
+    organisation: str = ""
 
 
 @dataclass(frozen=True)
@@ -107,6 +109,7 @@
         "priority": min(message.priority, MAX_PRIORITY),
         "remainingMs": max(0, round(message.remaining_s * 1000)),
         "goalMs": max(0, round(message.goal_s * 1000)),
+        "organisation": message.organisation,
     }
     return {"request": fields}
 
@@ -159,6 +162,7 @@
                 group.priority,
                 group.remainingMs / 1000,
                 group.goalMs / 1000,
+                group.organisation,
             )
         if kind == "reply":
             group = message.reply
--- a/sequoiapoint/protocol/slots_test.py
+++ b/sequoiapoint/protocol/slots_test.py
@@ -16,6 +16,7 @@
         st.integers(0, slots.MAX_PRIORITY),
         st.integers(0, 60_000).map(lambda ms: ms / 1000),
         st.integers(0, 60_000).map(lambda ms: ms / 1000),
+        TEXT,
     ),
     st.builds(
         slots.SlotReply, TEXT, NUMBER, st.sampled_from(slots.SlotOutcome), ENGINE
