--- a/sequoiapoint/coordination/age_inquiry.py
+++ b/sequoiapoint/coordination/age_inquiry.py
@@ -111,6 +111,11 @@
         self._has_read = False
         self._is_supplier = False
 
+    @property
+    def is_old(self) -> bool:
+        """Tell whether this host asks more widely, by the last decision."""
+        return self._old_since is not None
+
     def is_calm(self, age_s: float, bound_s: float) -> bool:
         """Tell whether a configuration is so young that there is nothing to decide."""
         share = SUPPLIER_ASK_SHARE if self._is_supplier else self._ask_share
@@ -139,11 +144,12 @@
             return Inquiry(reads_store=reads_store)
         self._ask_at = now + self._interval_s(view, now)
         self._ask_share = ASK_SHARE + ASK_SPREAD_SHARE * self._random()
+        asks_far = is_old and (view.is_relay or not self._is_late(view, now))
         unanswered, self._unanswered = self._unanswered, self._unanswered + 1
         return Inquiry(
             asks_aggregator=not view.is_aggregator,
             asks_standby=is_old or unanswered > 0,
-            asks_other_zone=is_old or unanswered > 1,
+            asks_other_zone=asks_far or unanswered > 1,
             reads_store=reads_store,
         )
 
@@ -168,13 +174,17 @@
         self._has_read = False
 
     def _interval_s(self, view: View, now: float) -> float:
-        """Return the minimum time until the next questions.
+        """Return the minimum time until the next questions."""
+        is_late = self._is_late(view, now)
+        return view.bound_s * (LATE_ASK_SHARE if is_late else ASK_AGAIN_SHARE)
+
+    def _is_late(self, view: View, now: float) -> bool:
+        """Tell whether the configuration has been old for longer than the bound.
 
-        Beyond the bound, nothing is gained by asking as often as before.
+        Requests with a key are rejected by then.  Questions are fewer, so that a long
+        outage of the store costs less, and only relays ask other zones.
         """
-        is_late = self._old_since is not None and now - self._old_since > view.bound_s
-        share = LATE_ASK_SHARE if is_late else ASK_AGAIN_SHARE
-        return share * view.bound_s
+        return self._old_since is not None and now - self._old_since > view.bound_s
 
     def _reads_store(self, view: View, now: float) -> bool:
         if not view.do_reads_count or now < self._read_at:
--- a/sequoiapoint/node/configuration_age_exchange.py
+++ b/sequoiapoint/node/configuration_age_exchange.py
@@ -75,6 +75,8 @@
         self._inquirer = AgeInquirer(state.rng.random)
         # By number: when the question left, and the host that was asked.
         self._questions: dict[int, tuple[float, Member]] = {}
+        # The other zone whose reply has last helped this host.
+        self._helpful_zone = ""
         self._read: asyncio.Task[None] | None = None
         self._fetch_task: asyncio.Task[bool] | None = None
         self._is_too_old = False
@@ -151,9 +153,13 @@
         self._inquirer.note_read(is_newer, self._is_reader())
         self._state.metrics.event("configuration_age_read")
         if is_newer:
-            age_s = self._age.age_s(since_boot_s())
-            relays = self._peers.own_relays(monotonic_s())
-            self._sender.forward(encode_age_message(AgeNotice(age_s)), relays)
+            self._notify_relays()
+
+    def _notify_relays(self) -> None:
+        """Tell the relays of the zone to ask this host."""
+        age_s = self._age.age_s(since_boot_s())
+        notice = encode_age_message(AgeNotice(self._state.settings.host, age_s))
+        self._sender.forward(notice, self._peers.own_relays(monotonic_s()))
 
     @property
     def _version(self) -> int:
@@ -200,8 +206,8 @@
             members |= {relay.address: relay for relay in relays}
         zones = [zone for zone in self._peers.zones(now) if zone != own_zone]
         if inquiry.asks_other_zone and zones:
-            zone = self._state.rng.choice(zones)
-            members |= {m.address: m for m in self._peers.relays(zone, now)}
+            for zone in {self._state.rng.choice(zones), self._helpful_zone} & {*zones}:
+                members |= {m.address: m for m in self._peers.relays(zone, now)}
         members.pop(self._sender.local_member.address, None)
         return members.values()
 
@@ -246,13 +252,18 @@
         asked_at, member = self._questions.pop(message.number, (None, sender))
         if asked_at is None:
             return
+        own_zone = self._sender.local_member.zone
         is_newer = self._age.note_reply(
             message.version,
             asked_at - message.age_s,
             member.host or member.address,
             self._version,
         )
+        was_old = self._inquirer.is_old
         self._inquirer.note_reply(is_newer)
+        if is_newer and was_old and member.zone not in ("", own_zone):
+            self._helpful_zone = member.zone
+            self._notify_relays()
         if message.version > self._version:
             self._fetch_from(member)
 
@@ -264,7 +275,7 @@
             NOTICE_GAIN_SHARE * bound_s
         ):
             return
-        self._ask([sender], now)
+        self._ask([self._peers.member(message.host) or sender], now)
 
     def _fetch_from(self, member: Member) -> None:
         """Fetch the configuration from a host that has a newer one."""
--- a/sequoiapoint/node/configuration_age_network_test.py
+++ b/sequoiapoint/node/configuration_age_network_test.py
@@ -166,7 +166,7 @@
         network.isolated_hosts = {host}
         network.cut_off_store([host], "silent")
         await network.measure(FAULT_S)
-        notice = encode_age_message(AgeNotice(0.0))
+        notice = encode_age_message(AgeNotice("h-1", 0.0))
         host.exchange.handle_datagram(notice, ("10.0.0.1", 7))
         return network.age_s(host)
 
--- a/sequoiapoint/protocol/configuration_age.capnp
+++ b/sequoiapoint/protocol/configuration_age.capnp
@@ -12,7 +12,8 @@
       ageMs @3 :UInt32;         # No newer version was acknowledged before that time.
     }
     notice :group {
-      noticeAgeMs @4 :UInt32;   # As in a reply; says only that a question may help.
+      sender @4 :Text;          # The host that should be asked.
+      noticeAgeMs @5 :UInt32;   # As in a reply, but no evidence.
     }
   }
 }
--- a/sequoiapoint/protocol/configuration_age.py
+++ b/sequoiapoint/protocol/configuration_age.py
@@ -52,13 +52,15 @@
 
 @dataclass(frozen=True)
 class AgeNotice:
-    """Tells a host that the sender has read the store.
+    """Tells a host that the sender has newer evidence, and that it should ask.
 
     It is no evidence, as it may have waited at a suspended receiver.
 
+    :param host: The sender.
     :param age_s: As in a reply.
     """
 
+    host: str
     age_s: float
 
 
@@ -89,7 +91,7 @@
 
 @_fields.register
 def _(message: AgeNotice) -> dict[str, Any]:
-    return {"notice": {"noticeAgeMs": _age_ms(message.age_s)}}
+    return {"notice": {"sender": message.host, "noticeAgeMs": _age_ms(message.age_s)}}
 
 
 def encode_age_message(message: AgeMessage) -> bytes:
@@ -111,6 +113,7 @@
         if kind == "reply":
             reply = message.reply
             return AgeReply(message.number, reply.version, reply.ageMs / 1000)
-        return AgeNotice(message.notice.noticeAgeMs / 1000)
+        notice = message.notice
+        return AgeNotice(notice.sender, notice.noticeAgeMs / 1000)
     except capnp.KjException as error:
         raise ValueError(f"not a message about ages: {error}") from error
--- a/sequoiapoint/protocol/configuration_age_test.py
+++ b/sequoiapoint/protocol/configuration_age_test.py
@@ -16,7 +16,7 @@
         AgeQuestion(2**64 - 1, "h-1"),
         AgeReply(7, MAX_VERSION, 1.25),
         AgeReply(0, -1, 0.0),
-        AgeNotice(0.5),
+        AgeNotice("h-1", 0.5),
     ],
 )
 def test_a_message_is_decoded_as_it_was_encoded(message):
--- a/standins/virtual/age_network.py
+++ b/standins/virtual/age_network.py
@@ -195,8 +195,8 @@
         await network.measure(3.0)
         await _print_costs(network, "calm", 4.0)
         network.cut_off_store(network.hosts, "silent")
-        await _print_costs(network, "store_silent", 6.0)
-        await _print_costs(network, "store_silent_later", 4.0)
+        await _print_costs(network, "store_silent", 7.0)
+        await _print_costs(network, "store_silent_later", 3.0)
         network.cut_off_store(network.hosts, "")
         await _print_costs(network, "store_back", 3.0)
 
--- a/tests/key_revocation_test.py
+++ b/tests/key_revocation_test.py
@@ -11,7 +11,13 @@
 
 import pytest
 
-from standins.site.deployment import configuration, free_port, route
+from standins.site.deployment import (
+    bearer,
+    configuration,
+    free_port,
+    organisation,
+    route,
+)
 from standins.site.linked_deployment import LinkedStoreDeployment
 
 BOUND_S = 2.0
@@ -25,7 +31,7 @@
 
 def keys_in_force(version, *keys):
     routes = configuration()["routes"]
-    tenants = [{"name": "acme", "api-keys": list(keys), "priority": 1}]
+    tenants = [organisation("acme", *keys, priority=1)]
     public = route("open", "idempotent", "web", public=True)
     return configuration(version, routes=[*routes, public], tenants=tenants)
 
@@ -71,7 +77,7 @@
             number += 1
             request_id = f"{gateway.name}-{key}-{name}{number}"
             path = "/read/x" if key else "/open/x"
-            headers = {"Authorization": f"Bearer {key}"} if key else {}
+            headers = bearer(key) if key else {}
             sent_at = time.monotonic()
             try:
                 status = gateway.send_request(path, request_id, headers=headers).status
@@ -111,17 +117,21 @@
     """A deployment of two zones whose keys are in force."""
 
     def __init__(self, gateways=4):
-        super().__init__(gateways, 1, 3, 2, {"key_revocation_s": BOUND_S})
+        super().__init__(
+            gateways,
+            engines=1,
+            plain=3,
+            first_configuration=keys_in_force(1, STAYS, GONE),
+            bounds={"key_revocation_s": BOUND_S},
+        )
 
     def _start(self):
         super()._start()
-        self.write(1, STAYS, GONE)
         self.wait(self.are_keys_accepted, 10.0)
 
     def are_keys_accepted(self):
-        headers = {"Authorization": f"Bearer {GONE}"}
         return all(
-            g.send_request("/read/x", "start", headers=headers).status == 200
+            g.send_request("/read/x", "start", headers=bearer(GONE)).status == 200
             for g in self.gateways
         )
 
