Sleep until the configuration needs a decision

The age was checked ten times a second at each host. A host now sleeps until the age at which it asks, some 1.7 s after the evidence with a bound of 5 s, and its checks fall on the common ticks of the process.

--- a/sequoiapoint/coordination/age_inquiry.py
+++ b/sequoiapoint/coordination/age_inquiry.py
@@ -116,13 +116,18 @@
         """Tell whether this host asks more widely, by the last decision."""
         return self._old_since is not None
 
-    def is_calm(self, age_s: float, bound_s: float) -> bool:
-        """Tell whether a configuration is so young that there is nothing to decide."""
+    def calm_s(self, age_s: float, bound_s: float) -> float:
+        """Return for how long the configuration is too young for a decision.
+
+        :param age_s: Its age, in seconds.
+        :param bound_s: Time after which a withdrawn key must not be accepted.
+        :return: 0 if a decision is due, otherwise the time in seconds.
+        """
         share = SUPPLIER_ASK_SHARE if self._is_supplier else self._ask_share
         if age_s > share * bound_s:
-            return False
+            return 0.0
         self._note_young()
-        return True
+        return share * bound_s - age_s
 
     def decide(self, view: View, now: float) -> Inquiry:
         """Return what to do now; what is returned counts as done.
--- a/sequoiapoint/node/configuration_age_exchange.py
+++ b/sequoiapoint/node/configuration_age_exchange.py
@@ -30,11 +30,15 @@
 )
 from sequoiapoint.protocol.digests import Member
 from sequoiapoint.state.peers import Peer, Peers
-from sequoiapoint.transport.clock import monotonic_s, since_boot_s
+from sequoiapoint.transport.clock import (
+    monotonic_s,
+    pause_to_tick_s,
+    since_boot_s,
+)
 from sequoiapoint.transport.store_client import StoreClient
 
 STEP_SHARE = 0.02
-"""Interval at which the age is checked, as a share of the bound."""
+"""Interval at which the age is checked, as a share of the bound, unless it is low."""
 INACTIVE_INTERVAL_S = 0.5
 """The same while there is no bound."""
 READ_TIMEOUT_SHARE = 0.1
@@ -113,24 +117,27 @@
             if bound_s is None:
                 await asyncio.sleep(INACTIVE_INTERVAL_S)
                 continue
-            self.step(bound_s)
-            await asyncio.sleep(STEP_SHARE * bound_s)
+            calm_s = self.step(bound_s)
+            await asyncio.sleep(max(calm_s, pause_to_tick_s(STEP_SHARE * bound_s)))
 
-    def step(self, bound_s: float) -> None:
+    def step(self, bound_s: float) -> float:
         """Ask other hosts and begin a read of the store, if either is due.
 
         A host that starts asks before it knows the configuration.
 
         :param bound_s: Time after which a withdrawn key must not be accepted.
+        :return: The time for which nothing will be due, in seconds.
         """
         if not self.is_active and self._state.configuration is not None:
-            return
+            return 0.0
         now = since_boot_s()
         self._age.note_version(self._version)
-        if not self._inquirer.is_calm(self._age.age_s(now), bound_s):
+        calm_s = self._inquirer.calm_s(self._age.age_s(now), bound_s)
+        if not calm_s:
             self._inquire(bound_s, now)
         if self.is_active:
             self._observe(bound_s, now)
+        return calm_s
 
     def _inquire(self, bound_s: float, now: float) -> None:
         inquiry = self._inquirer.decide(self._view(bound_s, now), now)
