Let relays read the store as soon as its reads count again

After the store has come back older, reads count three seconds later; relays then waited for another 0.05 of the bound, and hosts could reject requests with a key although the store was never out of reach. The test of the relay fails before.

--- a/sequoiapoint/coordination/age_inquiry.py
+++ b/sequoiapoint/coordination/age_inquiry.py
@@ -200,10 +200,12 @@
         if self._unread_since is None:
             return False
         takes_turns = not (view.is_relay or view.is_reader)
-        delay_share = RELAY_READ_SHARE
+        # Hosts that take turns must not all read when reads begin to count.
+        delay_share, since = RELAY_READ_SHARE, self._old_since
         if takes_turns and not self._has_read:
             delay_share = SWEEP_SHARE + SWEEP_SPREAD_SHARE * view.position / view.hosts
-        if now - self._unread_since < delay_share * view.bound_s:
+            since = self._unread_since
+        if now - since < delay_share * view.bound_s:
             return False
         pause_s = READ_RETRY_SHARE * view.bound_s
         if takes_turns:
--- a/sequoiapoint/coordination/age_inquiry_test.py
+++ b/sequoiapoint/coordination/age_inquiry_test.py
@@ -86,6 +86,18 @@
     assert not reads([replace(RELAY, do_reads_count=False)], 2.0)
 
 
+def test_a_relay_reads_as_soon_as_reads_count_again():
+    """Guards against a rejection of requests after the store has come back older.
+
+    The configuration is as old as the bound soon after reads count again.
+    """
+    relay = inquirer()
+    settling = replace(RELAY, age_s=4.5, do_reads_count=False)
+    for step in range(20):
+        assert not relay.decide(settling, 100.0 + step * STEP_S).reads_store
+    assert relay.decide(replace(settling, do_reads_count=True), 102.0).reads_store
+
+
 def test_a_served_host_reads_on_until_another_one_has_newer_evidence():
     """Guards against an age that swings up to the bound where the reader is cut off."""
     host = inquirer()
--- a/sequoiapoint/node/configuration_age_network_test.py
+++ b/sequoiapoint/node/configuration_age_network_test.py
@@ -69,6 +69,11 @@
     return await network.measure(FAULT_S)
 
 
+async def let_the_store_come_back_older(network):
+    network.raise_era()
+    return await network.measure(FAULT_S)
+
+
 EVENTS = {
     calm: CALM_SHARE,
     kill_reader: 1.0,
@@ -77,6 +82,7 @@
     turn_a_third_away: 1.0,
     leave_the_store_to_one_zones_relay: 1.0,
     cut_off_zone_with_one_host_at_the_store: 1.0,
+    let_the_store_come_back_older: 1.0,
 }
 
 
--- a/standins/virtual/age_network.py
+++ b/standins/virtual/age_network.py
@@ -132,6 +132,13 @@
         host.exchange.configuration_age = exchange
         host.exchange._exchanges_by_prefix[bytes([AGE_MESSAGE_PREFIX])] = exchange
 
+    def raise_era(self) -> None:
+        """Let all hosts see that the store has come back from an older copy."""
+        for host in self.hosts:
+            host.store.era += 1
+            for callback in host.store.on_era_change:
+                callback()
+
     def cut_off_store(self, hosts: list[SimulatedHost], fault: str) -> None:
         """Let the calls of hosts to the store fail."""
         for host in hosts:
--- a/standins/virtual/host_network.py
+++ b/standins/virtual/host_network.py
@@ -97,6 +97,7 @@
             handle_announcement=lambda *a: None,
         )
         store = SimpleNamespace(is_reachable=True, era=0, on_era_change=[])
+        self.store = store
         self.zone = zone
         self.exchange = PeerExchange(self.state, store, watch)
         self.exchange._sender.transport = SimpleNamespace(
