--- a/sequoiapoint/coordination/age_inquiry.py
+++ b/sequoiapoint/coordination/age_inquiry.py
@@ -111,13 +111,23 @@
         self._has_read = False
         self._is_supplier = False
 
-    def is_calm(self, age_s: float, bound_s: float) -> bool:
-        """Tell whether a configuration is so young that there is nothing to decide."""
+    @property
+    def is_old(self) -> bool:
+        """Tell whether this host asks more widely, by the last decision."""
+        return self._old_since is not None
+
+    def calm_s(self, age_s: float, bound_s: float) -> float:
+        """Return for how long the configuration is too young for a decision.
+
+        :param age_s: Its age, in seconds.
+        :param bound_s: Time after which a withdrawn key must not be accepted.
+        :return: 0 if a decision is due, otherwise the time in seconds.
+        """
         share = SUPPLIER_ASK_SHARE if self._is_supplier else self._ask_share
         if age_s > share * bound_s:
-            return False
+            return 0.0
         self._note_young()
-        return True
+        return share * bound_s - age_s
 
     def decide(self, view: View, now: float) -> Inquiry:
         """Return what to do now; what is returned counts as done.
@@ -139,11 +149,12 @@
             return Inquiry(reads_store=reads_store)
         self._ask_at = now + self._interval_s(view, now)
         self._ask_share = ASK_SHARE + ASK_SPREAD_SHARE * self._random()
+        asks_far = is_old and (view.is_relay or not self._is_late(view, now))
         unanswered, self._unanswered = self._unanswered, self._unanswered + 1
         return Inquiry(
             asks_aggregator=not view.is_aggregator,
             asks_standby=is_old or unanswered > 0,
-            asks_other_zone=is_old or unanswered > 1,
+            asks_other_zone=asks_far or unanswered > 1,
             reads_store=reads_store,
         )
 
@@ -168,13 +179,17 @@
         self._has_read = False
 
     def _interval_s(self, view: View, now: float) -> float:
-        """Return the minimum time until the next questions.
+        """Return the minimum time until the next questions."""
+        is_late = self._is_late(view, now)
+        return view.bound_s * (LATE_ASK_SHARE if is_late else ASK_AGAIN_SHARE)
+
+    def _is_late(self, view: View, now: float) -> bool:
+        """Tell whether the configuration has been old for longer than the bound.
 
-        Beyond the bound, nothing is gained by asking as often as before.
+        Requests with a key are rejected by then.  Questions are fewer, so that a long
+        outage of the store costs less, and only relays ask other zones.
         """
-        is_late = self._old_since is not None and now - self._old_since > view.bound_s
-        share = LATE_ASK_SHARE if is_late else ASK_AGAIN_SHARE
-        return share * view.bound_s
+        return self._old_since is not None and now - self._old_since > view.bound_s
 
     def _reads_store(self, view: View, now: float) -> bool:
         if not view.do_reads_count or now < self._read_at:
@@ -185,10 +200,12 @@
         if self._unread_since is None:
             return False
         takes_turns = not (view.is_relay or view.is_reader)
-        delay_share = RELAY_READ_SHARE
+        # Hosts that take turns must not all read when reads begin to count.
+        delay_share, since = RELAY_READ_SHARE, self._old_since
         if takes_turns and not self._has_read:
             delay_share = SWEEP_SHARE + SWEEP_SPREAD_SHARE * view.position / view.hosts
-        if now - self._unread_since < delay_share * view.bound_s:
+            since = self._unread_since
+        if now - since < delay_share * view.bound_s:
             return False
         pause_s = READ_RETRY_SHARE * view.bound_s
         if takes_turns:
--- a/sequoiapoint/node/configuration_age_exchange.py
+++ b/sequoiapoint/node/configuration_age_exchange.py
@@ -30,11 +30,15 @@
 )
 from sequoiapoint.protocol.digests import Member
 from sequoiapoint.state.peers import Peer, Peers
-from sequoiapoint.transport.clock import monotonic_s, since_boot_s
+from sequoiapoint.transport.clock import (
+    monotonic_s,
+    pause_to_tick_s,
+    since_boot_s,
+)
 from sequoiapoint.transport.store_client import StoreClient
 
 STEP_SHARE = 0.02
-"""Interval at which the age is checked, as a share of the bound."""
+"""Interval at which the age is checked, as a share of the bound, unless it is low."""
 INACTIVE_INTERVAL_S = 0.5
 """The same while there is no bound."""
 READ_TIMEOUT_SHARE = 0.1
@@ -75,6 +79,8 @@
         self._inquirer = AgeInquirer(state.rng.random)
         # By number: when the question left, and the host that was asked.
         self._questions: dict[int, tuple[float, Member]] = {}
+        # The other zone whose reply has last helped this host.
+        self._helpful_zone = ""
         self._read: asyncio.Task[None] | None = None
         self._fetch_task: asyncio.Task[bool] | None = None
         self._is_too_old = False
@@ -111,24 +117,27 @@
             if bound_s is None:
                 await asyncio.sleep(INACTIVE_INTERVAL_S)
                 continue
-            self.step(bound_s)
-            await asyncio.sleep(STEP_SHARE * bound_s)
+            calm_s = self.step(bound_s)
+            await asyncio.sleep(max(calm_s, pause_to_tick_s(STEP_SHARE * bound_s)))
 
-    def step(self, bound_s: float) -> None:
+    def step(self, bound_s: float) -> float:
         """Ask other hosts and begin a read of the store, if either is due.
 
         A host that starts asks before it knows the configuration.
 
         :param bound_s: Time after which a withdrawn key must not be accepted.
+        :return: The time for which nothing will be due, in seconds.
         """
         if not self.is_active and self._state.configuration is not None:
-            return
+            return 0.0
         now = since_boot_s()
         self._age.note_version(self._version)
-        if not self._inquirer.is_calm(self._age.age_s(now), bound_s):
+        calm_s = self._inquirer.calm_s(self._age.age_s(now), bound_s)
+        if not calm_s:
             self._inquire(bound_s, now)
         if self.is_active:
             self._observe(bound_s, now)
+        return calm_s
 
     def _inquire(self, bound_s: float, now: float) -> None:
         inquiry = self._inquirer.decide(self._view(bound_s, now), now)
@@ -151,9 +160,13 @@
         self._inquirer.note_read(is_newer, self._is_reader())
         self._state.metrics.event("configuration_age_read")
         if is_newer:
-            age_s = self._age.age_s(since_boot_s())
-            relays = self._peers.own_relays(monotonic_s())
-            self._sender.forward(encode_age_message(AgeNotice(age_s)), relays)
+            self._notify_relays()
+
+    def _notify_relays(self) -> None:
+        """Tell the relays of the zone to ask this host."""
+        age_s = self._age.age_s(since_boot_s())
+        notice = encode_age_message(AgeNotice(self._state.settings.host, age_s))
+        self._sender.forward(notice, self._peers.own_relays(monotonic_s()))
 
     @property
     def _version(self) -> int:
@@ -200,8 +213,8 @@
             members |= {relay.address: relay for relay in relays}
         zones = [zone for zone in self._peers.zones(now) if zone != own_zone]
         if inquiry.asks_other_zone and zones:
-            zone = self._state.rng.choice(zones)
-            members |= {m.address: m for m in self._peers.relays(zone, now)}
+            for zone in {self._state.rng.choice(zones), self._helpful_zone} & {*zones}:
+                members |= {m.address: m for m in self._peers.relays(zone, now)}
         members.pop(self._sender.local_member.address, None)
         return members.values()
 
@@ -246,13 +259,18 @@
         asked_at, member = self._questions.pop(message.number, (None, sender))
         if asked_at is None:
             return
+        own_zone = self._sender.local_member.zone
         is_newer = self._age.note_reply(
             message.version,
             asked_at - message.age_s,
             member.host or member.address,
             self._version,
         )
+        was_old = self._inquirer.is_old
         self._inquirer.note_reply(is_newer)
+        if is_newer and was_old and member.zone not in ("", own_zone):
+            self._helpful_zone = member.zone
+            self._notify_relays()
         if message.version > self._version:
             self._fetch_from(member)
 
@@ -264,7 +282,7 @@
             NOTICE_GAIN_SHARE * bound_s
         ):
             return
-        self._ask([sender], now)
+        self._ask([self._peers.member(message.host) or sender], now)
 
     def _fetch_from(self, member: Member) -> None:
         """Fetch the configuration from a host that has a newer one."""
--- a/standins/virtual/age_network.py
+++ b/standins/virtual/age_network.py
@@ -132,6 +132,13 @@
         host.exchange.configuration_age = exchange
         host.exchange._exchanges_by_prefix[bytes([AGE_MESSAGE_PREFIX])] = exchange
 
+    def raise_era(self) -> None:
+        """Let all hosts see that the store has come back from an older copy."""
+        for host in self.hosts:
+            host.store.era += 1
+            for callback in host.store.on_era_change:
+                callback()
+
     def cut_off_store(self, hosts: list[SimulatedHost], fault: str) -> None:
         """Let the calls of hosts to the store fail."""
         for host in hosts:
@@ -195,8 +202,8 @@
         await network.measure(3.0)
         await _print_costs(network, "calm", 4.0)
         network.cut_off_store(network.hosts, "silent")
-        await _print_costs(network, "store_silent", 6.0)
-        await _print_costs(network, "store_silent_later", 4.0)
+        await _print_costs(network, "store_silent", 7.0)
+        await _print_costs(network, "store_silent_later", 3.0)
         network.cut_off_store(network.hosts, "")
         await _print_costs(network, "store_back", 3.0)
 
