Decode one to four figures of a server's load header

Some deployments send a fourth figure, how long work takes at the moment; the decoder took such a header for malformed, and so lost the counts as well. Figures after the fourth are ignored. A header without valid counts is dropped; an invalid number of slots or slowness (0, negative, above 100 times the usual time) is dropped alone. Each such header is counted, and logged once for each server process.

--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -1221,8 +1221,9 @@
         )
 
     def _log_unreadable(self, entry: ServerEntry, head: ResponseHead) -> None:
-        """Log once for each server process that a header could not be read."""
+        """Count headers that could not be read; log each once for a server process."""
         for name in head.unreadable:
+            self._state.metrics.event("header_unreadable")
             if self._state.loads.get_or_create(entry.incarnation).note_unreadable(name):
                 self._state.log.event(
                     "header_unreadable", server=entry.server, header=name
--- a/sequoiapoint/platform/servers.py
+++ b/sequoiapoint/platform/servers.py
@@ -39,6 +39,12 @@
 _MAX_RETRY_AFTER_S = 3600.0
 """Longest time that a server may ask for; a longer one is taken for an error."""
 _DECIMAL = re.compile(rb"(\d{1,9}(\.\d{0,9})?|\.\d{1,9})")
+_LOAD_FIGURES = 4
+_COUNT = re.compile(rb"\d{1,9}")
+_MAX_COUNT = 1_000_000
+"""Largest number of requests or slots that a server may report."""
+_MAX_SLOWNESS_PERCENT = 10_000
+"""Largest slowness that a server may report, a hundred times the usual time."""
 _NOT_RETURNED = names.HOP_BY_HOP | names.GATEWAY_ONLY
 
 
@@ -69,13 +75,44 @@
     at_hand: _Copies = pydantic.Field(_Copies(), alias="at-hand")
 
 
-def _decode_load(value: bytes | None) -> LoadReport | None:
-    """Decode ``RUNNING,WAITING,SLOTS``."""
-    numbers = (value or b"").split(b",")
-    if len(numbers) != 3 or not all(n.strip().isdigit() for n in numbers):
+def _decode_figure(
+    value: bytes, pattern: re.Pattern[bytes], top: float
+) -> float | None:
+    """Decode one figure of a load header; None if it is not valid."""
+    value = value.strip()
+    if not pattern.fullmatch(value) or float(value) > top:
         return None
-    running, waiting, slots = (int(n) for n in numbers)
-    return LoadReport(running, waiting, slots)
+    return float(value)
+
+
+def _decode_load(value: bytes | None) -> tuple[LoadReport | None, bool]:
+    """Decode ``RUNNING[,WAITING[,SLOTS[,SLOWNESS]]]``; further figures are ignored.
+
+    Without valid numbers of requests there is no report.  The other figures are dropped
+    one by one if they are not valid.
+
+    :return: The report, None without one, and whether all figures are valid.
+    """
+    if value is None:
+        return None, True
+    figures = value.split(b",", _LOAD_FIGURES)[:_LOAD_FIGURES]
+    numbers = [_decode_figure(n, _COUNT, _MAX_COUNT) for n in figures[:3]]
+    running = numbers[0]
+    waiting = numbers[1] if len(numbers) > 1 else 0.0
+    slots = numbers[2] if len(numbers) > 2 else None
+    percent = None
+    if len(figures) == _LOAD_FIGURES:
+        percent = _decode_figure(figures[3], _DECIMAL, _MAX_SLOWNESS_PERCENT) or None
+        numbers.append(percent)
+    is_valid = None not in numbers
+    if running is None or waiting is None:
+        return None, is_valid
+    return LoadReport(
+        int(running),
+        int(waiting),
+        None if slots is None else int(slots),
+        None if percent is None else percent / 100,
+    ), is_valid
 
 
 def _decode_leaving(headers: Headers) -> bool | None:
@@ -176,6 +213,11 @@
         unreadable = [names.SERVER_LEAVING] if is_leaving is None else []
         if not is_valid:
             unreadable.append(names.RETRY_AFTER)
+        load, is_load_valid = _decode_load(
+            names.first_value(headers, names.SERVER_LOAD)
+        )
+        if not is_load_valid:
+            unreadable.append(names.SERVER_LOAD)
         limit_per_s = _decode_rate(headers, names.SERVER_LIMIT)
         if isinstance(limit_per_s, Unreadable):
             unreadable.append(names.SERVER_LIMIT)
@@ -193,7 +235,7 @@
             is_encoded=names.first_value(headers, names.CONTENT_ENCODING)
             not in (None, b"identity"),
             is_wrong_server=status == 421,
-            load=_decode_load(names.first_value(headers, names.SERVER_LOAD)),
+            load=load,
             headers=tuple((n, v) for n, v in headers if n not in _NOT_RETURNED),
             is_leaving=bool(is_leaving),
             retry_after_s=retry_after_s,
