Choose servers by expected completion where they state their slowness

Hosts compared servers by their number of requests alone, so a server that takes 2.7 times as long got as many. With relative times the cost is time * (1 + load / slots): a fast server's queue may beat a slow one's free slot. One choice in fifty ignores the times; a slow server is full earlier, but not before it has more than its slots. Zones are asked for slots in that order. Without times nothing changes.

Also: whether a request is too late for a predicted queue, and the time to come back from that prediction. server_choice_test and waiting_test pass.

--- a/sequoiapoint/coordination/server_choice.py
+++ b/sequoiapoint/coordination/server_choice.py
@@ -5,16 +5,19 @@
 would overload it.  With few hosts, each picks the server of lowest cost or, if there
 are many servers, the better of two random ones.  With many hosts, each picks a server
 at random, weighted by free capacity.  The cost of a server is its load, plus a penalty
-if it fails more often than its peers or is in another zone.
+if it fails more often than its peers or is in another zone.  If servers state how long
+work takes, the cost is the expected completion in place of the load.
 """
 
 import bisect
 import itertools
+import math
+import types
 from collections.abc import Callable, Mapping, Sequence, Set
 from dataclasses import dataclass
 
 from sequoiapoint.coordination import rendezvous
-from sequoiapoint.protocol.gateway import ServerEntry
+from sequoiapoint.protocol.gateway import Incarnation, ServerEntry
 
 REMOTE_ZONE_PENALTY = 0.06
 """Share of its slots by which a server in another zone counts as more loaded.  This
@@ -35,7 +38,11 @@
 MIN_FREE_SHARE = 0.02
 """Free share assumed for a full server, so that its weight stays above zero."""
 
-
+PROBE_SHARE = 0.02
+"""Share of the choices that ignore how long work takes, so that a slow server gets a
+request now and then and can show that it has become faster."""
+OWN_ZONE_TIME = 1.15
+"""Expected time in the own zone, relative to the best, up to which it is first."""
 LEAVING_USE_SHARE = 0.5
 """Share of the drain time in which a leaving server is used if no other can run the
 request; the rest is a margin for slow links."""
@@ -47,12 +54,15 @@
 
     :param load: Estimated number of requests there, running and waiting.
     :param is_last_resort: Whether it is used only if there is no other candidate.
+    :param relative_time: How long work takes there at the moment, as a multiple of the
+        time at the fastest server; None if no server states it.
     """
 
     entry: ServerEntry
     load: float
     failure_rate: float
     is_last_resort: bool
+    relative_time: float | None = None
 
 
 def choose(
@@ -76,7 +86,10 @@
         second = (first + 1 + int(random() * (len(eligible) - 1))) % len(eligible)
         eligible = [eligible[first], eligible[second]]
     median = _median_failure_rate(candidates)
-    return min(eligible, key=lambda c: (_cost(c, own_zone, median), random()))
+    uses_times = _are_times_known(eligible) and random() >= PROBE_SHARE
+    return min(
+        eligible, key=lambda c: (_cost(c, own_zone, median, uses_times), random())
+    )
 
 
 def without_leaving(
@@ -126,20 +139,47 @@
 
 
 def zones_by_load(
-    servers: Sequence[ServerEntry], running: Mapping[str, float], own_zone: str
+    servers: Sequence[ServerEntry],
+    running: Mapping[str, float],
+    own_zone: str,
+    relative_times: Mapping[Incarnation, float] = types.MappingProxyType({}),
 ) -> list[str]:
     """Return the zones with suitable servers, in the order in which to ask for a slot.
 
     The own zone comes first, as traffic between zones has a price, then the zones with
     the least loaded servers.
 
+    If servers state how long work takes, the zones are sorted by the earliest expected
+    completion.  The own zone comes first only if it is about as fast as any other.
+
     :param running: Estimated number of requests by server.
+    :param relative_times: How long work takes at each server, if that is known.
     """
     lowest: dict[str, float] = {}
     for entry in servers:
-        utilisation = running[entry.server] / entry.slots
-        lowest[entry.zone] = min(utilisation, lowest.get(entry.zone, utilisation))
-    return sorted(lowest, key=lambda zone: (zone != own_zone, lowest[zone]))
+        cost = running[entry.server] / entry.slots
+        if relative_times:
+            time = relative_times[entry.incarnation]
+            cost = expected_completion(running[entry.server], entry.slots, time)
+        lowest[entry.zone] = min(cost, lowest.get(entry.zone, cost))
+    if not relative_times:
+        return sorted(lowest, key=lambda zone: (zone != own_zone, lowest[zone]))
+    is_near = lowest.get(own_zone, math.inf) <= OWN_ZONE_TIME * min(lowest.values())
+    return sorted(lowest, key=lambda z: (not (is_near and z == own_zone), lowest[z]))
+
+
+def expected_completion(load: float, slots: int, relative_time: float) -> float:
+    """Return when a request sent now is expected to end.
+
+    A fast server's queue may beat a free slot of a slow one.  Requests in free slots
+    count as well as those that queue, as some servers slow down before they are full,
+    and as counts are old.
+
+    :param load: Estimated number of requests there.
+    :param relative_time: How long work takes there, relative to the fastest server.
+    :return: The time, in times of one request at the fastest server.
+    """
+    return relative_time * (1.0 + load / slots)
 
 
 def zones_to_choose_alone(
@@ -165,8 +205,10 @@
     free_shares = [
         max(MIN_FREE_SHARE, 1.0 - _cost(c, own_zone, median)) for c in eligible
     ]
+    are_times_known = _are_times_known(eligible)
     scaled_shares = (
         share**FREE_SHARE_EXPONENT
+        / (c.relative_time if are_times_known else 1.0)
         * (LOCAL_ZONE_FACTOR if c.entry.zone == own_zone else 1.0)
         for share, c in zip(free_shares, eligible, strict=True)
     )
@@ -180,10 +222,22 @@
     return sorted_rates[(len(sorted_rates) - 1) // 2]
 
 
-def _cost(candidate: Candidate, own_zone: str, median_failure_rate: float) -> float:
+def _are_times_known(candidates: Sequence[Candidate]) -> bool:
+    return all(c.relative_time is not None for c in candidates)
+
+
+def _cost(
+    candidate: Candidate,
+    own_zone: str,
+    median_failure_rate: float,
+    uses_times: bool = False,
+) -> float:
     entry = candidate.entry
     excess = candidate.failure_rate - median_failure_rate - FAILURE_TOLERANCE
-    cost = candidate.load / entry.slots + FAILURE_WEIGHT * max(0.0, excess)
+    cost = candidate.load / entry.slots
+    if uses_times:
+        cost = expected_completion(candidate.load, entry.slots, candidate.relative_time)
+    cost += FAILURE_WEIGHT * max(0.0, excess)
     if entry.zone != own_zone:
         cost += REMOTE_ZONE_PENALTY
     return cost
--- a/sequoiapoint/coordination/server_choice_test.py
+++ b/sequoiapoint/coordination/server_choice_test.py
@@ -16,10 +16,16 @@
 
 
 def candidate(
-    server, load=0.0, zone="north", failures=0.0, last_resort=False, slots=64
+    server,
+    load=0.0,
+    zone="north",
+    failures=0.0,
+    last_resort=False,
+    slots=64,
+    time=None,
 ):
     entry = ServerEntry(server, "lm", "10.0.0.1:80", zone, ServerState.READY, 1, slots)
-    return Candidate(entry, load, failures, last_resort)
+    return Candidate(entry, load, failures, last_resort, time)
 
 
 def pick(*candidates, seed=1):
@@ -47,6 +53,49 @@
     assert pick(*candidates) == expected
 
 
+@pytest.mark.parametrize(
+    ("candidates", "expected"),
+    [
+        ((candidate("a", 0, time=2.7), candidate("b", 0, time=1.0)), "b"),
+        ((candidate("a", 0, time=2.7), candidate("b", 80, time=1.0)), "b"),
+        ((candidate("a", 0, time=1.2), candidate("b", 60, time=1.0)), "a"),
+        ((candidate("a", 9, time=1.0), candidate("b", 3, time=1.0)), "b"),
+        ((candidate("a", 0, time=1.0), candidate("b", 9)), "a"),
+    ],
+)
+def test_the_server_of_earliest_completion_is_chosen(candidates, expected):
+    assert pick(*candidates) == expected
+
+
+@pytest.mark.parametrize("hosts", [1, 86])
+def test_a_slow_server_still_gets_a_small_share(hosts):
+    """Guards against a server that is never heard of again once it was slow."""
+    rng = random.Random(1)
+    servers = [candidate("fast", 2, time=1.0), candidate("slow", 2, time=50.0)]
+    counts = Counter(
+        choose(servers, "north", rng.random, hosts).entry.server for _ in range(2000)
+    )
+    assert 5 < counts["slow"] < 100
+
+
+@pytest.mark.parametrize(
+    ("times", "expected"),
+    [
+        ({}, ["z0", "z1", "z2"]),
+        ({"s-0": 1.0, "s-1": 1.0, "s-2": 1.1}, ["z0", "z1", "z2"]),
+        ({"s-0": 2.7, "s-1": 1.6, "s-2": 1.0}, ["z2", "z1", "z0"]),
+    ],
+)
+def test_zones_with_faster_servers_are_asked_first(times, expected):
+    entries = [
+        ServerEntry(f"s-{n}", "lm", "10.0.0.1:1", f"z{n}", ServerState.READY, 1, 12)
+        for n in range(3)
+    ]
+    running = {"s-0": 3.0, "s-1": 2.0, "s-2": 4.0}
+    relative = {(server, 1): time for server, time in times.items()}
+    assert zones_by_load(entries, running, "z0", relative) == expected
+
+
 def test_requests_are_spread_evenly_over_servers_of_equal_load():
     """Simulates many hosts that choose independently from the same load counts."""
     counts = Counter(
--- a/sequoiapoint/coordination/waiting.py
+++ b/sequoiapoint/coordination/waiting.py
@@ -40,6 +40,13 @@
 """The same if no server can run the request at the moment."""
 
 
+MIN_RETRY_AFTER_S = 0.02
+"""Shortest time that a caller is told to wait: a round trip."""
+RETRY_SPREAD = 0.25
+"""Share by which a predicted time is extended at random, so that callers that are
+rejected together do not come back together."""
+
+
 def wait_limit_s(route: Route, remaining_s: float) -> float:
     """Return how long a request may wait for a server, in seconds.
 
@@ -60,14 +67,20 @@
     return max(MIN_EVENT_TIMEOUT_S, 4 * route.goal_s, 8 * route.max_event_gap_s)
 
 
-def retry_after_s(has_servers: bool, jitter: float) -> float:
+def retry_after_s(
+    has_servers: bool, jitter: float, predicted_wait_s: float = 0.0
+) -> float:
     """Return the time after which a rejected caller should retry, in seconds.
 
     The delays are spread so that callers rejected together do not retry together.
 
     :param has_servers: Whether any server could run the request if it were not full.
     :param jitter: A random number from 0 to 1.
+    :param predicted_wait_s: The time until the queue for servers that are full reaches
+        such a request, in seconds; 0 if it is not known.
     """
+    if has_servers and predicted_wait_s > 0.0:
+        return max(MIN_RETRY_AFTER_S, predicted_wait_s) * (1.0 + RETRY_SPREAD * jitter)
     mean_s = RETRY_AFTER_S if has_servers else LONG_RETRY_AFTER_S
     return mean_s * (0.5 + jitter)
 
@@ -113,14 +126,34 @@
     return remaining_s >= MIN_RETRY_TIME_S
 
 
-def is_full(load: float, slots: int, is_engine: bool) -> bool:
+def is_too_late(predicted_wait_s: float, remaining_s: float) -> bool:
+    """Tell whether a request should be rejected at once, rather than wait for a slot.
+
+    Answers a queue that is longer than the time that callers have left: they learn at
+    once when to come back, and do not lengthen the queue of those that can be served.
+
+    :param predicted_wait_s: The expected wait, in seconds; 0 if it is not known.
+    :param remaining_s: Time until its caller's deadline.
+    """
+    return predicted_wait_s > remaining_s
+
+
+def is_full(
+    load: float, slots: int, is_engine: bool, relative_time: float | None = None
+) -> bool:
     """Tell whether a server should be sent no more requests.
 
+    Requests beyond its slots take time from each other, so that a slow server gets
+    fewer of them.
+
     :param load: Estimated number of requests there.
+    :param relative_time: How long work takes there, as a multiple of the time at the
+        fastest server; None if no server states it.
     """
-    return load >= slots * (
-        MAX_ENGINE_UTILISATION if is_engine else MAX_PLAIN_UTILISATION
-    )
+    limit = MAX_ENGINE_UTILISATION if is_engine else MAX_PLAIN_UTILISATION
+    if relative_time is not None:
+        limit = 1.0 + (limit - 1.0) / max(1.0, relative_time)
+    return load >= slots * limit
 
 
 def may_send_prompt(pending_tokens: int, prompt_tokens: int, hosts: int) -> bool:
--- a/sequoiapoint/coordination/waiting_test.py
+++ b/sequoiapoint/coordination/waiting_test.py
@@ -49,6 +49,33 @@
     assert waiting.event_timeout_s(route(goal_s, True, gap_s)) == expected
 
 
+@pytest.mark.parametrize(
+    ("time", "limit"), [(None, 12), (1.0, 12), (2.0, 9), (6.0, 7), (100.0, 7)]
+)
+def test_a_slow_server_gets_fewer_requests_beyond_its_slots(time, limit):
+    """At least its slots and one more: it must not be locked out."""
+    assert not waiting.is_full(limit - 1, 6, False, time)
+    assert waiting.is_full(limit, 6, False, time)
+
+
+@pytest.mark.parametrize(
+    ("wait_s", "remaining_s", "late"),
+    [(0.0, 0.1, False), (0.9, 1.0, False), (2, 1, True)],
+)
+def test_a_request_is_too_late_if_the_queue_is_longer_than_its_time(
+    wait_s, remaining_s, late
+):
+    assert waiting.is_too_late(wait_s, remaining_s) is late
+
+
+@pytest.mark.parametrize("wait_s", [0.001, 0.3, 4.0])
+def test_the_retry_delay_is_the_predicted_wait_if_there_is_one(wait_s):
+    delays = [waiting.retry_after_s(True, n / 10, wait_s) for n in range(11)]
+    assert max(wait_s, waiting.MIN_RETRY_AFTER_S) == min(delays)
+    assert len(set(delays)) == 11
+    assert max(delays) < 1.3 * min(delays)
+
+
 @pytest.mark.parametrize("has_servers", [True, False])
 def test_retry_delays_of_rejected_callers_are_spread(has_servers):
     times = [waiting.retry_after_s(has_servers, n / 10) for n in range(11)]
