Let slot allocators learn speeds and predict waits

Releases carry what the server stated and how long the work took, so the allocator knows of a change after tens of milliseconds, and grants slots by expected completion. Replies to queued requests carry the expected wait: the more urgent requests, divided by the rate at which used slots become free.

--- a/sequoiapoint/coordination/slot_allocator.py
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -1,6 +1,6 @@
 """Allocates the batch slots of a zone's engines to the requests of all hosts.
 
-Answers a load of hundreds of hosts before engines with few slots.  Each host runs a few
+Answers a load of hundreds of hosts before servers with few slots.  Each host runs a few
 requests at a time, so none of them knows the load of an engine from its own requests,
 and counts that are exchanged twice a second are too old: when every host chooses by
 them, some engines get more requests than slots, and stop streams for more urgent ones,
@@ -18,7 +18,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from sequoiapoint.coordination import waiting
+from sequoiapoint.coordination import server_choice, waiting
 from sequoiapoint.protocol.gateway import Incarnation
 from sequoiapoint.protocol.slots import (
     NO_SERVER,
@@ -28,6 +28,7 @@
     SlotReply,
     SlotRequest,
 )
+from sequoiapoint.state.server_speed import ServerSpeeds
 
 QUEUE_TTL_S = 1.2
 """Time for which a request stays queued after its host has last asked."""
@@ -59,6 +60,12 @@
 BRITTLE_PAUSE_QUALITIES = frozenset({SlotQuality.REJECTED, SlotQuality.FAILED})
 MAX_AVOIDANCE_S = 4.0
 """Maximum time for which an unreachable engine is avoided."""
+PLAIN_SLOTS_FACTOR = 4 / 3
+"""Requests granted to a plain server at a time, relative to its slots.  Its requests
+take tens of milliseconds, so that slots would be idle while a grant is on its way."""
+USE_WEIGHT = 0.1
+"""Weight of the newest request in the moving average of the time that slots are used,
+from which waits are predicted."""
 
 
 @dataclass
@@ -69,6 +76,7 @@
     :param is_brittle: Whether it falls over if it has to turn too many away.
     :param penalty: Moving average of the penalties of its requests.
     :param unreachable_count: Number of failures to connect in a row.
+    :param mean_use_s: Moving average of the time from a grant to its release.
     """
 
     incarnation: Incarnation
@@ -78,6 +86,7 @@
     penalty: float = 0.0
     unreachable_count: int = 0
     avoided_until: float = -math.inf
+    mean_use_s: float | None = None
 
     @property
     def server(self) -> str:
@@ -88,6 +97,17 @@
         """Tell whether a request may be sent to the engine."""
         return self.used < self.slots and self.avoided_until <= now
 
+    @property
+    def end_rate(self) -> float:
+        """Return the rate at which requests end if all slots are used, a second."""
+        return self.slots / self.mean_use_s if self.mean_use_s else 0.0
+
+    def record_use(self, seconds: float) -> None:
+        """Record for how long a slot was used."""
+        if self.mean_use_s is None:
+            self.mean_use_s = seconds
+        self.mean_use_s += USE_WEIGHT * (seconds - self.mean_use_s)
+
     def record_quality(self, quality: SlotQuality, now: float) -> None:
         """Update what is known of the engine's health with the end of a request."""
         if quality is SlotQuality.UNUSED:
@@ -139,9 +159,13 @@
 
 
 class SlotAllocator:
-    """The slots of a zone's engines, and the requests that wait for one."""
+    """The slots of a zone's engines, and the requests that wait for one.
+
+    :param speeds: Estimates of how long work takes at each engine.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, speeds: ServerSpeeds | None = None) -> None:
+        self._speeds = ServerSpeeds() if speeds is None else speeds
         self._engines: dict[Incarnation, Engine] = {}
         self._by_server: dict[str, Engine] = {}
         self._hosts: dict[str, _Host] = {}
@@ -245,7 +269,30 @@
         self._queue[identity] = _Queued(
             request, now, now + request.remaining_s, now + request.goal_s, order
         )
-        return SlotReply(request.host, request.number, SlotOutcome.QUEUED)
+        wait_s = self._predicted_wait_s(self._queue[identity], now)
+        return SlotReply(
+            request.host, request.number, SlotOutcome.QUEUED, wait_s=wait_s
+        )
+
+    def _predicted_wait_s(self, queued: _Queued, now: float) -> float:
+        """Return when a queued request will be granted a slot, in seconds from now.
+
+        It is the number of more urgent requests for the same engines, divided by the
+        rate at which their slots become free while all are used.
+
+        :return: 0 if nothing has ended there so far.
+        """
+        servers = queued.request.candidates
+        engines = [e for name in servers if (e := self._by_server.get(name))]
+        rate = sum(engine.end_rate for engine in engines)
+        if not rate:
+            return 0.0
+        rank, wanted = queued.rank(now), set(servers)
+        ahead = sum(
+            other.rank(now) <= rank and not wanted.isdisjoint(other.request.candidates)
+            for other in self._queue.values()
+        )
+        return ahead / rate
 
     def release(self, release: SlotRelease, now: float) -> list[SlotReply]:
         """Record the end of a request, and return the grants that this allows."""
@@ -253,14 +300,25 @@
         engine = self._engines.get(release.engine)
         if engine is not None:
             engine.record_quality(release.quality, now)
+            self._record_speed(release, now)
         host = self._hosts.get(release.host)
         grant = None if host is None else host.grants.pop(release.number, None)
         if grant is None or grant.engine not in self._engines:
             return []
         freed = self._engines[grant.engine]
         freed.used -= 1
+        if release.quality is not SlotQuality.UNUSED:
+            freed.record_use(now - grant.granted_at)
         return self._grant_queued([freed], now)
 
+    def _record_speed(self, release: SlotRelease, now: float) -> None:
+        """Learn how long work takes at an engine, from the requests of all hosts."""
+        if release.slowness is None:
+            return
+        self._speeds.note_slowness(release.engine, release.slowness, now)
+        if release.relative_time is not None:
+            self._speeds.note_work(release.engine, release.relative_time, now)
+
     def grant_queued(self, now: float) -> list[SlotReply]:
         """Return the grants that are possible since engines or counts have changed."""
         return self._grant_queued(self._engines.values(), now)
@@ -313,19 +371,40 @@
             return None
         penalties = sorted(engine.penalty for engine in self._engines.values())
         tolerated = penalties[(len(penalties) - 1) // 2] + PENALTY_TOLERANCE
-        return min(
-            candidates,
-            key=lambda engine: (
-                engine.used / engine.slots
-                + PENALTY_COST * max(0.0, engine.penalty - tolerated),
-                int(engine.penalty / PENALTY_TOLERANCE),
-            ),
-        )
+        times = self._speeds.relative_times((e.incarnation for e in candidates), now)
 
+        def cost(engine: Engine) -> tuple[float, float]:
+            load_cost = engine.used / engine.slots
+            if times:
+                time = times[engine.incarnation]
+                load_cost = server_choice.expected_completion(
+                    engine.used, engine.slots, time
+                )
+            excess = max(0.0, engine.penalty - tolerated)
+            cost = load_cost + PENALTY_COST * excess
+            return cost, int(engine.penalty / PENALTY_TOLERANCE)
 
-def released(grant: SlotReply, quality: SlotQuality) -> SlotRelease:
-    """Return the release of a granted slot."""
-    return SlotRelease(grant.host, grant.number, grant.engine, quality)
+        return min(candidates, key=cost)
+
+
+def plain_slots(slots: int) -> int:
+    """Return how many requests to grant at a time to a server with a queue.
+
+    :param slots: The number of requests that it runs at a time.
+    """
+    return math.ceil(PLAIN_SLOTS_FACTOR * slots)
+
+
+def released(
+    grant: SlotReply,
+    quality: SlotQuality,
+    slowness: float | None = None,
+    relative_time: float | None = None,
+) -> SlotRelease:
+    """Return the release of a granted slot, see ``SlotRelease``."""
+    return SlotRelease(
+        grant.host, grant.number, grant.engine, quality, slowness, relative_time
+    )
 
 
 def withdrawn(host: str, number: int) -> SlotRelease:
--- a/sequoiapoint/coordination/slot_allocator_test.py
+++ b/sequoiapoint/coordination/slot_allocator_test.py
@@ -171,6 +171,84 @@
     assert granted == expected
 
 
+def end(slots, grant, now, slowness=None, relative_time=None):
+    release = released(grant, SlotQuality.ON_TIME, slowness, relative_time)
+    return slots.release(release, now)
+
+
+def learned(slowness, relative_time, servers=("e-1", "e-2", "e-3")):
+    """Return an allocator that has learned of its engines from released slots."""
+    slots = allocator(*(engine(name) for name in servers))
+    for number in range(60):
+        name = servers[number % len(servers)]
+        grant = slots.request(ask(number, candidates=(name,)), number * 0.02)
+        values = slowness.get(name), relative_time.get(name, 0.3)
+        end(slots, grant, number * 0.02 + 0.01, *values)
+    return slots
+
+
+@pytest.mark.parametrize(
+    ("slowness", "relative_time", "first"),
+    [
+        ({}, {"e-1": 9.0}, "e-1"),
+        ({"e-1": 2.5, "e-2": 1.0, "e-3": 2.5}, {}, "e-2"),
+        (dict.fromkeys(("e-1", "e-2", "e-3"), 1.0), {"e-1": 0.8, "e-2": 0.8}, "e-3"),
+    ],
+)
+def test_a_slot_is_granted_at_the_server_of_earliest_completion(
+    slowness, relative_time, first
+):
+    """Without statements, the times that hosts observe change nothing."""
+    slots = learned(slowness, relative_time)
+    every = ("e-1", "e-2", "e-3")
+    assert slots.request(ask(99, candidates=every), 1.3).engine[0] == first
+
+
+def test_a_full_fast_server_leaves_the_slots_of_slow_ones_to_the_rest():
+    """Guards against servers that are locked out: free slots are always granted."""
+    slots = learned({"e-1": 1.0, "e-2": 4.0}, {}, ("e-1", "e-2"))
+    both = ("e-1", "e-2")
+    granted = [
+        slots.request(ask(n, candidates=both), 1.3).engine[0]
+        for n in range(100, 100 + 2 * SLOTS)
+    ]
+    assert granted[: SLOTS // 2] == ["e-1"] * (SLOTS // 2)
+    assert granted.count("e-2") == SLOTS
+
+
+def test_a_queued_request_is_told_when_its_turn_comes():
+    """Replays 100 requests a second at one server, and a queue of 31."""
+    slots, now, grants = allocator(engine("e-1", slots=1)), 0.0, []
+    grants = [slots.request(ask(0), now)]
+    for number in range(1, 31):
+        assert slots.request(ask(number), now).outcome is SlotOutcome.QUEUED
+    for _ in range(10):
+        now += 0.01
+        grants = end(slots, grants[0], now)
+    assert slots.queue_length == 20
+    assert slots.request(ask(40), now).wait_s == pytest.approx(0.21, rel=0.5)
+    first = ask(41, remaining_s=1.0)
+    assert slots.request(first, now).wait_s == pytest.approx(0.01, rel=0.5)
+    assert slots.request(ask(42, priority=1), now).wait_s > 0.1
+
+
+def test_an_idle_time_before_a_burst_does_not_lengthen_the_predicted_wait():
+    slots = allocator(engine("e-1", slots=1))
+    end(slots, slots.request(ask(0), 0.0), 0.01)
+    slots.request(ask(1), 9.0)
+    assert slots.request(ask(2), 9.0).wait_s == pytest.approx(0.01)
+
+
+def test_an_unused_slot_is_no_end_of_a_request():
+    """Slots that are given back would make the queue look faster than it is."""
+    slots = allocator(engine("e-1", slots=1))
+    for number in range(20):
+        grant = slots.request(ask(number), 0.01 * number)
+        slots.release(released(grant, SlotQuality.UNUSED), 0.01 * number)
+    slots.request(ask(98), 0.2)
+    assert slots.request(ask(99), 0.2).wait_s == 0.0
+
+
 class _Load:
     """Requests from 195 hosts at the eight copies of a model, replayed with a seed.
 
--- a/sequoiapoint/protocol/slots.capnp
+++ b/sequoiapoint/protocol/slots.capnp
@@ -30,11 +30,16 @@
       outcome @6 :Outcome;
       server @7 :Text;
       startedMs @8 :Int64;
+      waitMs @12 :UInt32;     # Expected until a queued request is granted a slot; 0 if
+                              # not known.
     }
     release :group {
       server @9 :Text;        # Empty to withdraw a queued request.
       startedMs @10 :Int64;
       quality @11 :Quality;
+      slownessPercent @13 :UInt16;  # What the server stated; 0 if it stated nothing.
+      relativeTime @14 :Float32;    # How long the work took, as a multiple of the time
+                                    # expected of it; 0 if not known.
     }
   }
 }
--- a/sequoiapoint/protocol/slots.py
+++ b/sequoiapoint/protocol/slots.py
@@ -20,6 +20,8 @@
 with another byte, as its first word has zero bytes."""
 MAX_PRIORITY = 255
 """The least urgent priority that a message can carry."""
+MAX_PERCENT = 65_535
+MAX_WAIT_MS = 3_600_000
 NO_SERVER: Incarnation = ("", 0)
 
 
@@ -70,12 +72,17 @@
 
 @dataclass(frozen=True)
 class SlotReply:
-    """An allocator's reply, or a later grant to a queued request."""
+    """An allocator's reply, or a later grant to a queued request.
+
+    :param wait_s: The expected time until a queued request is granted a slot, in
+        seconds; 0 if it is not known.
+    """
 
     host: str
     number: int
     outcome: SlotOutcome
     engine: Incarnation = NO_SERVER
+    wait_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -83,12 +90,17 @@
     """The end of the use of a slot, or the withdrawal of a queued request.
 
     :param engine: The engine, ``NO_SERVER`` for a withdrawal.
+    :param slowness: What the server stated with its response; None if nothing.
+    :param relative_time: How long the work took, as a multiple of the time expected of
+        the request; None if it is not known.
     """
 
     host: str
     number: int
     engine: Incarnation = NO_SERVER
     quality: SlotQuality = SlotQuality.UNUSED
+    slowness: float | None = None
+    relative_time: float | None = None
 
 
 SlotMessage = SlotRequest | SlotReply | SlotRelease
@@ -118,6 +130,7 @@
         "outcome": message.outcome.value,
         "server": server,
         "startedMs": started_ms,
+        "waitMs": min(MAX_WAIT_MS, round(message.wait_s * 1000)),
     }
     return {"reply": fields}
 
@@ -129,6 +142,8 @@
         "server": server,
         "startedMs": started_ms,
         "quality": message.quality.value,
+        "slownessPercent": min(MAX_PERCENT, round(100 * (message.slowness or 0.0))),
+        "relativeTime": message.relative_time or 0.0,
     }
     return {"release": fields}
 
@@ -163,9 +178,17 @@
         if kind == "reply":
             group = message.reply
             outcome = SlotOutcome(str(group.outcome))
-            return SlotReply(host, number, outcome, (group.server, group.startedMs))
+            engine = (group.server, group.startedMs)
+            return SlotReply(host, number, outcome, engine, group.waitMs / 1000)
         group = message.release
         quality = SlotQuality(str(group.quality))
-        return SlotRelease(host, number, (group.server, group.startedMs), quality)
+        return SlotRelease(
+            host,
+            number,
+            (group.server, group.startedMs),
+            quality,
+            group.slownessPercent / 100 or None,
+            group.relativeTime or None,
+        )
     except capnp.KjException as error:
         raise ValueError(f"not a slot message: {error}") from error
--- a/sequoiapoint/protocol/slots_test.py
+++ b/sequoiapoint/protocol/slots_test.py
@@ -18,10 +18,21 @@
         st.integers(0, 60_000).map(lambda ms: ms / 1000),
     ),
     st.builds(
-        slots.SlotReply, TEXT, NUMBER, st.sampled_from(slots.SlotOutcome), ENGINE
+        slots.SlotReply,
+        TEXT,
+        NUMBER,
+        st.sampled_from(slots.SlotOutcome),
+        ENGINE,
+        st.integers(0, 60_000).map(lambda ms: ms / 1000),
     ),
     st.builds(
-        slots.SlotRelease, TEXT, NUMBER, ENGINE, st.sampled_from(slots.SlotQuality)
+        slots.SlotRelease,
+        TEXT,
+        NUMBER,
+        ENGINE,
+        st.sampled_from(slots.SlotQuality),
+        st.none() | st.integers(1, slots.MAX_PERCENT).map(lambda n: n / 100),
+        st.none() | st.floats(0.125, 100.0, width=32),
     ),
 )
 
@@ -33,6 +44,14 @@
     assert slots.decode_slot_message(data) == message
 
 
+def test_a_wait_and_a_slowness_beyond_their_fields_are_cut():
+    """Guards against a message that cannot be encoded, which would end a request."""
+    reply = slots.SlotReply("h", 1, slots.SlotOutcome.QUEUED, wait_s=1e9)
+    release = slots.SlotRelease("h", 1, slowness=1e9)
+    for message in (reply, release):
+        slots.decode_slot_message(slots.encode_slot_message(message))
+
+
 @pytest.mark.parametrize("data", [b"\xff", b"\xffGET / HTTP/1.1", b"\xff" * 40])
 def test_decoding_other_bytes_fails(data):
     with pytest.raises(ValueError, match="not a slot message"):
