Allocate the slots of plain servers from 17 hosts on; use servers' speeds

One allocator for each plain service now grants requests for four thirds of its servers' slots; a service has few servers and any of them runs a request, so one allocator needs fewer messages than one in each zone. The others wait at their hosts, the most urgent first; a request whose slot is not expected before its deadline is rejected at once (queue_too_long), with the predicted time to come back. Without an allocator in reach hosts choose as before, as they do up to 16 hosts; parts that are cut off grant their share of the hosts.

Hosts note the slowness that servers state and the time of their work, send both with the release of a slot, and choose by them. Lines of attempts contain the slowness.

--- a/sequoiapoint/coordination/slot_allocator.py
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -179,6 +179,10 @@
 
     # Engines and counts
 
+    def allocates(self, incarnation: Incarnation) -> bool:
+        """Tell whether the slots of an engine are allocated here."""
+        return incarnation in self._engines
+
     def set_engines(self, engines: Iterable[Engine], now: float) -> None:
         """Set the engines that accept requests; what is known of each is kept.
 
--- a/sequoiapoint/coordination/waiting.py
+++ b/sequoiapoint/coordination/waiting.py
@@ -132,7 +132,8 @@
     Answers a queue that is longer than the time that callers have left: they learn at
     once when to come back, and do not lengthen the queue of those that can be served.
 
-    :param predicted_wait_s: The expected wait, in seconds; 0 if it is not known.
+    :param predicted_wait_s: The expected wait, in seconds; not positive if it is not
+        known.
     :param remaining_s: Time until its caller's deadline.
     """
     return predicted_wait_s > remaining_s
--- a/sequoiapoint/node/gateway_state.py
+++ b/sequoiapoint/node/gateway_state.py
@@ -31,6 +31,7 @@
 from sequoiapoint.state.route_table import RouteTable
 from sequoiapoint.state.server_limits import LimitNotice, ServerLimits
 from sequoiapoint.state.server_load import ServerLoads
+from sequoiapoint.state.server_speed import ServerSpeeds
 from sequoiapoint.transport.async_http_client import ConnectionPool
 from sequoiapoint.transport.clock import monotonic_s
 from sequoiapoint.transport.decision_log import DecisionLog
@@ -160,6 +161,7 @@
     rng: random.Random = field(default_factory=random.Random)
     fleet: Fleet = field(default_factory=Fleet)
     loads: ServerLoads = field(default_factory=ServerLoads)
+    speeds: ServerSpeeds = field(default_factory=ServerSpeeds)
     limits: ServerLimits = field(default_factory=ServerLimits)
     reachability: Reachability = field(default_factory=Reachability)
     brittle: BrittleServers = field(default_factory=BrittleServers)
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -132,14 +132,26 @@
     """
 
     def __init__(self, sent_at: float, route: Route) -> None:
-        self._last_event_at = sent_at
+        self._last_event_at = self._first_event_at = sent_at
+        self._event_count = 0
         self._limit_s = route.goal_s
         self._max_event_gap_s = route.max_event_gap_s
         self.is_late = False
 
+    @property
+    def relative_time(self) -> float | None:
+        """Return the mean gap of events relative to its goal; None if not known."""
+        gap_s = self._last_event_at - self._first_event_at
+        if self._event_count < 2 or not self._max_event_gap_s:
+            return None
+        return gap_s / (self._event_count - 1) / self._max_event_gap_s
+
     def record_event(self, now: float) -> None:
         """Record an event of the stream."""
         self.is_late |= now - self._last_event_at > self._limit_s > 0
+        if not self._event_count:
+            self._first_event_at = now
+        self._event_count += 1
         self._last_event_at = now
         self._limit_s = self._max_event_gap_s
 
@@ -209,6 +221,7 @@
         self._has_reserved_retry = False
         self._attempt_number = 0
         self._slot_quality = SlotQuality.UNUSED
+        self._relative_time: float | None = None
         self._head: ResponseHead | None = None
         self._successor: _Successor | None = None
         self._has_left_silent = False
@@ -268,7 +281,12 @@
     ) -> None:
         """Stop to count an attempt, and release its slot and permit."""
         self._state.loads.get_or_create(entry.incarnation).note_finished(number)
-        selector.release(quality)
+        is_used = selector is self._selector and quality is not SlotQuality.UNUSED
+        selector.release(
+            quality,
+            self._record.slowness if is_used else None,
+            self._relative_time if is_used else None,
+        )
         self._state.wait_queue.notify()
 
     async def _run(self) -> None:
@@ -628,6 +646,7 @@
         self._record.attempts += 1
         self._record.version = entry.version
         self._record.limit_per_s = state.limits.per_s(entry.incarnation)
+        self._record.slowness = self._relative_time = None
         head = state.adapter.servers.request_head(
             self._request,
             entry,
@@ -639,6 +658,7 @@
         self._sent_suspects = state.prompt_quarantine.suspects(
             self._request.shared_parts
         )
+        sent_at = now
         exchange = connection.send(head, self._request.body, self._accept_response)
         self._reachability.note_sent(entry.incarnation, now)
         try:
@@ -657,6 +677,7 @@
         has_crashed = await self._has_crashed(entry, reason)
         self._note_health(entry, outcome, reason, fingerprint, has_crashed)
         if outcome is _AttemptOutcome.DELIVERED and not reason:
+            self._note_work(entry, now - sent_at, pace, now)
             self._clear_parts()
         elif has_crashed and self._splitter.count - events_before < ANSWERED_EVENTS:
             self._suspect_parts(entry)
@@ -698,6 +719,11 @@
         self._reachability.note_received(entry.incarnation, connection.opened_at, now)
         if head.load is not None:
             load.apply_report(head.load, now)
+            if head.load.slowness is not None:
+                self._record.slowness = head.load.slowness
+                self._state.speeds.note_slowness(
+                    entry.incarnation, head.load.slowness, now
+                )
         source = f"response_{head.status}"
         if head.is_leaving:
             self._state.note_server_leaving(entry, source, now)
@@ -1136,7 +1162,9 @@
         retry_after_s = self._selector.back_off_s
         if retry_after_s is None:
             retry_after_s = waiting.retry_after_s(
-                reason in CAPACITY_REASONS, self._state.rng.random()
+                reason in CAPACITY_REASONS,
+                self._state.rng.random(),
+                self._selector.predicted_wait_s,
             )
         self._reject(reason, http.HTTPStatus.SERVICE_UNAVAILABLE, retry_after_s)
 
@@ -1205,6 +1233,22 @@
                     fingerprint=fingerprint,
                 )
 
+    def _note_work(
+        self, entry: ServerEntry, seconds: float, pace: _StreamPace, now: float
+    ) -> None:
+        """Record how long the work of a request took, relative to its latency goal.
+
+        The response of a plain server counts if no request waits there: it may
+        otherwise have waited for most of the time.
+        """
+        load = self._head.load
+        self._relative_time = pace.relative_time
+        is_waiting = load is not None and load.waiting > 0
+        if not self._route.is_stream and self._route.goal_s and not is_waiting:
+            self._relative_time = seconds / self._route.goal_s
+        if self._relative_time is not None:
+            self._state.speeds.note_work(entry.incarnation, self._relative_time, now)
+
     def _note_back_off(self, entry: ServerEntry, seconds: float, now: float) -> None:
         """Send a server nothing for the time that it names as it turns a request away.
 
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -33,7 +33,7 @@
     ServiceSpec,
 )
 from sequoiapoint.protocol.gateway_settings import Bounds
-from sequoiapoint.protocol.slots import SlotOutcome
+from sequoiapoint.protocol.slots import SlotOutcome, SlotQuality, SlotReply
 from sequoiapoint.state.server_limits import LimitNotice, ServerLimits
 from sequoiapoint.state.stream_origins import StreamOrigin
 from sequoiapoint.transport import async_http_client
@@ -76,6 +76,7 @@
         )
         self.on_connect = lambda server: None
         self.answer = None
+        self.allocate, self.released = None, []
         self.state = GatewayState(
             settings=SimpleNamespace(host="h", zone="z", bounds=Bounds()),
             adapter=SimpleNamespace(
@@ -184,6 +185,10 @@
         slots.ticket = lambda: _Ticket()
         slots.allocating_zone = lambda zone, now: zone
         slots.ask = lambda *a: _result(SlotOutcome.UNAVAILABLE)
+        slots.plain_zone = lambda service, now: "z"
+        if self.allocate is not None:
+            slots.is_active, slots.ask = True, self.allocate
+        slots.release = lambda ticket, *speed: self.released.append(speed)
 
         async def acquire(entry, caller, max_wait_s=0.0, asks_anew=True):
             return self.permits(entry, max_wait_s)
@@ -257,6 +262,7 @@
 class _Ticket:
     number = 0
     grant = granted_by = None
+    wait_s = 0.0
 
     def __enter__(self):
         return self
@@ -844,6 +850,76 @@
     assert monotonic_s() - started_at < 0.4 + 0.2
 
 
+def load(text):
+    return (200, [SIGNED, (b"worker-load", text)])
+
+
+@pytest.mark.parametrize(
+    ("wait_s", "least_s", "most_s", "reason"),
+    [(2.0, 1.9, 2.5, "queue_too_long"), (0.6, 0.05, 0.25, "servers_full")],
+)
+def test_a_request_without_a_slot_is_told_the_predicted_wait(
+    monkeypatch, wait_s, least_s, most_s, reason
+):
+    """A request that cannot be served in time neither waits nor reaches a server.
+
+    One that has waited for 0.4 s of its second is told the rest of the prediction.
+    """
+    site = Site(monkeypatch, ENTRY)
+    site.route = replace(ROUTE, goal_s=0.05)
+
+    async def queue(ticket, zone, request, are_brittle=False):
+        ticket.wait_s = wait_s
+        return SlotOutcome.QUEUED
+
+    site.allocate = queue
+    started_at = monotonic_s()
+    status, headers = asyncio.run(site.request(budget_s=1.0))
+    assert (status, site.sent) == (503, [])
+    assert least_s <= headers[b"retry-after"] <= most_s
+    assert [o for name, o, _ in site.logged if name == "request_refused"] == [reason]
+    assert (monotonic_s() - started_at < 0.05) == (wait_s > 1.0)
+
+
+def test_a_granted_slot_is_released_with_what_the_server_stated(monkeypatch):
+    site = Site(monkeypatch, ENTRY)
+    site.responses = {"s-1": [load(b"1,0,8,250"), load(b"1,3,8,250"), load(b"1,0,8")]}
+
+    async def grant(ticket, zone, request, are_brittle=False):
+        ticket.grant = SlotReply("h", 0, SlotOutcome.GRANTED, ENTRY.incarnation)
+        return SlotOutcome.GRANTED
+
+    site.allocate = grant
+    for _ in range(3):
+        assert asyncio.run(site.request())[0] == 200
+    assert [speed[:2] for speed in site.released] == [
+        (SlotQuality.ON_TIME, 2.5),
+        (SlotQuality.ON_TIME, 2.5),
+        (SlotQuality.ON_TIME, None),
+    ]
+    # A response of a server where others wait does not show how fast it works.
+    assert [speed[2] is None for speed in site.released] == [False, True, False]
+    ended = [fields for name, _, fields in site.logged if name == "request_ended"]
+    assert [fields.get("slowness") for fields in ended] == [2.5, 2.5, None]
+
+
+def test_a_slow_server_gets_fewer_requests_if_it_states_its_slowness(monkeypatch):
+    """Without the fourth figure servers are chosen by their load, as before."""
+    other = replace(ENTRY, server="s-2")
+    site = Site(monkeypatch, ENTRY, other)
+    site.responses = {
+        "s-1": [load(b"0,0,8,270")] * 99,
+        "s-2": [load(b"0,0,8,100")] * 99,
+    }
+
+    async def run():
+        for _ in range(60):
+            await site.request()
+
+    asyncio.run(run())
+    assert 1 <= site.sent.count("s-1") < 20
+
+
 BRITTLE = (b"server-brittle", b"3")
 
 
--- a/sequoiapoint/node/request_record.py
+++ b/sequoiapoint/node/request_record.py
@@ -75,6 +75,8 @@
     :ivar version: The software version of the server of the last attempt.
     :ivar limit_per_s: The limit known of the server of the last attempt, in requests a
         second; None without one.
+    :ivar slowness: What the server of the last attempt stated, as a multiple of its
+        usual time; None if nothing.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         self.attempts = 0
         self.version = ""
         self.limit_per_s: float | None = None
+        self.slowness: float | None = None
 
     def record_event(self) -> None:
         """Record an event of the stream and the time since the one before.
@@ -144,8 +147,14 @@
             load_age_ms=round((now - load.reported_at) * 1000) if load.report else None,
             remaining_ms=round(remaining_s * 1000),
             error=error,
+            **self._speed_fields(entry, now),
         )
 
+    def _speed_fields(self, entry: ServerEntry, now: float) -> dict[str, float]:
+        """Return the estimated slowness of a server, if it states any."""
+        slowness = self._state.speeds.slowness(entry.incarnation, now)
+        return {} if slowness is None else {"slowness": round(slowness, 2)}
+
     def log_end(self, outcome: str, waited_s: float, **fields: object) -> None:
         """Log and count the end of the request.
 
@@ -158,6 +167,8 @@
             fields["longest_gap_ms"] = round(self._longest_gap_s * 1000)
         if self._route.is_stream and self.version:
             fields["version"] = self.version
+        if self.slowness is not None:
+            fields["slowness"] = round(self.slowness, 2)
         if self.limit_per_s is not None:
             fields["limit_per_s"] = self.limit_per_s
         self._state.log.event(
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -3,7 +3,7 @@
 import asyncio
 import copy
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Self
 
 from sequoiapoint.coordination import server_choice, waiting
@@ -27,7 +27,11 @@
 """Number of failures to connect after which a request is rejected."""
 CUT_OFF_REASON = "cut_off"
 """Rejection reason if this host reaches no server."""
-CAPACITY_REASONS = frozenset({"servers_full", "no_connection", "engine_reads"})
+QUEUE_TOO_LONG_REASON = "queue_too_long"
+"""Rejection reason if a slot is not expected before the deadline."""
+CAPACITY_REASONS = frozenset(
+    {"servers_full", "no_connection", "engine_reads", QUEUE_TOO_LONG_REASON}
+)
 """Rejection reasons for which servers can run the request but have no capacity.  For
 "engine_reads", the engines still process earlier prompts."""
 MAX_ZONES_ASKED = 3
@@ -108,6 +112,7 @@
         self.tried_servers: set[str] = set()
         self.reason = ""
         self.back_off_s: float | None = None
+        self._slot_expected_at = -math.inf
         self.leaves_if_cut_off = True
         self.waited_s = 0.0
 
@@ -126,6 +131,14 @@
         """Tell whether the service's servers are model engines."""
         return self._spec is not None and self._spec.engine is not None
 
+    @property
+    def predicted_wait_s(self) -> float:
+        """Return the expected time until a plain server has a slot, in seconds.
+
+        It is 0 if no allocator has predicted it.
+        """
+        return max(0.0, self._slot_expected_at - monotonic_s())
+
     @property
     def prompt_tokens(self) -> int:
         """Return the prompt tokens, at least 1; 0 for a service without engines."""
@@ -178,11 +191,21 @@
             return ""
         return self._ticket.granted_by.host
 
-    def release(self, quality: SlotQuality) -> None:
-        """Release the slot and the permit of the last attempt, if it had them."""
+    def release(
+        self,
+        quality: SlotQuality,
+        slowness: float | None = None,
+        relative_time: float | None = None,
+    ) -> None:
+        """Release the slot and the permit of the last attempt, if it had them.
+
+        :param slowness: What the server stated with its response; None if nothing.
+        :param relative_time: How long the work took, as a multiple of the time expected
+            of it; None if it is not known.
+        """
         self._permit = None
         if self._ticket is not None:
-            self._slots.release(self._ticket, quality)
+            self._slots.release(self._ticket, quality, slowness, relative_time)
             self._ticket = None
 
     async def _select(self, ticket: SlotTicket) -> ServerEntry | None:
@@ -212,6 +235,10 @@
                     return None
                 if now - started_at > limit_s or now > state.queue_deadline:
                     return None
+                expected_s = self._slot_expected_at - now
+                if waiting.is_too_late(expected_s, self._deadline - now):
+                    self.reason = QUEUE_TOO_LONG_REASON
+                    return None
                 if not is_waiting:
                     is_waiting = True
                     if self.is_engine:
@@ -353,7 +380,7 @@
         self, ticket: SlotTicket, serving: list[ServerEntry], now: float
     ) -> ServerEntry | None:
         """Return one of the servers without a limit that can take the request now."""
-        if not self.is_engine or not self._slots.is_active:
+        if not self._slots.is_active:
             free = [e for e in serving if not self._is_brittle(e, now)]
             entry = self._choose(free, now)
             if entry is not None or len(free) == len(serving):
@@ -363,6 +390,10 @@
                 for e in serving
                 if self._is_brittle(e, now) and self._has_connections_left(e)
             ]
+        elif not self.is_engine:
+            serving = [e for e in serving if self._has_connections_left(e)]
+            if not serving:
+                self.reason = "no_connection"
         if ticket.grant is None and serving and self._is_ask_due(serving, now):
             silent_zones, is_queued = await self._ask_zones(ticket, serving, now)
             if ticket.grant is None and silent_zones:
@@ -373,7 +404,8 @@
                 remaining = [
                     e
                     for e in serving
-                    if e.zone in zones and not self._is_brittle(e, now)
+                    if self._zone_to_ask(e, now) in zones
+                    and not self._is_brittle(e, now)
                 ]
                 return self._choose(remaining, monotonic_s())
         return self._granted_server(ticket)
@@ -422,8 +454,12 @@
             preferred or serving, key=lambda e: not state.pools.has_idle(e, now)
         )
         silent_zones = set()
+        ticket.wait_s = 0.0
         zones = server_choice.zones_by_load(
-            candidates, self._running(candidates, now), state.settings.zone
+            candidates,
+            self._running(candidates, now),
+            state.settings.zone,
+            self._relative_times(candidates, now),
         )
         by_zone: dict[str, list[str]] = {}
         brittle_zones: set[str] = set()
@@ -432,6 +468,8 @@
             if all(self._is_brittle(e, now) for e in members):
                 zone = self._slots.allocating_zone(zone, now)
                 brittle_zones.add(zone)
+            else:
+                zone = self._zone_to_ask(members[0], now)
             by_zone.setdefault(zone, []).extend(e.server for e in members)
         asked = 0
         for zone, servers in by_zone.items():
@@ -452,8 +490,24 @@
             asked += 1
             if ticket.grant is not None or asked >= MAX_ZONES_ASKED:
                 break
+        if not self.is_engine:
+            known = ticket.grant is None and ticket.wait_s
+            self._slot_expected_at = now + ticket.wait_s if known else -math.inf
         return silent_zones, asked > 0
 
+    def _zone_to_ask(self, entry: ServerEntry, now: float) -> str:
+        """Return the zone whose allocator grants the slots of a server."""
+        if self.is_engine or not self._slots.is_active:
+            return entry.zone
+        return self._slots.plain_zone(entry.service, now)
+
+    def _relative_times(
+        self, entries: Sequence[ServerEntry], now: float
+    ) -> Mapping[Incarnation, float]:
+        """Return how long work takes at each server, nothing if none states it."""
+        servers = (entry.incarnation for entry in entries)
+        return self._state.speeds.relative_times(servers, now)
+
     def _running(self, entries: list[ServerEntry], now: float) -> dict[str, float]:
         """Return the estimated number of requests at each server."""
         loads = self._state.loads
@@ -553,10 +607,12 @@
         state = self._state
         untried = [e for e in serving if e.server not in self.tried_servers]
         candidates = []
+        times = self._relative_times(serving, now)
         for entry in untried or serving:
+            time = times.get(entry.incarnation)
             load = state.loads.get_or_create(entry.incarnation)
             running = load.running(now)
-            if waiting.is_full(running, entry.slots, self.is_engine):
+            if waiting.is_full(running, entry.slots, self.is_engine, time):
                 self.reason = "servers_full"
                 continue
             if not self._has_connections_left(entry):
@@ -570,7 +626,7 @@
                 continue
             candidates.append(
                 server_choice.Candidate(
-                    entry, running, load.failure_rate, load.is_avoided(now)
+                    entry, running, load.failure_rate, load.is_avoided(now), time
                 )
             )
         chosen = server_choice.choose(
--- a/sequoiapoint/node/slot_exchange.py
+++ b/sequoiapoint/node/slot_exchange.py
@@ -2,6 +2,8 @@
 
 The aggregator of each zone allocates the slots of the zone's engines.  A host that
 cannot reach an allocator chooses among the engines of that zone by itself for a while.
+The slots of all plain servers of a service are allocated by one zone, as such a service
+has few of them, and each request can be run by any.
 
 The slots of brittle servers are allocated for any service and number of hosts, and what
 is not granted is not sent: only the allocator knows what all hosts send together.
@@ -12,10 +14,12 @@
 from collections.abc import Iterator, Mapping
 from functools import singledispatchmethod
 
+from sequoiapoint.coordination import rendezvous
 from sequoiapoint.coordination.permit_allocator import allocating_zone, granted_rate
 from sequoiapoint.coordination.slot_allocator import (
     Engine,
     SlotAllocator,
+    plain_slots,
     released,
     withdrawn,
 )
@@ -75,6 +79,8 @@
 
     :ivar is_used: Whether the granted slot is used beyond the context.
     :ivar number: Identifies the request in messages.
+    :ivar wait_s: The shortest expected wait that an allocator has named, in seconds; 0
+        if none has.
     :ivar grant: The granted slot, None if there is none.
     """
 
@@ -82,6 +88,7 @@
         self._exchange = exchange
         self.number = number
         self.is_used = False
+        self.wait_s = 0.0
         self.grant: SlotReply | None = None
         self.granted_by: Member | None = None
         self.asked: dict[str, Member] = {}
@@ -126,7 +133,23 @@
         self._requesting_hosts: dict[str, Member] = {}
         self._reported_at = 0.0
         self._reported_zones: set[str] = set()
-        self.allocator = SlotAllocator()
+        self.allocator = SlotAllocator(state.speeds)
+
+    def is_plain(self, entry: ServerEntry) -> bool:
+        """Tell whether a server is one of a service without engines."""
+        configuration = self._state.configuration
+        if configuration is None:
+            return False
+        service = configuration.services.get(entry.service)
+        return service is not None and service.engine is None
+
+    def plain_zone(self, service: str, now: float) -> str:
+        """Return the zone whose allocator grants the slots of a service's servers.
+
+        If the hosts are cut off from each other, each part has its own allocator.
+        """
+        zones = self._peers.live_zones(now)
+        return rendezvous.highest(service, zones) or self._own.zone
 
     def allocating_zone(self, zone: str, now: float) -> str:
         """Return the zone whose allocator grants the slots of a zone's brittle servers.
@@ -202,12 +225,21 @@
             ticket.reply = None
         if reply.outcome is SlotOutcome.UNAVAILABLE:
             self._unreachable_until[member.address] = now + ALLOCATOR_BACKOFF_S
+        if reply.wait_s:
+            ticket.wait_s = min(ticket.wait_s or reply.wait_s, reply.wait_s)
         return reply.outcome
 
-    def release(self, ticket: SlotTicket, quality: SlotQuality) -> None:
-        """Release a ticket's slot."""
+    def release(
+        self,
+        ticket: SlotTicket,
+        quality: SlotQuality,
+        slowness: float | None = None,
+        relative_time: float | None = None,
+    ) -> None:
+        """Release a ticket's slot; the speed is that of ``SlotRelease``."""
         if ticket.grant is not None and ticket.granted_by is not None:
-            self._send(released(ticket.grant, quality), ticket.granted_by)
+            message = released(ticket.grant, quality, slowness, relative_time)
+            self._send(message, ticket.granted_by)
             ticket.grant = None
 
     def report(self, counts: Mapping[Incarnation, int], now: float) -> None:
@@ -229,6 +261,8 @@
             zone = entry.zone
             if are_brittle and self._state.brittle.is_brittle(entry, now):
                 zone = self.allocating_zone(zone, now)
+            elif self.is_active and self.is_plain(entry):
+                zone = self.plain_zone(entry.service, now)
             if zone != self._own.zone:
                 by_zone.setdefault(zone, {})[incarnation] = count
         for zone in by_zone.keys() | self._reported_zones:
@@ -276,7 +310,12 @@
     @_handle.register
     def _(self, message: SlotRequest, sender: Member) -> None:
         now = monotonic_s()
-        if self._is_allocating and now - self._refreshed_at <= MAX_REFRESH_GAP_S:
+        is_running = now - self._refreshed_at <= MAX_REFRESH_GAP_S
+        if (
+            self._is_allocating
+            and is_running
+            and not self._are_allocated_elsewhere(message.candidates)
+        ):
             self._requesting_hosts[message.host] = sender
             reply = self.allocator.request(message, now)
         else:
@@ -313,6 +352,22 @@
         else:
             self._sender.forward(encode_slot_message(reply), [member])
 
+    def _are_allocated_elsewhere(self, candidates: tuple[str, ...]) -> bool:
+        """Tell whether all candidates are plain servers that are not allocated here.
+
+        Hosts may differ for a moment on which zones are live.  The requesting host then
+        chooses by itself, rather than wait in a queue that grants nothing.
+        """
+        entries = [self._state.fleet.entries.get(server) for server in candidates]
+        now = monotonic_s()
+        return bool(entries) and all(
+            entry is not None
+            and self.is_plain(entry)
+            and not self._state.brittle.is_brittle(entry, now)
+            and not self.allocator.allocates(entry.incarnation)
+            for entry in entries
+        )
+
     # Allocation for this zone
 
     def handle_report(self, digest: Digest, now: float) -> None:
@@ -341,6 +396,11 @@
                 if self.allocating_zone(entry.zone, now) == own_zone:
                     slots = self._brittle_slots(entry, now)
                     yield Engine(entry.incarnation, slots, is_brittle=True)
+            elif self.is_plain(entry):
+                is_here = self.plain_zone(entry.service, now) == own_zone
+                if is_here and self.is_active:
+                    slots = self._visible_share(plain_slots(entry.slots))
+                    yield Engine(entry.incarnation, slots)
             elif entry.zone == own_zone:
                 yield Engine(entry.incarnation, entry.slots)
 
@@ -348,9 +408,13 @@
         """Return the slots of a brittle server to grant, see ``granted_rate``."""
         if now - self._aggregator_since < BRITTLE_WARM_UP_S:
             return 0
+        return self._visible_share(entry.slots)
+
+    def _visible_share(self, slots: int) -> int:
+        """Return the part of a server's slots to grant, see ``granted_rate``."""
         state = self._state
-        slots = granted_rate(entry.slots, state.host_count, state.recent_max_host_count)
-        return max(1, int(slots))
+        share = granted_rate(slots, state.host_count, state.recent_max_host_count)
+        return max(1, int(share))
 
     def _update_role(self, now: float) -> None:
         """Start to allocate when this host becomes its zone's aggregator, or stop."""
@@ -361,7 +425,7 @@
             self._is_aggregator = is_aggregator
             self._aggregator_since = now
             self._requesting_hosts.clear()
-            self.allocator = SlotAllocator()
+            self.allocator = SlotAllocator(self._state.speeds)
             self._state.log.event(
                 "slot_allocator", "started" if is_aggregator else "stopped"
             )
--- a/sequoiapoint/node/slot_exchange_test.py
+++ b/sequoiapoint/node/slot_exchange_test.py
@@ -14,6 +14,7 @@
 from sequoiapoint.state.brittle_servers import BrittleServers
 from sequoiapoint.state.fleet import Fleet
 from sequoiapoint.state.server_load import ServerLoads
+from sequoiapoint.state.server_speed import ServerSpeeds
 
 ALLOCATOR = Member("h-0", "z", "10.0.0.1:7")
 HOST = Member("h-1", "z", "10.0.0.2:7")
@@ -42,6 +43,8 @@
             fleet=fleet,
             loads=ServerLoads(),
             brittle=BrittleServers(),
+            speeds=ServerSpeeds(),
+            configuration=None,
             wait_queue=WaitQueue(),
             recent_max_host_count=100,
             is_draining=False,
--- a/standins/virtual/host_network.py
+++ b/standins/virtual/host_network.py
@@ -27,6 +27,7 @@
 from sequoiapoint.state.keyed_topic import KeyedTopic
 from sequoiapoint.state.server_limits import ServerLimits
 from sequoiapoint.state.server_load import ServerLoads
+from sequoiapoint.state.server_speed import ServerSpeeds
 from sequoiapoint.state.topic_freshness import TopicFreshness
 
 SERVER = ("s-1", 1)
@@ -63,6 +64,7 @@
             apply_rejected_parts=lambda source: None,
             limits=ServerLimits(),
             brittle=BrittleServers(),
+            speeds=ServerSpeeds(),
             shared_state_changed=lambda: None,
             wait_queue=SimpleNamespace(notify=lambda: None),
             replan_requested=SimpleNamespace(set=lambda: None),
