Allocators try slow servers now and then

One choice in fifty takes one server with a free slot after the other, whatever their times; otherwise a slow server with no requests was tried only after its times were forgotten. slot_allocator_test passes; its new test fails without the change, and with a choice by load alone, which takes the first of several idle servers.

--- a/sequoiapoint/coordination/slot_allocator.py
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -63,6 +63,9 @@
 PLAIN_SLOTS_FACTOR = 4 / 3
 """Requests granted to a plain server at a time, relative to its slots.  Its requests
 take tens of milliseconds, so that slots would be idle while a grant is on its way."""
+PROBE_INTERVAL = 50
+"""Number of choices of which one ignores how long work takes, so that a slow server
+gets a request now and then and can show that it has become faster."""
 USE_WEIGHT = 0.1
 """Weight of the newest request in the moving average of the time that slots are used,
 from which waits are predicted."""
@@ -171,6 +174,7 @@
         self._hosts: dict[str, _Host] = {}
         self._queue: dict[tuple[str, int], _Queued] = {}
         self._order = itertools.count()
+        self._choices = itertools.count(1)
 
     @property
     def queue_length(self) -> int:
@@ -375,7 +379,13 @@
             return None
         penalties = sorted(engine.penalty for engine in self._engines.values())
         tolerated = penalties[(len(penalties) - 1) // 2] + PENALTY_TOLERANCE
-        times = self._speeds.relative_times((e.incarnation for e in candidates), now)
+        servers = (engine.incarnation for engine in candidates)
+        times = self._speeds.relative_times(servers, now)
+        if times:
+            round_number, step = divmod(next(self._choices), PROBE_INTERVAL)
+            probed = candidates[round_number % len(candidates)]
+            if step == 0 and probed.penalty <= tolerated:
+                return probed
 
         def cost(engine: Engine) -> tuple[float, float]:
             load_cost = engine.used / engine.slots
--- a/sequoiapoint/coordination/slot_allocator_test.py
+++ b/sequoiapoint/coordination/slot_allocator_test.py
@@ -1,5 +1,6 @@
 import heapq
 import random
+from collections import Counter
 from types import SimpleNamespace
 
 import pytest
@@ -216,6 +217,17 @@
     assert granted.count("e-2") == SLOTS
 
 
+def test_a_slow_server_is_tried_now_and_then_although_others_are_free():
+    """Guards against a server that stays slow in the estimates for want of requests."""
+    slots = learned({"e-1": 1.0, "e-2": 20.0}, {}, ("e-1", "e-2"))
+    servers = Counter()
+    for number in range(100, 300):
+        grant = slots.request(ask(number, candidates=("e-1", "e-2")), 1.3)
+        servers[grant.engine[0]] += 1
+        end(slots, grant, 1.3)
+    assert 1 <= servers["e-2"] <= 10
+
+
 def test_a_queued_request_is_told_when_its_turn_comes():
     """Replays 100 requests a second at one server, and a queue of 31."""
     slots, now, grants = allocator(engine("e-1", slots=1)), 0.0, []
