--- a/standins/site/backends.py
+++ b/standins/site/backends.py
@@ -94,6 +94,7 @@
     :param turned_away: The times at which it turned requests away.
     :param room: The number of requests that it lets wait for a slot.
     :param brittleness: What it stands while it is brittle; None if it is not.
+    :param slowness_percent: The slowness that it states; None for none.
     :param falls: The times at which it fell over for want of room.
     :param version: The version of its software, which each event of a stream names.
     :param public_address: The address in its entry, "" for the one it listens at.
@@ -125,6 +126,7 @@
     limit_per_s: str = ""
     turned_away: list[float] = field(default_factory=list)
     room: int = 0
+    slowness_percent: int | None = None
     brittleness: Brittleness | None = None
     falls: list[float] = field(default_factory=list)
     waiting: deque[asyncio.Future[None]] = field(default_factory=deque)
@@ -313,6 +315,8 @@
         self, request: InboundRequest, *extra_headers: tuple[bytes, bytes]
     ) -> list:
         load = f"{self.running},{len(self.waiting)},{self.slots}".encode()
+        if self.slowness_percent is not None:
+            load += b",%d" % self.slowness_percent
         return [
             (b"Request-Id", header(request, b"request-id").encode()),
             (b"Worker-Load", load),
