--- a/sequoiapoint/protocol/slots.py
+++ b/sequoiapoint/protocol/slots.py
@@ -107,52 +107,45 @@
 
 
 @singledispatch
-def _fields(message: object) -> dict[str, dict[str, Any]]:
-    """Return the fields of a message's group in the schema, by the group's name."""
+def _fill(message: object, encoded: Any) -> None:
+    """Set the fields of a message's group in the schema.
+
+    Setting them one by one takes a tenth of the time of a new message from a dict.
+    """
     raise TypeError(f"not a slot message: {type(message).__name__}")
 
 
-@_fields.register
-def _(message: SlotRequest) -> dict[str, dict[str, Any]]:
-    fields = {
-        "candidates": list(message.candidates),
-        "priority": min(message.priority, MAX_PRIORITY),
-        "remainingMs": max(0, round(message.remaining_s * 1000)),
-        "goalMs": max(0, round(message.goal_s * 1000)),
-    }
-    return {"request": fields}
-
-
-@_fields.register
-def _(message: SlotReply) -> dict[str, dict[str, Any]]:
-    server, started_ms = message.engine
-    fields = {
-        "outcome": message.outcome.value,
-        "server": server,
-        "startedMs": started_ms,
-        "waitMs": min(MAX_WAIT_MS, round(message.wait_s * 1000)),
-    }
-    return {"reply": fields}
-
-
-@_fields.register
-def _(message: SlotRelease) -> dict[str, dict[str, Any]]:
-    server, started_ms = message.engine
-    fields = {
-        "server": server,
-        "startedMs": started_ms,
-        "quality": message.quality.value,
-        "slownessPercent": min(MAX_PERCENT, round(100 * (message.slowness or 0.0))),
-        "relativeTime": message.relative_time or 0.0,
-    }
-    return {"release": fields}
+@_fill.register
+def _(message: SlotRequest, encoded: Any) -> None:
+    group = encoded.init("request")
+    group.candidates = list(message.candidates)
+    group.priority = min(message.priority, MAX_PRIORITY)
+    group.remainingMs = max(0, round(message.remaining_s * 1000))
+    group.goalMs = max(0, round(message.goal_s * 1000))
+
+
+@_fill.register
+def _(message: SlotReply, encoded: Any) -> None:
+    group = encoded.init("reply")
+    group.outcome = message.outcome.value
+    group.server, group.startedMs = message.engine
+    group.waitMs = min(MAX_WAIT_MS, round(message.wait_s * 1000))
+
+
+@_fill.register
+def _(message: SlotRelease, encoded: Any) -> None:
+    group = encoded.init("release")
+    group.server, group.startedMs = message.engine
+    group.quality = message.quality.value
+    group.slownessPercent = min(MAX_PERCENT, round(100 * (message.slowness or 0.0)))
+    group.relativeTime = message.relative_time or 0.0
 
 
 def encode_slot_message(message: SlotMessage) -> bytes:
     """Encode a message as a datagram."""
-    encoded = _SCHEMA.SlotMessage.new_message(
-        number=message.number, host=message.host, **_fields(message)
-    )
+    encoded = _SCHEMA.SlotMessage.new_message()
+    encoded.number, encoded.host = message.number, message.host
+    _fill(message, encoded)
     return PREFIX + encoded.to_bytes_packed()
 
 
