Allocators search long queues with fewer comparisons

Requests of a less urgent priority than the best one so far are passed over. slot_allocator_test and plain_load_test pass.

--- a/sequoiapoint/coordination/slot_allocator.py
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -140,11 +140,13 @@
     goal_at: float
     order: int
 
-    def rank(self, now: float) -> tuple[int, bool, float, int]:
+    def rank(self, now: float) -> tuple[tuple[int, bool, float], int]:
         """Return a key that sorts the most urgent request first."""
         priority = self.request.priority
-        key = waiting.urgency(priority, self.goal_at, self.deadline, now)
-        return (*key, self.order)
+        return (
+            waiting.urgency(priority, self.goal_at, self.deadline, now),
+            self.order,
+        )
 
 
 @dataclass
@@ -295,11 +297,17 @@
         rate = sum(engine.end_rate for engine in engines)
         if not rate:
             return 0.0
-        rank, wanted = queued.rank(now), set(servers)
-        ahead = sum(
-            other.rank(now) <= rank and not wanted.isdisjoint(other.request.candidates)
-            for other in self._queue.values()
-        )
+        priority, rank, ahead = queued.request.priority, queued.rank(now), 0
+        for other in self._queue.values():
+            request = other.request
+            if request.candidates != servers and not (
+                set(servers) & set(request.candidates)
+            ):
+                continue
+            if request.priority < priority or (
+                request.priority == priority and other.rank(now) <= rank
+            ):
+                ahead += 1
         return ahead / rate
 
     def release(self, release: SlotRelease, now: float) -> list[SlotReply]:
@@ -347,14 +355,20 @@
 
     def _most_urgent(self, engine: Engine, now: float) -> _Queued | None:
         """Return the most urgent queued request that an engine can run."""
-        candidates = (
-            queued
-            for queued in self._queue.values()
-            if engine.server in queued.request.candidates
-            and now - queued.asked_at <= QUEUE_TTL_S
-            and queued.deadline > now
-        )
-        return min(candidates, key=lambda queued: queued.rank(now), default=None)
+        server, best, best_rank = engine.server, None, None
+        for queued in self._queue.values():
+            if best is not None and queued.request.priority > best.request.priority:
+                # Most requests of a long queue are of the least urgent priority.
+                continue
+            if (
+                server in queued.request.candidates
+                and now - queued.asked_at <= QUEUE_TTL_S
+                and queued.deadline > now
+            ):
+                rank = queued.rank(now)
+                if best is None or rank < best_rank:
+                    best, best_rank = queued, rank
+        return best
 
     def _grant(self, engine: Engine, request: SlotRequest, now: float) -> SlotReply:
         engine.used += 1
