--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -329,6 +329,21 @@
     assert [name for name, _, _ in site.logged].count("header_unreadable") == 1
 
 
+def test_unreadable_load_figures_are_counted_each_time_and_logged_once(monkeypatch):
+    site, counted = Site(monkeypatch, ENTRY), []
+    site.state.metrics.event = counted.append
+    site.responses = {"s-1": [(200, [SIGNED, (b"worker-load", b"1,0,8,0")])] * 3}
+
+    async def run():
+        for _ in range(3):
+            assert (await site.request())[0] == 200
+
+    asyncio.run(run())
+    assert counted.count("header_unreadable") == 3
+    assert [name for name, _, _ in site.logged].count("header_unreadable") == 1
+    assert site.state.speeds.slowness(ENTRY.incarnation, monotonic_s()) is None
+
+
 def refusal(retry_after):
     headers = [(b"not-run", b"1"), (b"retry-after", retry_after)]
     return (503, headers if retry_after else headers[:1])
