Allocators prefer open connections among servers of about equal time

Estimated times hardly ever tie, so the order of the candidates, which has idle connections first, would no longer decide at servers that state their slowness. Expected completions within a tenth of the fastest time are equal now. The new test fails without the change.

--- a/sequoiapoint/coordination/slot_allocator.py
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -66,6 +66,9 @@
 PROBE_INTERVAL = 50
 """Number of choices of which one ignores how long work takes, so that a slow server
 gets a request now and then and can show that it has become faster."""
+TIME_STEP = 0.1
+"""Difference of expected completions, in times of the fastest server, up to which they
+are equal: estimates are not more exact, and a connection that is open counts more."""
 USE_WEIGHT = 0.1
 """Weight of the newest request in the moving average of the time that slots are used,
 from which waits are predicted."""
@@ -405,9 +408,10 @@
             load_cost = engine.used / engine.slots
             if times:
                 time = times[engine.incarnation]
-                load_cost = server_choice.expected_completion(
+                completion = server_choice.expected_completion(
                     engine.used, engine.slots, time
                 )
+                load_cost = TIME_STEP * round(completion / TIME_STEP)
             excess = max(0.0, engine.penalty - tolerated)
             cost = load_cost + PENALTY_COST * excess
             return cost, int(engine.penalty / PENALTY_TOLERANCE)
--- a/sequoiapoint/coordination/slot_allocator_test.py
+++ b/sequoiapoint/coordination/slot_allocator_test.py
@@ -205,6 +205,15 @@
     assert slots.request(ask(99, candidates=every), 1.3).engine[0] == first
 
 
+def test_among_about_equal_times_the_first_candidate_is_granted():
+    """It is the one to which the host has an idle connection."""
+    slots = learned({"e-1": 1.0, "e-2": 1.03}, {}, ("e-1", "e-2"))
+    for number, candidates in enumerate((("e-1", "e-2"), ("e-2", "e-1")), 100):
+        grant = slots.request(ask(number, candidates=candidates), 1.3)
+        assert grant.engine[0] == candidates[0]
+        end(slots, grant, 1.3)
+
+
 def test_a_full_fast_server_leaves_the_slots_of_slow_ones_to_the_rest():
     """Guards against servers that are locked out: free slots are always granted."""
     slots = learned({"e-1": 1.0, "e-2": 4.0}, {}, ("e-1", "e-2"))
