--- a/sequoiapoint/coordination/slot_allocator.py
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -1,6 +1,6 @@
 """Allocates the batch slots of a zone's engines to the requests of all hosts.
 
-Answers a load of hundreds of hosts before engines with few slots.  Each host runs a few
+Answers a load of hundreds of hosts before servers with few slots.  Each host runs a few
 requests at a time, so none of them knows the load of an engine from its own requests,
 and counts that are exchanged twice a second are too old: when every host chooses by
 them, some engines get more requests than slots, and stop streams for more urgent ones,
@@ -19,7 +19,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from sequoiapoint.coordination import waiting
+from sequoiapoint.coordination import server_choice, waiting
 from sequoiapoint.coordination.fair_share import FairShare
 from sequoiapoint.protocol.gateway import Incarnation
 from sequoiapoint.protocol.slots import (
@@ -30,6 +30,7 @@
     SlotReply,
     SlotRequest,
 )
+from sequoiapoint.state.server_speed import ServerSpeeds
 
 QUEUE_TTL_S = 1.2
 """Time for which a request stays queued after its host has last asked."""
@@ -61,6 +62,18 @@
 BRITTLE_PAUSE_QUALITIES = frozenset({SlotQuality.REJECTED, SlotQuality.FAILED})
 MAX_AVOIDANCE_S = 4.0
 """Maximum time for which an unreachable engine is avoided."""
+PLAIN_SLOTS_FACTOR = 4 / 3
+"""Requests granted to a plain server at a time, relative to its slots.  Its requests
+take tens of milliseconds, so that slots would be idle while a grant is on its way."""
+PROBE_INTERVAL = 50
+"""Number of choices of which one ignores how long work takes, so that a slow server
+gets a request now and then and can show that it has become faster."""
+TIME_STEP = 0.1
+"""Difference of expected completions, in times of the fastest server, up to which they
+are equal: estimates are not more exact, and a connection that is open counts more."""
+USE_WEIGHT = 0.1
+"""Weight of the newest request in the moving average of the time that slots are used,
+from which waits are predicted."""
 
 
 @dataclass
@@ -71,6 +84,7 @@
     :param is_brittle: Whether it falls over if it has to turn too many away.
     :param penalty: Moving average of the penalties of its requests.
     :param unreachable_count: Number of failures to connect in a row.
+    :param mean_use_s: Moving average of the time from a grant to its release.
     """
 
     incarnation: Incarnation
@@ -80,6 +94,7 @@
     penalty: float = 0.0
     unreachable_count: int = 0
     avoided_until: float = -math.inf
+    mean_use_s: float | None = None
 
     @property
     def server(self) -> str:
@@ -90,6 +105,17 @@
         """Tell whether a request may be sent to the engine."""
         return self.used < self.slots and self.avoided_until <= now
 
+    @property
+    def end_rate(self) -> float:
+        """Return the rate at which requests end if all slots are used, a second."""
+        return self.slots / self.mean_use_s if self.mean_use_s else 0.0
+
+    def record_use(self, seconds: float) -> None:
+        """Record for how long a slot was used."""
+        if self.mean_use_s is None:
+            self.mean_use_s = seconds
+        self.mean_use_s += USE_WEIGHT * (seconds - self.mean_use_s)
+
     def record_quality(self, quality: SlotQuality, now: float) -> None:
         """Update what is known of the engine's health with the end of a request."""
         if quality is SlotQuality.UNUSED:
@@ -149,15 +175,20 @@
 
 
 class SlotAllocator:
-    """The slots of a zone's engines, and the requests that wait for one."""
+    """The slots of a zone's engines, and the requests that wait for one.
 
-    def __init__(self) -> None:
+    :param speeds: Estimates of how long work takes at each engine.
+    """
+
+    def __init__(self, speeds: ServerSpeeds | None = None) -> None:
+        self._speeds = ServerSpeeds() if speeds is None else speeds
         self._engines: dict[Incarnation, Engine] = {}
         self._by_server: dict[str, Engine] = {}
         self._hosts: dict[str, _Host] = {}
         self._queue: dict[tuple[str, int], _Queued] = {}
         self._order = itertools.count()
         self._shares = FairShare()
+        self._choices = itertools.count(1)
 
     @property
     def queue_length(self) -> int:
@@ -170,6 +201,10 @@
 
     # Engines and counts
 
+    def allocates(self, incarnation: Incarnation) -> bool:
+        """Tell whether the slots of an engine are allocated here."""
+        return incarnation in self._engines
+
     def set_engines(self, engines: Iterable[Engine], now: float) -> None:
         """Set the engines that accept requests; what is known of each is kept.
 
@@ -260,7 +295,40 @@
         self._queue[identity] = _Queued(
             request, now, now + request.remaining_s, now + request.goal_s, order
         )
-        return SlotReply(request.host, request.number, SlotOutcome.QUEUED)
+        wait_s = self._predicted_wait_s(self._queue[identity], now)
+        return SlotReply(
+            request.host, request.number, SlotOutcome.QUEUED, wait_s=wait_s
+        )
+
+    def _predicted_wait_s(self, queued: _Queued, now: float) -> float:
+        """Return when a queued request will be granted a slot, in seconds from now.
+
+        It is the number of more urgent requests for the same engines, divided by the
+        rate at which their slots become free while all are used.
+
+        :return: 0 if nothing has ended there so far.
+        """
+        servers = queued.request.candidates
+        engines = [e for name in servers if (e := self._by_server.get(name))]
+        rate = sum(engine.end_rate for engine in engines)
+        if not rate:
+            return 0.0
+        priority, rank, ahead = (
+            queued.request.priority,
+            queued.rank(self._shares, now),
+            0,
+        )
+        for other in self._queue.values():
+            request = other.request
+            if request.candidates != servers and not (
+                set(servers) & set(request.candidates)
+            ):
+                continue
+            if request.priority < priority or (
+                request.priority == priority and other.rank(self._shares, now) <= rank
+            ):
+                ahead += 1
+        return ahead / rate
 
     def release(self, release: SlotRelease, now: float) -> list[SlotReply]:
         """Record the end of a request, and return the grants that this allows."""
@@ -268,14 +336,25 @@
         engine = self._engines.get(release.engine)
         if engine is not None:
             engine.record_quality(release.quality, now)
+            self._record_speed(release, now)
         host = self._hosts.get(release.host)
         grant = None if host is None else host.grants.pop(release.number, None)
         if grant is None or grant.engine not in self._engines:
             return []
         freed = self._engines[grant.engine]
         freed.used -= 1
+        if release.quality is not SlotQuality.UNUSED:
+            freed.record_use(now - grant.granted_at)
         return self._grant_queued([freed], now)
 
+    def _record_speed(self, release: SlotRelease, now: float) -> None:
+        """Learn how long work takes at an engine, from the requests of all hosts."""
+        if release.slowness is None:
+            return
+        self._speeds.note_slowness(release.engine, release.slowness, now)
+        if release.relative_time is not None:
+            self._speeds.note_work(release.engine, release.relative_time, now)
+
     def grant_queued(self, now: float) -> list[SlotReply]:
         """Return the grants that are possible since engines or counts have changed."""
         return self._grant_queued(self._engines.values(), now)
@@ -296,16 +375,20 @@
 
     def _most_urgent(self, engine: Engine, now: float) -> _Queued | None:
         """Return the most urgent queued request that an engine can run."""
-        candidates = (
-            queued
-            for queued in self._queue.values()
-            if engine.server in queued.request.candidates
-            and now - queued.asked_at <= QUEUE_TTL_S
-            and queued.deadline > now
-        )
-        return min(
-            candidates, key=lambda queued: queued.rank(self._shares, now), default=None
-        )
+        server, best, best_rank = engine.server, None, None
+        for queued in self._queue.values():
+            if best is not None and queued.request.priority > best.request.priority:
+                # Most requests of a long queue are of the least urgent priority.
+                continue
+            if (
+                server in queued.request.candidates
+                and now - queued.asked_at <= QUEUE_TTL_S
+                and queued.deadline > now
+            ):
+                rank = queued.rank(self._shares, now)
+                if best is None or rank < best_rank:
+                    best, best_rank = queued, rank
+        return best
 
     def _grant(self, engine: Engine, request: SlotRequest, now: float) -> SlotReply:
         engine.used += 1
@@ -331,19 +414,47 @@
             return None
         penalties = sorted(engine.penalty for engine in self._engines.values())
         tolerated = penalties[(len(penalties) - 1) // 2] + PENALTY_TOLERANCE
-        return min(
-            candidates,
-            key=lambda engine: (
-                engine.used / engine.slots
-                + PENALTY_COST * max(0.0, engine.penalty - tolerated),
-                int(engine.penalty / PENALTY_TOLERANCE),
-            ),
-        )
-
-
-def released(grant: SlotReply, quality: SlotQuality) -> SlotRelease:
-    """Return the release of a granted slot."""
-    return SlotRelease(grant.host, grant.number, grant.engine, quality)
+        servers = (engine.incarnation for engine in candidates)
+        times = self._speeds.relative_times(servers, now)
+        if times:
+            round_number, step = divmod(next(self._choices), PROBE_INTERVAL)
+            probed = candidates[round_number % len(candidates)]
+            if step == 0 and probed.penalty <= tolerated:
+                return probed
+
+        def cost(engine: Engine) -> tuple[float, float]:
+            load_cost = engine.used / engine.slots
+            if times:
+                time = times[engine.incarnation]
+                completion = server_choice.expected_completion(
+                    engine.used, engine.slots, time
+                )
+                load_cost = TIME_STEP * round(completion / TIME_STEP)
+            excess = max(0.0, engine.penalty - tolerated)
+            cost = load_cost + PENALTY_COST * excess
+            return cost, int(engine.penalty / PENALTY_TOLERANCE)
+
+        return min(candidates, key=cost)
+
+
+def plain_slots(slots: int) -> int:
+    """Return how many requests to grant at a time to a server with a queue.
+
+    :param slots: The number of requests that it runs at a time.
+    """
+    return math.ceil(PLAIN_SLOTS_FACTOR * slots)
+
+
+def released(
+    grant: SlotReply,
+    quality: SlotQuality,
+    slowness: float | None = None,
+    relative_time: float | None = None,
+) -> SlotRelease:
+    """Return the release of a granted slot, see ``SlotRelease``."""
+    return SlotRelease(
+        grant.host, grant.number, grant.engine, quality, slowness, relative_time
+    )
 
 
 def withdrawn(host: str, number: int) -> SlotRelease:
--- a/sequoiapoint/protocol/slots.py
+++ b/sequoiapoint/protocol/slots.py
@@ -20,6 +20,8 @@
 with another byte, as its first word has zero bytes."""
 MAX_PRIORITY = 255
 """The least urgent priority that a message can carry."""
+MAX_PERCENT = 65_535
+MAX_WAIT_MS = 3_600_000
 NO_SERVER: Incarnation = ("", 0)
 
 
@@ -72,12 +74,17 @@
 
 @dataclass(frozen=True)
 class SlotReply:
-    """An allocator's reply, or a later grant to a queued request."""
+    """An allocator's reply, or a later grant to a queued request.
+
+    :param wait_s: The expected time until a queued request is granted a slot, in
+        seconds; 0 if it is not known.
+    """
 
     host: str
     number: int
     outcome: SlotOutcome
     engine: Incarnation = NO_SERVER
+    wait_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -85,62 +92,63 @@
     """The end of the use of a slot, or the withdrawal of a queued request.
 
     :param engine: The engine, ``NO_SERVER`` for a withdrawal.
+    :param slowness: What the server stated with its response; None if nothing.
+    :param relative_time: How long the work took, as a multiple of the time expected of
+        the request; None if it is not known.
     """
 
     host: str
     number: int
     engine: Incarnation = NO_SERVER
     quality: SlotQuality = SlotQuality.UNUSED
+    slowness: float | None = None
+    relative_time: float | None = None
 
 
 SlotMessage = SlotRequest | SlotReply | SlotRelease
 
 
 @singledispatch
-def _fields(message: object) -> dict[str, dict[str, Any]]:
-    """Return the fields of a message's group in the schema, by the group's name."""
+def _fill(message: object, encoded: Any) -> None:
+    """Set the fields of a message's group in the schema.
+
+    Setting them one by one takes a tenth of the time of a new message from a dict.
+    """
     raise TypeError(f"not a slot message: {type(message).__name__}")
 
 
-@_fields.register
-def _(message: SlotRequest) -> dict[str, dict[str, Any]]:
-    fields = {
-        "candidates": list(message.candidates),
-        "priority": min(message.priority, MAX_PRIORITY),
-        "remainingMs": max(0, round(message.remaining_s * 1000)),
-        "goalMs": max(0, round(message.goal_s * 1000)),
-        "organisation": message.organisation,
-    }
-    return {"request": fields}
-
-
-@_fields.register
-def _(message: SlotReply) -> dict[str, dict[str, Any]]:
-    server, started_ms = message.engine
-    fields = {
-        "outcome": message.outcome.value,
-        "server": server,
-        "startedMs": started_ms,
-    }
-    return {"reply": fields}
-
-
-@_fields.register
-def _(message: SlotRelease) -> dict[str, dict[str, Any]]:
-    server, started_ms = message.engine
-    fields = {
-        "server": server,
-        "startedMs": started_ms,
-        "quality": message.quality.value,
-    }
-    return {"release": fields}
+@_fill.register
+def _(message: SlotRequest, encoded: Any) -> None:
+    group = encoded.init("request")
+    group.candidates = list(message.candidates)
+    group.priority = min(message.priority, MAX_PRIORITY)
+    group.remainingMs = max(0, round(message.remaining_s * 1000))
+    group.goalMs = max(0, round(message.goal_s * 1000))
+    group.organisation = message.organisation
+
+
+@_fill.register
+def _(message: SlotReply, encoded: Any) -> None:
+    group = encoded.init("reply")
+    group.outcome = message.outcome.value
+    group.server, group.startedMs = message.engine
+    group.waitMs = min(MAX_WAIT_MS, round(message.wait_s * 1000))
+
+
+@_fill.register
+def _(message: SlotRelease, encoded: Any) -> None:
+    group = encoded.init("release")
+    group.server, group.startedMs = message.engine
+    group.quality = message.quality.value
+    group.slownessPercent = min(MAX_PERCENT, round(100 * (message.slowness or 0.0)))
+    group.relativeTime = message.relative_time or 0.0
 
 
 def encode_slot_message(message: SlotMessage) -> bytes:
     """Encode a message as a datagram."""
-    encoded = _SCHEMA.SlotMessage.new_message(
-        number=message.number, host=message.host, **_fields(message)
-    )
+    encoded = _SCHEMA.SlotMessage.new_message()
+    encoded.number, encoded.host = message.number, message.host
+    _fill(message, encoded)
     return PREFIX + encoded.to_bytes_packed()
 
 
@@ -167,9 +175,17 @@
         if kind == "reply":
             group = message.reply
             outcome = SlotOutcome(str(group.outcome))
-            return SlotReply(host, number, outcome, (group.server, group.startedMs))
+            engine = (group.server, group.startedMs)
+            return SlotReply(host, number, outcome, engine, group.waitMs / 1000)
         group = message.release
         quality = SlotQuality(str(group.quality))
-        return SlotRelease(host, number, (group.server, group.startedMs), quality)
+        return SlotRelease(
+            host,
+            number,
+            (group.server, group.startedMs),
+            quality,
+            group.slownessPercent / 100 or None,
+            group.relativeTime or None,
+        )
     except capnp.KjException as error:
         raise ValueError(f"not a slot message: {error}") from error
