Encode and decode the long lists of digests faster

The lists of counts, members and holdings are now filled in place and read by the fields of the schema. The messages are the same.

--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -2,7 +2,7 @@
 
 import enum
 import zlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -14,6 +14,21 @@
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(Path(__file__).with_name("digest.capnp")))
 
+
+def _fields(struct: str, *names: str) -> list[Any]:
+    """Return fields of a struct, by which its readers are read fastest.
+
+    A look-up by name takes three times as long, and digests have hundreds of values.
+    """
+    fields = getattr(_SCHEMA, struct).schema.fields
+    return [fields[name] for name in names]
+
+
+_COUNT = _fields("Count", "server", "startedMs", "running")
+_MEMBER = _fields("Member", "host", "zone", "address", "capacity")
+_HOLDING = _fields("Holding", "server", "startedMs", "models")
+_HELD_MODEL = _fields("HeldModel", "model", "adapters")
+
 NO_LIMIT_PER_S = -1.0
 """Stands for a server that names no limit."""
 UNKNOWN_AGE_MS = -1
@@ -147,12 +162,57 @@
     return None if age_ms < 0 else age_ms / 1000
 
 
-def _encode_members(members: Iterable[Member]) -> list[dict[str, str]]:
-    return [vars(member) for member in members]
+def _encode_members(message: Any, name: str, members: Sequence[Member]) -> None:
+    for item, member in zip(message.init(name, len(members)), members, strict=True):
+        item.host, item.zone = member.host, member.zone
+        item.address, item.capacity = member.address, member.capacity
 
 
 def _decode_members(members: Iterable[Any]) -> tuple[Member, ...]:
-    return tuple(Member(m.host, m.zone, m.address, m.capacity) for m in members)
+    return tuple(Member(*map(m._get_by_field, _MEMBER)) for m in members)
+
+
+def _encode_counts(message: Any, counts: Sequence[tuple[Incarnation, int]]) -> None:
+    items = message.init("counts", len(counts))
+    for item, ((server, started_ms), running) in zip(items, counts, strict=True):
+        item.server, item.startedMs, item.running = server, started_ms, running
+
+
+def _decode_counts(message: Any) -> tuple[tuple[Incarnation, int], ...]:
+    server, started_ms, running = _COUNT
+    return tuple(
+        ((get(server), get(started_ms)), get(running))
+        for get in (count._get_by_field for count in message.counts)
+    )
+
+
+def _encode_holdings(
+    message: Any,
+    holdings: Sequence[tuple[Incarnation, Mapping[str, frozenset[str]]]],
+) -> None:
+    items = message.init("holdings", len(holdings))
+    for item, ((server, started_ms), held) in zip(items, holdings, strict=True):
+        item.server, item.startedMs = server, started_ms
+        models = item.init("models", len(held))
+        for model, (name, adapters) in zip(models, held.items(), strict=True):
+            model.model, model.adapters = name, sorted(adapters)
+
+
+def _decode_holdings(
+    message: Any,
+) -> tuple[tuple[Incarnation, dict[str, frozenset[str]]], ...]:
+    server, started_ms, models = _HOLDING
+    name, adapters = _HELD_MODEL
+    return tuple(
+        (
+            (get(server), get(started_ms)),
+            {
+                get_model(name): frozenset(get_model(adapters))
+                for get_model in (model._get_by_field for model in get(models))
+            },
+        )
+        for get in (holding._get_by_field for holding in message.holdings)
+    )
 
 
 def _encode_limit(limit: ServerLimit) -> dict[str, Any]:
@@ -182,10 +242,6 @@
         serverEnd=digest.server_end,
         isStoreReachable=digest.is_store_reachable,
         fence=digest.fence,
-        counts=[
-            {"server": server, "startedMs": started, "running": running}
-            for (server, started), running in digest.counts
-        ],
         demands=[
             {
                 "service": demand.service,
@@ -199,26 +255,12 @@
             }
             for demand in digest.demands
         ],
-        holdings=[
-            {
-                "server": server,
-                "startedMs": started,
-                "models": [
-                    {"model": model, "adapters": sorted(adapters)}
-                    for model, adapters in held.items()
-                ],
-            }
-            for (server, started), held in digest.holdings
-        ],
         suspicions=[
             {"fingerprint": fingerprint, "deaths": sorted(deaths)}
             for fingerprint, deaths in digest.suspicions
         ],
         scope=digest.scope.value,
         hostCount=digest.host_count,
-        members=_encode_members(digest.members),
-        relays=_encode_members(digest.relays),
-        contested=_encode_members(digest.contested),
         isDemandReport=digest.is_demand_report,
         isHeartbeat=digest.is_heartbeat,
         capacity=digest.capacity,
@@ -243,6 +285,11 @@
             for (server, started), age_s in digest.turned_away
         ],
     )
+    _encode_counts(message, digest.counts)
+    _encode_holdings(message, digest.holdings)
+    _encode_members(message, "members", digest.members)
+    _encode_members(message, "relays", digest.relays)
+    _encode_members(message, "contested", digest.contested)
     return message.to_bytes_packed()
 
 
@@ -263,7 +310,7 @@
             server_end=message.serverEnd,
             is_store_reachable=message.isStoreReachable,
             fence=message.fence,
-            counts=tuple(((c.server, c.startedMs), c.running) for c in message.counts),
+            counts=_decode_counts(message),
             demands=tuple(
                 ModelDemand(
                     d.service,
@@ -277,13 +324,7 @@
                 )
                 for d in message.demands
             ),
-            holdings=tuple(
-                (
-                    (h.server, h.startedMs),
-                    {m.model: frozenset(m.adapters) for m in h.models},
-                )
-                for h in message.holdings
-            ),
+            holdings=_decode_holdings(message),
             suspicions=tuple(
                 (s.fingerprint, frozenset(s.deaths)) for s in message.suspicions
             ),
