--- a/sequoiapoint/platform/store_test.py
+++ b/sequoiapoint/platform/store_test.py
@@ -129,6 +129,7 @@
         (ENTRY, ENTRY | {"seq": 1, "born": ENTRY["born"] + 1}),
         (ENTRY, ENTRY | {"seq": 4, "models": []}),
         (ENTRY, ENTRY | {"seq": 4.5}),
+        (ENTRY, ENTRY | {"seq": 10**17}),
         (ENTRY, ENTRY | {"seq": -4}),
         (ENTRY, ENTRY | {"seq": "4"}),
         (ENTRY, ENTRY | {"seq": 4, "slots": 0}),
