Decide which origins of streams are written to the store, and read them back

The origins of streams are only in the memory of hosts, so all of them are lost when all hosts are killed at once. Not in use yet.

--- a/sequoiapoint/protocol/origins.py
+++ b/sequoiapoint/protocol/origins.py
@@ -1,8 +1,10 @@
 """Messages by which hosts remember which server began a stream, and their codec.
 
-They share a UDP port with the digests.
+They share a UDP port with the digests.  Batches of origins are also the records in the
+store, which outlive all hosts.
 """
 
+import hashlib
 from dataclasses import dataclass
 from functools import singledispatch
 from pathlib import Path
@@ -18,6 +20,11 @@
 with another byte, as its first word has zero bytes."""
 MAX_AGE_MS = 2**32 - 1
 """The longest time that a message can carry."""
+KEY_BYTES = 12
+"""Size of a stream's key: with 96 bits, no two streams have the same one by chance."""
+RECORD_FORMAT = b"\x01"
+"""First byte of a record in the store.  Fields are added to the schema; only a change
+that older builds would misread needs another number."""
 
 
 @dataclass(frozen=True)
@@ -65,7 +72,50 @@
     origin: Origin
 
 
-OriginMessage = OriginRecord | OriginQuery | OriginReply
+@dataclass(frozen=True)
+class OriginGroup:
+    """Streams that began at the same version.
+
+    :param streams: Their keys (see ``stream_key``).
+    :param server: The process that was thought to be the server's, None if the version
+        is certain.
+    :param connected_age_s: The time since the newest connection to that process was
+        opened, in seconds.
+    """
+
+    version: str
+    streams: tuple[bytes, ...]
+    server: Incarnation | None = None
+    connected_age_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class OriginBatch:
+    """Origins for the store, on their way to the host that writes them or in a record.
+
+    :param written_ms: The writer's Unix time, in milliseconds; 0 in a message.
+    """
+
+    groups: tuple[OriginGroup, ...]
+    written_ms: int = 0
+
+
+OriginMessage = OriginRecord | OriginQuery | OriginReply | OriginBatch
+
+
+def stream_key(service: str, stream: str) -> bytes:
+    """Return the key under which the store has a stream's origin.
+
+    Callers choose the ids of streams, so the key is a cryptographic digest.
+
+    :param stream: The id of the caller's attempt that received the first event.
+    """
+    text = f"{service}\0{stream}".encode("utf-8", "surrogatepass")
+    return hashlib.blake2b(text, digest_size=KEY_BYTES).digest()
+
+
+def _encode_age(seconds: float) -> int:
+    return min(MAX_AGE_MS, max(0, round(1000 * seconds)))
 
 
 def _encode_origin(origin: Origin) -> dict[str, Any]:
@@ -74,7 +124,7 @@
         "version": origin.version,
         "server": server,
         "startedMs": started_ms,
-        "connectedAgeMs": min(MAX_AGE_MS, max(0, round(1000 * origin.connected_age_s))),
+        "connectedAgeMs": _encode_age(origin.connected_age_s),
     }
 
 
@@ -83,6 +133,41 @@
     return Origin(message.version, server, message.connectedAgeMs / 1000)
 
 
+def _encode_group(group: OriginGroup) -> dict[str, Any]:
+    server, started_ms = group.server or ("", 0)
+    return {
+        "version": group.version,
+        "streams": b"".join(group.streams),
+        "isCertain": group.server is None,
+        "server": server,
+        "startedMs": started_ms,
+        "connectedAgeMs": _encode_age(group.connected_age_s),
+    }
+
+
+def _decode_group(group: Any) -> OriginGroup:
+    keys = group.streams
+    if len(keys) % KEY_BYTES:
+        raise ValueError(f"keys of streams have {len(keys)} bytes")
+    streams = tuple(keys[i : i + KEY_BYTES] for i in range(0, len(keys), KEY_BYTES))
+    if group.isCertain:
+        return OriginGroup(group.version, streams)
+    if not group.server:
+        raise ValueError("the version is not certain, and no server is named")
+    server = (group.server, group.startedMs)
+    return OriginGroup(group.version, streams, server, group.connectedAgeMs / 1000)
+
+
+def _batch_fields(batch: OriginBatch) -> dict[str, Any]:
+    groups = [_encode_group(group) for group in batch.groups]
+    return {"groups": groups, "writtenMs": batch.written_ms}
+
+
+def _decode_batch(batch: Any) -> OriginBatch:
+    groups = tuple(_decode_group(group) for group in batch.groups)
+    return OriginBatch(groups, batch.writtenMs)
+
+
 @singledispatch
 def _fields(message: object) -> dict[str, dict[str, Any]]:
     """Return the fields of a message's group in the schema, by the group's name."""
@@ -105,11 +190,15 @@
     return {"reply": {"number": message.number, "origin": origin}}
 
 
+@_fields.register
+def _(message: OriginBatch) -> dict[str, dict[str, Any]]:
+    return {"batch": _batch_fields(message)}
+
+
 def encode_origin_message(message: OriginMessage) -> bytes:
     """Encode a message as a datagram."""
-    encoded = _SCHEMA.OriginMessage.new_message(
-        stream=message.stream, **_fields(message)
-    )
+    stream = getattr(message, "stream", "")
+    encoded = _SCHEMA.OriginMessage.new_message(stream=stream, **_fields(message))
     return PREFIX + encoded.to_bytes_packed()
 
 
@@ -125,7 +214,29 @@
             return OriginRecord(stream, _decode_origin(message.record.origin))
         if kind == "query":
             return OriginQuery(stream, message.query.number)
+        if kind == "batch":
+            return _decode_batch(message.batch)
         reply = message.reply
         return OriginReply(stream, reply.number, _decode_origin(reply.origin))
     except capnp.KjException as error:
         raise ValueError(f"not a message about origins: {error}") from error
+
+
+def encode_origin_record(batch: OriginBatch) -> bytes:
+    """Encode a batch as a record of the store."""
+    encoded = _SCHEMA.OriginBatch.new_message(**_batch_fields(batch))
+    return RECORD_FORMAT + encoded.to_bytes_packed()
+
+
+def decode_origin_record(data: bytes) -> OriginBatch:
+    """Decode a record of the store.
+
+    :raises ValueError: The data is not such a record, or has another format.
+    """
+    if data[:1] != RECORD_FORMAT:
+        raise ValueError(f"format {data[:1]!r} of a record about origins")
+    try:
+        batch = _SCHEMA.OriginBatch.from_bytes_packed(data[1:])
+        return _decode_batch(batch)
+    except capnp.KjException as error:
+        raise ValueError(f"not a record about origins: {error}") from error
--- a/sequoiapoint/state/stream_origins.py
+++ b/sequoiapoint/state/stream_origins.py
@@ -7,6 +7,12 @@
 RETENTION_S = 60.0
 """Time for which an origin is remembered: longer than callers wait for a stream, over
 all their attempts."""
+REGISTRATION_S = 0.5
+"""Time within which a server that has started to accept connections is registered in
+the store."""
+VERSION_HISTORY_S = 30.0
+"""Time for which a single version must have served alone for streams of unknown origin
+to go on: longer than callers wait for a stream."""
 MAX_ORIGINS = 16_384
 """Number of origins that are remembered, those recorded last; 8 MB."""
 
