Let streams go on after all hosts were killed while two versions serve

Each host knew from memory, its own or that of three others, which version began a stream; killed all at once, they rejected every stream whose caller came back. While two versions of a service serve, the hosts of a zone now hand the origins of unfinished streams to one of them, which writes them to the store every 0.2 s; a host reads them when a stream is resumed that no host knows.

With the store down at the kill, requests are rejected and none of the rejected ones runs (pytest -s tests/stream_version_test.py).

--- a/sequoiapoint/node/origin_exchange.py
+++ b/sequoiapoint/node/origin_exchange.py
@@ -15,11 +15,13 @@
 from sequoiapoint.node.datagrams import decode_datagram
 from sequoiapoint.node.digest_sender import DigestSender
 from sequoiapoint.node.gateway_state import GatewayState
+from sequoiapoint.node.origin_store import OriginStore
 from sequoiapoint.node.store_watch import StoreWatch
 from sequoiapoint.protocol.digests import Member
 from sequoiapoint.protocol.gateway import Incarnation
 from sequoiapoint.protocol.origins import (
     Origin,
+    OriginBatch,
     OriginMessage,
     OriginQuery,
     OriginRecord,
@@ -28,16 +30,18 @@
     encode_origin_message,
 )
 from sequoiapoint.state.peers import Peers
-from sequoiapoint.state.stream_origins import StreamOrigin, StreamOrigins
+from sequoiapoint.state.stream_origins import (
+    REGISTRATION_S,
+    VERSION_HISTORY_S,
+    StreamOrigin,
+    StreamOrigins,
+)
 from sequoiapoint.transport.clock import monotonic_s
 
 REPLY_TIMEOUT_S = 0.06
 """Timeout of a query: ten round trips between zones."""
 QUERY_ROUNDS = 2
 """Number of times that a stream is asked for, as datagrams may be lost."""
-REGISTRATION_S = 0.5
-"""Time within which a server that has started to accept connections is registered in
-the store."""
 MAX_CONFIRMATION_S = 1.2
 """Time for which a request waits until a process is certain; below the two seconds
 after which callers abandon a stream."""
@@ -45,15 +49,13 @@
 """Timeout of a read of the servers' list for such requests."""
 REFRESH_RETRY_S = 0.1
 """Pause after a read that did not bring a newer list."""
-VERSION_HISTORY_S = 30.0
-"""Time for which a single version must have served alone for streams of unknown origin
-to go on: longer than callers wait for a stream."""
 
 
 class OriginExchange:
     """Remembers the origins of streams, with the help of other hosts.
 
     :ivar origins: The origins that this host remembers.
+    :ivar stored: The origins in the platform's store.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         watch: StoreWatch,
         peers: Peers,
         sender: DigestSender,
+        stored: OriginStore,
     ) -> None:
         self._state = state
         self._watch = watch
@@ -72,6 +75,7 @@
         self._rings: dict[tuple[str, ...], HashRing] = {}
         self._refresh: asyncio.Task[object] | None = None
         self.origins = StreamOrigins()
+        self.stored = stored
 
     # Origins of streams
 
@@ -203,6 +207,10 @@
         if reply is not None and not reply.done():
             reply.set_result(message.origin)
 
+    @_handle.register
+    def _(self, message: OriginBatch, sender: Member) -> None:
+        self.stored.add(message)
+
     # Certainty about processes
 
     async def version_of(
@@ -211,7 +219,8 @@
         """Return the software version that began a stream.
 
         A stream of unknown origin goes on only if one version alone has served for as
-        long as the stream can have lasted.
+        long as the stream can have lasted.  The store is asked last, as a call to it
+        has a price.
 
         :param stream: The id of the caller's attempt that received the first event; ""
             if it is not known.
@@ -222,6 +231,20 @@
         if origin is not None:
             is_certain = await self.is_certain(origin.server, origin.connected_at)
             return origin.version if is_certain else None
+        version = await self._sole_version(service, arrived_s)
+        if version is not None or not stream:
+            return version
+        stored = await self.stored.find(stream, service)
+        if stored is None:
+            return None
+        if stored.server is not None and not await self.is_certain(
+            stored.server, stored.connected_at
+        ):
+            return None
+        return stored.version
+
+    async def _sole_version(self, service: str, arrived_s: float) -> str | None:
+        """Return the version that has served alone, None if there is none."""
         fleet = self._state.fleet
         since = arrived_s - VERSION_HISTORY_S
         if fleet.known_since > since or len(fleet.versions(service, since)) != 1:
--- a/sequoiapoint/node/origin_exchange_test.py
+++ b/sequoiapoint/node/origin_exchange_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from types import SimpleNamespace
+from unittest.mock import AsyncMock
 
 import pytest
 
@@ -10,6 +11,7 @@
 from sequoiapoint.protocol.digests import Member
 from sequoiapoint.protocol.gateway import ServerEntry, ServerState
 from sequoiapoint.state.fleet import Fleet
+from sequoiapoint.state.stored_origins import StoredOrigin
 from sequoiapoint.state.stream_origins import StreamOrigin
 from standins.virtual.event_loop import VirtualTimeLoop
 from standins.virtual.host_network import HostNetwork
@@ -104,7 +106,9 @@
         watch = SimpleNamespace(servers=SimpleNamespace(refresh=self._refresh))
         state = SimpleNamespace(fleet=self.fleet)
         sender = SimpleNamespace(local_member=Member("h", "z", "10.0.0.1:1"))
-        self.exchange = OriginExchange(state, watch, None, sender)
+        stored = SimpleNamespace(find=self._find_stored)
+        self.stored, self.searches = None, 0
+        self.exchange = OriginExchange(state, watch, None, sender, stored)
         self.loop.now = 100.0
 
     def put(self, started_ms, version, server="s-1"):
@@ -115,6 +119,10 @@
             )
         )
 
+    async def _find_stored(self, stream, service):
+        self.searches += 1
+        return self.stored
+
     async def _refresh(self, timeout_s):
         self.reads += 1
         read_at = self.loop.now
@@ -219,3 +227,40 @@
     host.fleet.confirm(99.0)
     host.changes.append((99.9, lambda: host.put(1, "v2", "s-2")))
     assert host.run(host.exchange.version_of("lm", "", 100.0)) is None
+
+
+@pytest.mark.parametrize(
+    ("stored", "restarted", "expected"),
+    [
+        (None, False, None),
+        (StoredOrigin("v1"), False, "v1"),
+        # The process has left; the version was certain when the record was written.
+        (StoredOrigin("v1"), True, "v1"),
+        (StoredOrigin("v1", ("s-1", 1), 99.0), False, "v1"),
+        (StoredOrigin("v1", ("s-1", 1), 99.8), False, "v1"),
+        (StoredOrigin("v1", ("s-1", 1), 99.8), True, None),
+        (StoredOrigin("v1", ("s-9", 1), 99.0), False, None),
+    ],
+)
+def test_a_stream_that_no_host_knows_goes_on_by_its_record(
+    host, monkeypatch, stored, restarted, expected
+):
+    """After all hosts were killed, only the store can tell which version began it."""
+    monkeypatch.setattr(host.exchange, "find", AsyncMock(return_value=None))
+    host.stored = stored
+    host.put(1, "v1", "s-1")
+    host.put(1, "v2", "s-2")
+    host.fleet.confirm(99.7)
+    if restarted:
+        host.changes.append((99.9, lambda: host.put(2, "v2", "s-1")))
+    assert host.run(host.exchange.version_of("lm", "stream", 100.0)) == expected
+
+
+def test_the_store_is_not_asked_for_a_stream_that_a_host_knows(host):
+    host.put(1, "v1")
+    host.put(1, "v2", "s-2")
+    host.fleet.confirm(100.0)
+    host.exchange.origins.put("stream", StreamOrigin("v1", ("s-1", 1), 90.0), 100.0)
+    assert host.run(host.exchange.version_of("lm", "stream", 100.0)) == "v1"
+    assert host.run(host.exchange.version_of("lm", "", 100.0)) is None
+    assert host.searches == 0
--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -19,6 +19,7 @@
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.host_registry import HostRegistry
 from sequoiapoint.node.origin_exchange import OriginExchange
+from sequoiapoint.node.origin_store import OriginStore
 from sequoiapoint.node.peer_server import PeerServer
 from sequoiapoint.node.permit_exchange import PermitExchange
 from sequoiapoint.node.placement_exchange import PlacementExchange, broadcast_kind
@@ -113,7 +114,13 @@
         self.slots = SlotExchange(state, self.peers, self._sender)
         self.permits = PermitExchange(state, self.peers, self._sender)
         self.allowances = AllowanceExchange(state, self.peers, self._sender)
-        self.origins = OriginExchange(state, watch, self.peers, self._sender)
+        self.origins = OriginExchange(
+            state,
+            watch,
+            self.peers,
+            self._sender,
+            OriginStore(state, store, self.peers, self._sender),
+        )
         self._topics = TopicExchange(state, store, watch, self.peers)
         self.configuration_age = ConfigurationAgeExchange(
             state, store, watch, self.peers, self._sender, self._topics.fetch
@@ -206,6 +213,7 @@
             self._send_counts(now)
             self.placement.send_periodic(now)
             self.permits.refresh()
+            self.origins.stored.hand_over()
             await asyncio.sleep(DIGEST_INTERVAL_S * self._state.rng.uniform(0.9, 1.1))
 
     async def _run_urgent(self) -> None:
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -531,6 +531,17 @@
         version = self._selector.required_version or entry.version
         self._origin = StreamOrigin(version, entry.incarnation, connection.opened_at)
         self._origins.record(self._request.request_id, self._origin)
+        for stream in self._stream_names():
+            self._origins.stored.record(stream, self._selector.service, self._origin)
+
+    def _stream_names(self) -> set[str]:
+        """Return the attempts that the caller may name when it resumes the stream."""
+        return {self._request.request_id, self._request.resumes} - {""}
+
+    def _note_stream_end(self) -> None:
+        """Note that the caller has all of the stream, and will not resume it."""
+        for stream in self._stream_names():
+            self._origins.stored.complete(stream, self._selector.service)
 
     # Sending
 
@@ -803,6 +814,7 @@
             if not responder.is_started:
                 responder.start_stream(head.status, list(head.headers))
             responder.end_stream()
+            self._note_stream_end()
             self.log_end(
                 "answered",
                 status=head.status,
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -242,6 +242,15 @@
 
     def __init__(self):
         self.recorded, self.uncertain = {}, set()
+        self.unfinished = {}
+        self.stored = SimpleNamespace(
+            record=lambda stream, service, origin: self.unfinished.setdefault(
+                (stream, service), origin
+            ),
+            complete=lambda stream, service: self.unfinished.pop(
+                (stream, service), None
+            ),
+        )
 
     def record(self, stream, origin):
         self.recorded[stream] = origin
--- a/sequoiapoint/transport/store_client.py
+++ b/sequoiapoint/transport/store_client.py
@@ -69,14 +69,21 @@
             or monotonic_s() - self._failing_since < UNREACHABLE_AFTER_S
         )
 
-    async def newest(self, topic: str) -> tuple[list[StoreRecord], int] | Failure:
-        """Return the latest record of each key, and the position to read from."""
+    async def newest(
+        self, topic: str, timeout_s: float = CALL_TIMEOUT_S
+    ) -> tuple[list[StoreRecord], int] | Failure:
+        """Return the latest record of each key, and the position to read from.
+
+        :param timeout_s: The timeout of each page, in seconds.
+        """
         records: list[StoreRecord] = []
         era: int | None = None
         start_offset: int | None = None
         after = None
         while True:
-            response = await self._call("newest", self._codec.newest_call(topic, after))
+            response = await self._call(
+                "newest", self._codec.newest_call(topic, after), timeout_s
+            )
             if isinstance(response, Failure):
                 return response
             try:
--- a/standins/site/backends.py
+++ b/standins/site/backends.py
@@ -169,6 +169,11 @@
         self.version = version
         await self.restart()
 
+    async def leave(self) -> None:
+        """Remove the entry from the store and stop the process."""
+        self.store.write("keyed.servers", self.server, b"")
+        await self.http.stop()
+
     def register(self, **changes: object) -> None:
         """Write the server's entry to the store.
 
--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -5,6 +5,7 @@
 import json
 import struct
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
 
@@ -58,14 +59,16 @@
 
 
 class _EraResponder:
-    """Adds the store's era to the head of each response."""
+    """Adds the store's era to the head of each response, and counts its bytes."""
 
-    def __init__(self, store: "Store", responder: Responder) -> None:
+    def __init__(self, store: "Store", responder: Responder, topic: str) -> None:
         self._store = store
         self._responder = responder
+        self._topic = topic
 
     def send_response(self, status: int, headers: list, body: bytes = b"") -> None:
         """Send a complete response."""
+        self._store.bytes_by_topic[self._topic] += len(body)
         era = (b"Store-Era", str(self._store.era).encode())
         self._responder.send_response(status, [*headers, era], body)
 
@@ -80,6 +83,8 @@
     :ivar outage: "" for none, or how calls fail: ``busy``, ``silent`` or ``reset``.
     :ivar era: How often it has come back from an older copy, and one.
     :ivar calls: The names of the calls received so far.
+    :ivar calls_by_topic: The number of calls by name and topic.
+    :ivar bytes_by_topic: The bytes of bodies received and sent, by topic.
     """
 
     def __init__(self) -> None:
@@ -88,6 +93,8 @@
         self.outage = ""
         self.era = 1
         self.calls: list[str] = []
+        self.calls_by_topic: Counter[tuple[str, str]] = Counter()
+        self.bytes_by_topic: Counter[str] = Counter()
         self.server = AsyncHttpServer(self._handle, lambda status: None)
 
     def topic(self, name: str) -> Topic:
@@ -133,10 +140,14 @@
         state.generation += 1
 
     async def _handle(self, request: InboundRequest, responder: Responder) -> None:
-        responder = _EraResponder(self, responder)
         url = urlsplit(request.target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
         call = url.path.removeprefix(CALL_PATH_PREFIX)
+        topic = query.get("topic", "")
         self.calls.append(call)
+        self.calls_by_topic[call, topic] += 1
+        self.bytes_by_topic[topic] += len(request.body)
+        responder = _EraResponder(self, responder, topic)
         if self.outage == "silent":
             await asyncio.sleep(60)
         if self.outage == "reset":
@@ -145,7 +156,6 @@
         if self.outage == "busy":
             responder.send_response(503, [])
             return
-        query = {name: values[0] for name, values in parse_qs(url.query).items()}
         await getattr(self, f"_{call}")(request, query, responder)
 
     async def _append(
--- a/standins/virtual/host_network.py
+++ b/standins/virtual/host_network.py
@@ -12,6 +12,7 @@
     allowance_exchange,
     digest_sender,
     origin_exchange,
+    origin_store,
     peer_exchange,
     permit_exchange,
     slot_exchange,
@@ -158,6 +159,7 @@
             permit_exchange,
             slot_exchange,
             origin_exchange,
+            origin_store,
         ):
             monkeypatch.setattr(module, "monotonic_s", lambda: self.now)
         for number in range(zones * hosts_in_zone):
--- a/tests/stream_version_test.py
+++ b/tests/stream_version_test.py
@@ -8,14 +8,21 @@
 import http.client
 import itertools
 import re
+import signal
 import socket
 import threading
 import time
+from collections import Counter
 
 import pytest
 
 from standins.site.deployment import SiteDeployment
 
+MIN_GOING_ON_SHARE = 0.8
+"""Share of the streams that all hosts lost together which must go on."""
+ORIGIN_TOPIC = "keyed.origins"
+MAX_WRITES_PER_S = 400
+"""Writes a second that the store takes from all hosts together."""
 MAX_MIXED = 2
 """Number of streams that may hold events of two versions."""
 MIN_RESUMED_SHARE = 0.5
@@ -191,3 +198,159 @@
         run_all(streams, 60, restart_servers, leave_after=14)
         assert site.failures() == []
     assert streams.mixed <= MAX_MIXED
+
+
+class LostStreams:
+    """Streams that break off as all hosts are killed, and that callers take up again.
+
+    :ivar broken: Of the streams that broke off, whether each has gone on to its end.
+    :ivar refused: The ids of the attempts that were rejected as not run.
+    :ivar statuses: The statuses of all attempts; 0 without a response.
+    """
+
+    def __init__(self, site, events, resume_for_s=12.0):
+        self.site, self.events, self.resume_for_s = site, events, resume_for_s
+        self.mixed, self.broken, self.refused, self.statuses = 0, [], [], []
+        self._lock = threading.Lock()
+
+    def run(self, number):
+        """Read one stream; take it up until it is complete or the time is over."""
+        time.sleep(0.01 * number)
+        received, first_id, give_up_at = {}, "", None
+        for attempt in itertools.count():
+            gateway = self.site.gateways[(number + attempt) % len(self.site.gateways)]
+            request_id, status, found = read_stream(
+                gateway, self.events, max(received, default=0), first_id
+            )
+            with self._lock:
+                self.statuses.append(status)
+                if status == 503:
+                    self.refused.append(request_id)
+            first_id = first_id or (request_id if found else "")
+            joined = len(set(received.values()) | set(found.values())) > 1
+            received |= found
+            give_up_at = give_up_at or time.monotonic() + self.resume_for_s
+            is_complete = len(received) == self.events
+            if is_complete or joined or time.monotonic() > give_up_at:
+                break
+            time.sleep(0.3)
+        with self._lock:
+            self.mixed += joined
+            if attempt and first_id:
+                self.broken.append(is_complete and not joined)
+
+    def going_on_share(self):
+        return sum(self.broken) / len(self.broken)
+
+
+def kill_all(site, restart_after_s=1.0):
+    """Kill all hosts at one moment and start them again."""
+    for gateway in site.gateways:
+        gateway.signal(signal.SIGKILL)
+    for gateway in site.gateways:
+        gateway.process.wait()
+    time.sleep(restart_after_s)
+    for gateway in site.gateways:
+        gateway.start()
+
+
+def lose_all(site, callers, during):
+    streams = LostStreams(site, events=160)
+    started_at = time.monotonic()
+    run_all(streams, callers, during)
+    writes = site.store.calls_by_topic["append", ORIGIN_TOPIC]
+    print(
+        f"streams {len(streams.broken)} share {streams.going_on_share():.2f}"
+        f" mixed {streams.mixed} refused {len(streams.refused)}"
+        f" writes {writes} reads "
+        f"{site.store.calls_by_topic['newest', ORIGIN_TOPIC]}"
+        f"+{site.store.calls_by_topic['read', ORIGIN_TOPIC]}"
+        f" bytes {site.store.bytes_by_topic[ORIGIN_TOPIC]}"
+        f" seconds {time.monotonic() - started_at:.1f}"
+    )
+    assert site.failures() == []
+    assert streams.mixed == 0
+    assert len(streams.broken) >= callers // 2
+    return streams
+
+
+def test_streams_go_on_after_all_hosts_were_killed_while_two_versions_serve():
+    """0 of 173 went on: only the hosts' memory had told which version began them."""
+    with deployment(6, zones=3) as site:
+        prepare(site)
+
+        def during():
+            time.sleep(2.2)
+            kill_all(site)
+
+        started_at = time.monotonic()
+        streams = lose_all(site, 60, during)
+        writes = site.store.calls_by_topic["append", ORIGIN_TOPIC]
+        # The share of three zones of the 24 at the target.
+        assert writes <= MAX_WRITES_PER_S * 3 / 24 * (time.monotonic() - started_at)
+    assert streams.going_on_share() >= MIN_GOING_ON_SHARE
+
+
+def test_streams_go_on_when_servers_of_their_version_come_back():
+    """The old version's servers have just left as all hosts are killed."""
+    with deployment(6, zones=3) as site:
+        prepare(site)
+        old = [engine for engine in site.engines if engine.version == "v1"]
+
+        def during():
+            time.sleep(2.0)
+            for engine in old:
+                site.run(engine.leave())
+            time.sleep(0.3)
+            kill_all(site)
+            time.sleep(1.0)
+            for engine in old:
+                engine.held = {"oak": set(), "elm": set()}
+                site.run(engine.restart())
+
+        streams = lose_all(site, 60, during)
+    assert streams.going_on_share() >= MIN_GOING_ON_SHARE
+
+
+def test_streams_in_flight_as_a_second_version_appears_go_on_after_the_kill():
+    """Their origins were not written while one version served."""
+    with deployment(6, zones=3) as site:
+        for number, engine in enumerate(site.engines):
+            engine.held = {} if number % 2 else {"oak": set(), "elm": set()}
+            engine.slots = 64
+            site.call(engine.register)
+        time.sleep(1.5)
+        writes_before = []
+
+        def during():
+            time.sleep(1.0)
+            writes_before.append(site.store.calls_by_topic["append", ORIGIN_TOPIC])
+            for engine in site.engines[1::2]:
+                engine.held = {"oak": set(), "elm": set()}
+                site.run(engine.restart_as("v1.1"))
+            time.sleep(1.6)
+            kill_all(site)
+
+        streams = lose_all(site, 60, during)
+    assert writes_before == [0]
+    assert streams.going_on_share() >= MIN_GOING_ON_SHARE
+
+
+@pytest.mark.parametrize("outage", ["busy", "silent", "reset"])
+def test_with_the_store_down_at_the_kill_requests_are_truly_rejected(outage):
+    """A stream of unknown origin must not run, and the response must say so."""
+    with deployment(6, zones=3) as site:
+        prepare(site)
+
+        def during():
+            time.sleep(1.2)
+            site.store.outage = outage
+            time.sleep(1.0)
+            kill_all(site)
+            time.sleep(3.0)
+            site.store.outage = ""
+
+        streams = lose_all(site, 40, during)
+        runs = sum((engine.runs for engine in site.engines), start=Counter())
+    assert set(streams.statuses) <= {0, 200, 503}
+    assert [name for name in streams.refused if runs[name]] == []
