Let streams go on after all hosts were killed while one version serves

A host that has just started does not know which versions served before, and rejected every stream of unknown origin for half a minute. Every ten seconds one host now records which services have had one version alone, with a position in the topic of servers; a host that is asked for an unknown stream reads the record and the entries since.

--- a/sequoiapoint/node/origin_exchange.py
+++ b/sequoiapoint/node/origin_exchange.py
@@ -17,6 +17,7 @@
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.origin_store import OriginStore
 from sequoiapoint.node.store_watch import StoreWatch
+from sequoiapoint.node.version_history import VersionHistoryStore
 from sequoiapoint.protocol.digests import Member
 from sequoiapoint.protocol.gateway import Incarnation
 from sequoiapoint.protocol.origins import (
@@ -56,6 +57,7 @@
 
     :ivar origins: The origins that this host remembers.
     :ivar stored: The origins in the platform's store.
+    :ivar history: The versions that served before this host's start.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         peers: Peers,
         sender: DigestSender,
         stored: OriginStore,
+        history: VersionHistoryStore,
     ) -> None:
         self._state = state
         self._watch = watch
@@ -76,6 +79,7 @@
         self._refresh: asyncio.Task[object] | None = None
         self.origins = StreamOrigins()
         self.stored = stored
+        self.history = history
 
     # Origins of streams
 
@@ -247,12 +251,20 @@
         """Return the version that has served alone, None if there is none."""
         fleet = self._state.fleet
         since = arrived_s - VERSION_HISTORY_S
-        if fleet.known_since > since or len(fleet.versions(service, since)) != 1:
+        if len(fleet.versions(service, since)) > 1:
+            return None
+        earlier: frozenset[str] = frozenset()
+        if fleet.known_since > since:
+            version = await self.history.before_start(service)
+            if version is None:
+                return None
+            earlier = frozenset((version,))
+        if len(fleet.versions(service, since) | earlier) != 1:
             return None
         may_restart = any(entry.started_ms for entry in fleet.entries.values())
         if not await self._confirm(arrived_s + REGISTRATION_S * may_restart):
             return None
-        versions = fleet.versions(service, since)
+        versions = fleet.versions(service, since) | earlier
         return next(iter(versions)) if len(versions) == 1 else None
 
     async def is_certain(self, server: Incarnation, connected_at: float) -> bool:
--- a/sequoiapoint/node/origin_store.py
+++ b/sequoiapoint/node/origin_store.py
@@ -40,7 +40,7 @@
 """Topic with the origins of streams; the keys are those of ``_record_key``."""
 READ_TIMEOUT_S = 0.5
 """Timeout of a read of the origins, while a request waits."""
-READ_INTERVAL_S = 0.5
+READ_INTERVAL_S = 1.0
 """Minimum time between two reads of a host; within it, the last one counts."""
 MAX_READS_PER_S = 50.0
 """Reads a second of all hosts together."""
--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -26,6 +26,7 @@
 from sequoiapoint.node.slot_exchange import SlotExchange
 from sequoiapoint.node.store_watch import StoreWatch
 from sequoiapoint.node.topic_exchange import TOPIC_PATH, TopicExchange
+from sequoiapoint.node.version_history import VersionHistoryStore
 from sequoiapoint.protocol.allowances import PREFIX as ALLOWANCE_MESSAGE_PREFIX
 from sequoiapoint.protocol.configuration_age import PREFIX as AGE_MESSAGE_PREFIX
 from sequoiapoint.protocol.digests import (
@@ -120,6 +121,7 @@
             self.peers,
             self._sender,
             OriginStore(state, store, self.peers, self._sender),
+            VersionHistoryStore(state, store, watch, self.peers),
         )
         self._topics = TopicExchange(state, store, watch, self.peers)
         self.configuration_age = ConfigurationAgeExchange(
@@ -214,6 +216,7 @@
             self.placement.send_periodic(now)
             self.permits.refresh()
             self.origins.stored.hand_over()
+            self.origins.history.write_if_due()
             await asyncio.sleep(DIGEST_INTERVAL_S * self._state.rng.uniform(0.9, 1.1))
 
     async def _run_urgent(self) -> None:
--- a/sequoiapoint/protocol/origins.capnp
+++ b/sequoiapoint/protocol/origins.capnp
@@ -24,6 +24,16 @@
   writtenMs @1 :Int64;          # Unix time.
 }
 
+struct SoleVersion {
+  service @0 :Text;
+  version @1 :Text;
+}
+
+struct VersionHistory {
+  position @0 :Int64;           # In the topic of servers.
+  services @1 :List(SoleVersion);
+}
+
 struct OriginMessage {
   stream @0 :Text;              # Id of the caller's attempt with the first event.
   union {
--- a/sequoiapoint/protocol/origins.py
+++ b/sequoiapoint/protocol/origins.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+from collections.abc import Mapping
 from dataclasses import dataclass
 from functools import singledispatch
 from pathlib import Path
@@ -100,6 +101,18 @@
     written_ms: int = 0
 
 
+@dataclass(frozen=True)
+class VersionHistory:
+    """Which services had one version alone, for as long as callers wait for a stream.
+
+    :param position: The position in the topic of servers up to which this holds.
+    :param versions: The version by service.
+    """
+
+    position: int
+    versions: Mapping[str, str]
+
+
 OriginMessage = OriginRecord | OriginQuery | OriginReply | OriginBatch
 
 
@@ -228,15 +241,45 @@
     return RECORD_FORMAT + encoded.to_bytes_packed()
 
 
+def _record_content(data: bytes, kind: str) -> bytes:
+    if data[:1] != RECORD_FORMAT:
+        raise ValueError(f"format {data[:1]!r} of a record about {kind}")
+    return data[1:]
+
+
 def decode_origin_record(data: bytes) -> OriginBatch:
     """Decode a record of the store.
 
     :raises ValueError: The data is not such a record, or has another format.
     """
-    if data[:1] != RECORD_FORMAT:
-        raise ValueError(f"format {data[:1]!r} of a record about origins")
+    content = _record_content(data, "origins")
     try:
-        batch = _SCHEMA.OriginBatch.from_bytes_packed(data[1:])
-        return _decode_batch(batch)
+        return _decode_batch(_SCHEMA.OriginBatch.from_bytes_packed(content))
     except capnp.KjException as error:
         raise ValueError(f"not a record about origins: {error}") from error
+
+
+def encode_version_history(history: VersionHistory) -> bytes:
+    """Encode the record of the services with one version."""
+    services = [
+        {"service": service, "version": version}
+        for service, version in history.versions.items()
+    ]
+    encoded = _SCHEMA.VersionHistory.new_message(
+        position=history.position, services=services
+    )
+    return RECORD_FORMAT + encoded.to_bytes_packed()
+
+
+def decode_version_history(data: bytes) -> VersionHistory:
+    """Decode the record of the services with one version.
+
+    :raises ValueError: The data is not such a record, or has another format.
+    """
+    content = _record_content(data, "versions")
+    try:
+        history = _SCHEMA.VersionHistory.from_bytes_packed(content)
+        versions = {entry.service: entry.version for entry in history.services}
+        return VersionHistory(history.position, versions)
+    except capnp.KjException as error:
+        raise ValueError(f"not a record about versions: {error}") from error
--- a/standins/virtual/host_network.py
+++ b/standins/virtual/host_network.py
@@ -17,6 +17,7 @@
     permit_exchange,
     slot_exchange,
     topic_exchange,
+    version_history,
 )
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.peer_exchange import DIGEST_INTERVAL_S, PeerExchange
@@ -160,6 +161,7 @@
             slot_exchange,
             origin_exchange,
             origin_store,
+            version_history,
         ):
             monkeypatch.setattr(module, "monotonic_s", lambda: self.now)
         for number in range(zones * hosts_in_zone):
--- a/tests/stream_version_test.py
+++ b/tests/stream_version_test.py
@@ -21,6 +21,7 @@
 MIN_GOING_ON_SHARE = 0.8
 """Share of the streams that all hosts lost together which must go on."""
 ORIGIN_TOPIC = "keyed.origins"
+HISTORY_TOPIC = "keyed.versions"
 MAX_WRITES_PER_S = 400
 """Writes a second that the store takes from all hosts together."""
 MAX_MIXED = 2
@@ -336,6 +337,24 @@
     assert streams.going_on_share() >= MIN_GOING_ON_SHARE
 
 
+def test_streams_go_on_after_all_hosts_were_killed_while_one_version_serves():
+    """A host that has just started did not know which versions served before."""
+    with deployment(6, zones=3) as site:
+        for engine in site.engines:
+            engine.held, engine.slots = {"oak": set(), "elm": set()}, 64
+            site.call(engine.register)
+        site.wait(lambda: site.store.topic(HISTORY_TOPIC).records, 45.0)
+
+        def during():
+            time.sleep(2.2)
+            kill_all(site)
+
+        streams = lose_all(site, 60, during)
+        assert not site.store.calls_by_topic["append", ORIGIN_TOPIC]
+        print(dict(site.store.calls_by_topic), dict(site.store.bytes_by_topic))
+    assert streams.going_on_share() >= MIN_GOING_ON_SHARE
+
+
 @pytest.mark.parametrize("outage", ["busy", "silent", "reset"])
 def test_with_the_store_down_at_the_kill_requests_are_truly_rejected(outage):
     """A stream of unknown origin must not run, and the response must say so."""
