--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -719,6 +719,23 @@
     assert (answer[0], site.sent) == (status, sent)
 
 
+@pytest.mark.parametrize(
+    ("data", "unfinished"),
+    [(b"id: 8\ndata: x\n\n", set()), (b"id: 8\ndata: x\n\nid: 9\nda", {"id", "known"})],
+)
+def test_the_origin_of_a_stream_is_kept_until_its_caller_has_all_of_it(
+    monkeypatch, data, unfinished
+):
+    """The caller may name this attempt or the first one, also at a later resumption."""
+    site = versions_site(monkeypatch, s_1="v1")
+    site.route = replace(site.route, attempts=1)
+    site.responses["s-1"] = [(200, [SIGNED], data)]
+    site.origins.recorded["known"] = StreamOrigin("v1", ("s-9", 1), 0.0)
+    asyncio.run(site.request(budget_s=2.0, last_event_id="7", resumes="known"))
+    assert {stream for stream, _ in site.origins.unfinished} == unfinished
+    assert {o.version for o in site.origins.unfinished.values()} <= {"v1"}
+
+
 def test_a_resumed_stream_that_no_server_can_go_on_with_is_refused_at_once(monkeypatch):
     site = versions_site(monkeypatch, s_1="v1")
     site.origins.recorded["known"] = StreamOrigin("v2", ("s-9", 1), 0.0)
--- a/tests/stream_version_test.py
+++ b/tests/stream_version_test.py
@@ -204,22 +204,25 @@
 class LostStreams:
     """Streams that break off as all hosts are killed, and that callers take up again.
 
+    :param begin_every_s: The time between the beginnings of two streams, in seconds.
     :ivar broken: Of the streams that broke off, whether each has gone on to its end.
     :ivar refused: The ids of the attempts that were rejected as not run.
     :ivar statuses: The statuses of all attempts; 0 without a response.
     """
 
-    def __init__(self, site, events, resume_for_s=12.0):
+    def __init__(self, site, events, begin_every_s, resume_for_s=12.0):
         self.site, self.events, self.resume_for_s = site, events, resume_for_s
+        self.begin_every_s = begin_every_s
         self.mixed, self.broken, self.refused, self.statuses = 0, [], [], []
         self._lock = threading.Lock()
 
     def run(self, number):
         """Read one stream; take it up until it is complete or the time is over."""
-        time.sleep(0.01 * number)
+        time.sleep(self.begin_every_s * number)
         received, first_id, give_up_at = {}, "", None
-        for attempt in itertools.count():
-            gateway = self.site.gateways[(number + attempt) % len(self.site.gateways)]
+        has_broken = False
+        for attempt in itertools.count(number):
+            gateway = self.site.gateways[attempt % len(self.site.gateways)]
             request_id, status, found = read_stream(
                 gateway, self.events, max(received, default=0), first_id
             )
@@ -232,12 +235,13 @@
             received |= found
             give_up_at = give_up_at or time.monotonic() + self.resume_for_s
             is_complete = len(received) == self.events
+            has_broken |= bool(received) and not is_complete
             if is_complete or joined or time.monotonic() > give_up_at:
                 break
             time.sleep(0.3)
         with self._lock:
             self.mixed += joined
-            if attempt and first_id:
+            if has_broken:
                 self.broken.append(is_complete and not joined)
 
     def going_on_share(self):
@@ -255,8 +259,8 @@
         gateway.start()
 
 
-def lose_all(site, callers, during):
-    streams = LostStreams(site, events=160)
+def lose_all(site, callers, during, begin_every_s=0.01):
+    streams = LostStreams(site, 160, begin_every_s)
     started_at = time.monotonic()
     run_all(streams, callers, during)
     writes = site.store.calls_by_topic["append", ORIGIN_TOPIC]
@@ -285,7 +289,8 @@
             kill_all(site)
 
         started_at = time.monotonic()
-        streams = lose_all(site, 60, during)
+        # Streams begin until the kill, also in the time that a write takes.
+        streams = lose_all(site, 60, during, begin_every_s=0.035)
         writes = site.store.calls_by_topic["append", ORIGIN_TOPIC]
         # The share of three zones of the 24 at the target.
         assert writes <= MAX_WRITES_PER_S * 3 / 24 * (time.monotonic() - started_at)
