--- a/sequoiapoint/node/origin_store.py
+++ b/sequoiapoint/node/origin_store.py
@@ -38,8 +38,10 @@
 
 ORIGIN_TOPIC = "keyed.origins"
 """Topic with the origins of streams; the keys are those of ``_record_key``."""
-READ_TIMEOUT_S = 0.5
-"""Timeout of a read of the origins, while a request waits."""
+READ_TIMEOUT_S = 1.5
+"""Timeout of a call that reads origins: 320 kB take 0.5 s on the slowest links."""
+MAX_WAIT_S = 0.6
+"""Time for which a request waits for a read, which goes on for later ones."""
 READ_INTERVAL_S = 1.0
 """Minimum time between two reads of a host; within it, the last one counts."""
 MAX_READS_PER_S = 50.0
@@ -214,12 +216,14 @@
         if found is not None or now - self._failed_at < READ_RETRY_S:
             return found
         interval_s = max(READ_INTERVAL_S, self._state.host_count / MAX_READS_PER_S)
-        if now - self._read_at >= interval_s:
+        is_reading = self._read is not None and not self._read.done()
+        if not is_reading and now - self._read_at >= interval_s:
             self._read_at = now
             self._read = asyncio.get_running_loop().create_task(self._read_records())
-        if self._read is not None and not self._read.done():
+            is_reading = True
+        if is_reading:
             # A request that is given up does not stop the read, which others wait for.
-            await asyncio.wait([self._read])
+            await asyncio.wait([self._read], timeout=MAX_WAIT_S)
         return self._stored.get(key, monotonic_s())
 
     async def _read_records(self) -> Failure | None:
