--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -21,12 +21,14 @@
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.host_registry import HostRegistry
 from sequoiapoint.node.origin_exchange import OriginExchange
+from sequoiapoint.node.origin_store import OriginStore
 from sequoiapoint.node.peer_server import PeerServer
 from sequoiapoint.node.permit_exchange import PermitExchange
 from sequoiapoint.node.placement_exchange import PlacementExchange, broadcast_kind
 from sequoiapoint.node.slot_exchange import SlotExchange
 from sequoiapoint.node.store_watch import StoreWatch
 from sequoiapoint.node.topic_exchange import TOPIC_PATH, TopicExchange
+from sequoiapoint.node.version_history import VersionHistoryStore
 from sequoiapoint.protocol.allowances import PREFIX as ALLOWANCE_MESSAGE_PREFIX
 from sequoiapoint.protocol.configuration_age import PREFIX as AGE_MESSAGE_PREFIX
 from sequoiapoint.protocol.digests import (
@@ -129,7 +131,14 @@
         self.slots = SlotExchange(state, self.peers, self._sender)
         self.permits = PermitExchange(state, self.peers, self._sender)
         self.allowances = AllowanceExchange(state, self.peers, self._sender)
-        self.origins = OriginExchange(state, watch, self.peers, self._sender)
+        self.origins = OriginExchange(
+            state,
+            watch,
+            self.peers,
+            self._sender,
+            OriginStore(state, store, self.peers, self._sender),
+            VersionHistoryStore(state, store, watch, self.peers),
+        )
         self._topics = TopicExchange(state, store, watch, self.peers)
         self.configuration_age = ConfigurationAgeExchange(
             state, store, watch, self.peers, self._sender, self._topics.fetch
@@ -222,6 +231,8 @@
             self._send_counts(now)
             self.placement.send_periodic(now)
             self.permits.refresh()
+            self.origins.stored.hand_over()
+            self.origins.history.write_if_due()
             await asyncio.sleep(DIGEST_INTERVAL_S * self._state.rng.uniform(0.9, 1.1))
 
     async def _run_urgent(self) -> None:
--- a/standins/virtual/host_network.py
+++ b/standins/virtual/host_network.py
@@ -12,10 +12,12 @@
     allowance_exchange,
     digest_sender,
     origin_exchange,
+    origin_store,
     peer_exchange,
     permit_exchange,
     slot_exchange,
     topic_exchange,
+    version_history,
 )
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.peer_exchange import DIGEST_INTERVAL_S, PeerExchange
@@ -160,6 +162,8 @@
             permit_exchange,
             slot_exchange,
             origin_exchange,
+            origin_store,
+            version_history,
         ):
             monkeypatch.setattr(module, "monotonic_s", lambda: self.now)
         for number in range(zones * hosts_in_zone):
