Answer requests whose admission fails

The handler answered failures of the forwarder only. A request whose admission fails has not been sent anywhere, so it gets 503 with a retry time.

--- a/sequoiapoint/node/request_handler.py
+++ b/sequoiapoint/node/request_handler.py
@@ -3,6 +3,7 @@
 import asyncio
 import http
 
+from sequoiapoint.coordination import waiting
 from sequoiapoint.node.admission import Admission
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.peer_exchange import PeerExchange
@@ -28,7 +29,13 @@
         if request is None:
             reject(state, responder, "", "no_request_id", http.HTTPStatus.BAD_REQUEST)
             return
-        admitted = await self._admission.admit(request, responder)
+        try:
+            admitted = await self._admission.admit(request, responder)
+        except Exception:
+            # A fault of the program; nothing has been sent to a server.
+            if not responder.is_started:
+                self._reject_not_run(request.request_id, responder)
+            raise
         if admitted is None:
             return
         forwarder = RequestForwarder(
@@ -54,3 +61,9 @@
             if admitted.charge is not None and forwarder.was_certainly_not_run:
                 organisation, cost = admitted.charge
                 self._exchange.allowances.refund(organisation, cost)
+
+    def _reject_not_run(self, request_id: str, responder: Responder) -> None:
+        state = self._state
+        status = http.HTTPStatus.SERVICE_UNAVAILABLE
+        retry_after_s = waiting.retry_after_s(False, state.rng.random())
+        reject(state, responder, request_id, "part_failed", status, retry_after_s)
