--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -58,6 +58,7 @@
     :ivar sent: The servers to which requests were sent, in this order.
     :ivar responses: Responses still to be given, by server: status and headers.
     :ivar flow_control: The functions that pause and resume the source of a stream.
+    :ivar forwarder: That of the last request.
     :ivar on_connect: Called with the server before a connection to it is returned.
     """
 
@@ -199,7 +200,7 @@
             origins=self.origins,
             detours=self.detours,
         )
-        await RequestForwarder(
+        self.forwarder = RequestForwarder(
             self.state,
             exchange,
             request,
@@ -207,7 +208,8 @@
             monotonic_s(),
             responder,
             **self.forwarder_options,
-        ).run()
+        )
+        await self.forwarder.run()
         return self.answer
 
 
@@ -1153,3 +1155,28 @@
     )
     expected = headers if organisation is None else headers[2:]
     assert detour.request.headers == expected
+
+
+@pytest.mark.parametrize(
+    ("responses", "detour", "was_not_run"),
+    [
+        ([NOT_RUN, NOT_RUN], None, True),
+        ([(200, [SIGNED])], None, False),
+        ([CRASH], None, False),
+        ([NOT_RUN], RefusalReply(503, "full", None), True),
+        ([NOT_RUN], RefusalReply(502, "reset", None), False),
+        ([NOT_RUN], RefusalReply(504, "timeout", None), False),
+    ],
+)
+def test_only_a_request_that_has_certainly_not_run_is_refunded(
+    monkeypatch, responses, detour, was_not_run
+):
+    """An organisation whose servers crash got requests beyond its allowance run."""
+    site = keyed_site(monkeypatch, *responses)
+    site.route = replace(ROUTE, repeatability=Repeatability.AT_MOST_ONCE)
+    if detour is not None:
+        site.state.adapter.callers = PlatformCallerCodec()
+        site.state.reachability.service("web").is_cut_off = True
+        site.detours.results = [(DetourResult(DetourOutcome.REFUSED, "h-2", detour),)]
+    asyncio.run(site.request(organisation="aspen", key_digest=KEY))
+    assert site.forwarder.was_certainly_not_run == was_not_run
