Probe before a host counts as cut off while servers still send data

Three of 40 servers that accept connections and reset them made hosts count as cut off, and 1,474 requests of 16 s were rejected as cut_off although data arrived from the other servers all the while. While data is at most 0.5 s old, a round of probes has to fail as well. Without data nothing changes.

reachability_test: a case that expects a cut beside data on old connections now lets the probes fail as well, as they do in a cut; a new test asserts that only then the host is cut off, and failed before.

--- a/sequoiapoint/node/reachability_monitor.py
+++ b/sequoiapoint/node/reachability_monitor.py
@@ -49,10 +49,14 @@
         """Determine whether a service's servers can be reached; log a change."""
         state, now = self._state, monotonic_s()
         service = state.reachability.service(name)
-        if not service.is_cut_off and not service.has_failures(now):
+        is_watched = service.is_cut_off or service.is_suspected
+        if not is_watched and not service.has_failures(now):
             return
         servers = {e.incarnation for e in state.fleet.ready_servers(name)}
+        was_suspected = service.is_suspected
         change = service.update(servers, now)
+        if service.is_suspected and not was_suspected:
+            self._probe_requested.set()
         if change is None:
             return
         state.metrics.event(f"servers_{change.value}")
@@ -99,10 +103,11 @@
             self._discard_stopped_processes()
             services = self._state.reachability.services()
             for name, service in services.items():
-                if not service.is_cut_off:
+                if not (service.is_cut_off or service.is_suspected):
                     continue
                 if not await self._probe_some(name, service):
                     service.note_probes_failed()
+                    self.check(name)
                     break
 
     def _discard_stopped_processes(self) -> None:
--- a/sequoiapoint/state/reachability.py
+++ b/sequoiapoint/state/reachability.py
@@ -20,6 +20,9 @@
 fewer."""
 MIN_FAILURES = 3
 """Number of failures of these servers together; a single server may restart."""
+CONFIRM_DATA_AGE_S = 0.5
+"""Age of data from any server up to which only failed probes show that a host is cut off:
+a few servers that crash or reset connections fail in the same way."""
 FAILURE_TTL_S = 5.0
 """Time after which a failure to connect says nothing of the present."""
 
@@ -65,8 +68,9 @@
     """Whether this host reaches the servers of one service.
 
     :ivar is_cut_off: Whether it reaches none of them, as far as is known.
-    :ivar is_confirmed: Whether probes have failed since, so that it is not only a part
-        of the servers that crashed.
+    :ivar is_suspected: Whether several servers have failed while others still send
+        data, so that probes must show whether the host is cut off.
+    :ivar is_confirmed: Whether probes have failed since the servers failed.
     :ivar changed_at: When that last changed, in seconds.
     :ivar data_at: When data last arrived from any of them, in seconds.
     """
@@ -76,6 +80,7 @@
         # When the newest connection that has delivered data was opened.
         self._connected_at = -math.inf
         self.is_cut_off = False
+        self.is_suspected = False
         self.is_confirmed = False
         self.changed_at = -math.inf
         self.data_at = -math.inf
@@ -164,13 +169,18 @@
             and sum(failures.values()) >= MIN_FAILURES
         )
         if not is_lost:
+            self.is_suspected = self.is_confirmed = False
             return None
+        if now - self.data_at < CONFIRM_DATA_AGE_S and not self.is_confirmed:
+            self.is_suspected = True
+            return None
+        self.is_suspected = False
         self.is_cut_off, self.changed_at = True, now
         return ReachabilityChange.LOST
 
     def note_probes_failed(self) -> None:
-        """Record that no server has responded to probes, while the host is cut off."""
-        self.is_confirmed = self.is_cut_off
+        """Record that no server has responded to probes."""
+        self.is_confirmed = self.is_cut_off or self.is_suspected
 
     def retain(self, servers: Collection[Incarnation]) -> None:
         """Remove the evidence about all other processes, except those in use."""
--- a/sequoiapoint/state/reachability_test.py
+++ b/sequoiapoint/state/reachability_test.py
@@ -18,9 +18,13 @@
 
 
 def state_at(events, at, servers=5):
+    """Return whether a host is cut off whose probes fail as well, if it probes."""
     service = ServiceReachability()
     apply(service, events)
     service.update(SERVERS[:servers], START + at)
+    if service.is_suspected:
+        service.note_probes_failed()
+        service.update(SERVERS[:servers], START + at)
     return service.is_cut_off
 
 
@@ -108,3 +112,24 @@
     apply(service, [("received", 4, 0.6, 0.5)])
     service.update(SERVERS, START + 0.6)
     assert (service.is_cut_off, service.is_confirmed) == (False, False)
+
+
+@pytest.mark.parametrize(
+    ("data_at", "is_cut_off"), [(0.4, False), (-0.2, True)], ids=["data", "no_data"]
+)
+def test_a_few_servers_that_reset_connections_do_not_cut_a_host_off(
+    data_at, is_cut_off
+):
+    """Guards against a host that rejects all requests because of a few bad servers.
+
+    Three of 40 servers reset all connections, while the others sent data on
+    connections that were open before: 1,474 requests of a day were rejected.
+    """
+    service = ServiceReachability()
+    apply(service, [*FAILED_THREE, ("received", 4, data_at, -9.0)])
+    service.update(SERVERS, START + 0.5)
+    assert service.is_cut_off is is_cut_off
+    assert service.is_suspected is not is_cut_off
+    apply(service, [("received", 3, 0.55, 0.5)])
+    service.update(SERVERS, START + 0.6)
+    assert not (service.is_cut_off or service.is_suspected)
