--- a/sequoiapoint/node/plain_exchange_test.py
+++ b/sequoiapoint/node/plain_exchange_test.py
@@ -2,13 +2,18 @@
 
 import asyncio
 from collections import Counter
-from types import SimpleNamespace
 
 import pytest
 
 from sequoiapoint.coordination.slot_allocator import plain_slots
 from sequoiapoint.node import slot_exchange
-from sequoiapoint.protocol.gateway import ServerEntry, ServerState, ServiceSpec
+from sequoiapoint.protocol.gateway import (
+    CallerLimits,
+    GatewayConfiguration,
+    ServerEntry,
+    ServerState,
+    ServiceSpec,
+)
 from sequoiapoint.protocol.slots import SlotOutcome, SlotQuality, SlotRequest
 from standins.virtual.host_network import HostNetwork
 
@@ -27,8 +32,8 @@
         self.network = HostNetwork(monkeypatch, ZONES, hosts_in_zone, link_mbps=100.0)
         services = {"web": ServiceSpec("web", 100)}
         for host in self.network.hosts:
-            host.state.configuration = SimpleNamespace(
-                services=services, organisations=None, version=1
+            host.state.configuration = GatewayConfiguration(
+                1, (), services, CallerLimits()
             )
             host.state.wait_queue.wake = lambda number: None
             for entry in SERVERS:
