--- a/sequoiapoint/state/reachability.py
+++ b/sequoiapoint/state/reachability.py
@@ -21,8 +21,8 @@
 MIN_FAILURES = 3
 """Number of failures of these servers together; a single server may restart."""
 CONFIRM_DATA_AGE_S = 0.5
-"""Age of data from any server up to which only failed probes show that a host is cut off:
-a few servers that crash or reset connections fail in the same way."""
+"""Age of data from any server up to which only failed probes show that a host is cut
+off: a few servers that crash or reset connections fail in the same way."""
 FAILURE_TTL_S = 5.0
 """Time after which a failure to connect says nothing of the present."""
 
--- a/sequoiapoint/state/reachability_test.py
+++ b/sequoiapoint/state/reachability_test.py
@@ -130,6 +130,6 @@
     service.update(SERVERS, START + 0.5)
     assert service.is_cut_off is is_cut_off
     assert service.is_suspected is not is_cut_off
-    apply(service, [("received", 3, 0.55, 0.5)])
+    apply(service, [("received", 3, 0.55, 0.52)])
     service.update(SERVERS, START + 0.6)
     assert not (service.is_cut_off or service.is_suspected)
