--- a/sequoiapoint/coordination/slot_allocator.py
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -56,8 +56,8 @@
 """Cost, in full batches, of an engine that fails all its requests."""
 MIN_BROKEN = 3
 """Number of requests in a row whose connections broke before a response from which on
-an engine is avoided.  Its slots are always free, so it would get most requests; a single
-response may be lost."""
+an engine is avoided.  Its slots are always free, so it would get most requests; a
+single response may be lost."""
 FIRST_AVOIDANCE_S = 0.5
 """Time for which an unreachable engine is avoided; it doubles with each failure."""
 BRITTLE_PAUSE_S = 0.5
--- a/sequoiapoint/state/server_load.py
+++ b/sequoiapoint/state/server_load.py
@@ -41,7 +41,8 @@
     :param sent_at: The time at which each running request was sent, by request number.
     :param local_at_report: The number of this host's running requests when the last
         report arrived.
-    :param broken_count: The number of connections in a row that broke before a response.
+    :param broken_count: The number of connections in a row that broke before a
+        response.
     :param avoid_until: The time until which other servers are preferred.
     :param back_off_until: The time until which it wants nothing from this host.
     :param failure_rate: The moving average of the share of failures among outcomes.
