Reuse no connection on which bytes have arrived that are not read yet

A late copy of a response may lie in the kernel's buffer as the next request is sent. The event loop then reads it as that request's response, and without a request id nothing tells them apart.

--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -9,6 +9,7 @@
 import enum
 import math
 import re
+import select
 import socket
 import struct
 from collections import deque
@@ -209,6 +210,18 @@
         except (OSError, struct.error):
             return math.inf
 
+    @property
+    def has_unread(self) -> bool:
+        """Tell whether bytes or the peer's end have arrived that are not read yet.
+
+        The event loop reads a connection only between its tasks.  What arrived before
+        a request was sent belongs to no request, but would count as its response.
+        """
+        poll = select.poll()
+        sock = self._transport.get_extra_info("socket")
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def send(
         self, head: bytes, body: bytes, accepts: Callable[[int, Headers], bool]
     ) -> Exchange:
@@ -499,7 +512,7 @@
         now = monotonic_s()
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_reusable(now):
+            if connection.is_reusable(now) and not connection.has_unread:
                 return connection
             connection.close()
         return await self._connect(timeout_s)
