Reset the connection of an HTTP/1.0 caller whose response is incomplete

Streams to callers with HTTP/1.0 have no chunks, so the end of the connection is the end of the response, and a stream that broke off looked complete.

--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -158,9 +158,12 @@
     async def _refuses_connections(self, entry):
         return entry.server in self.crashed
 
-    async def request(self, budget_s=1.0, body=b"", **fields):
-        """Send one request; return the status and headers of its response."""
-        responder = SimpleNamespace(
+    async def request(self, budget_s=1.0, body=b"", responder=None, **fields):
+        """Send one request; return the status and headers of its response.
+
+        :param responder: Gets the response in place of ``answer`` and ``streamed``.
+        """
+        recorder = SimpleNamespace(
             is_started=False,
             send_response=lambda status, headers, body=b"": setattr(
                 self, "answer", (status, dict(headers))
@@ -174,10 +177,10 @@
         )
 
         def start_stream(status, headers):
-            responder.is_started = True
+            recorder.is_started = True
             self.answer = (status, dict(headers))
 
-        responder.start_stream = start_stream
+        recorder.start_stream = start_stream
         fields.setdefault("headers", ())
         request = CallerRequest(
             "id", "GET", "h", "/r/x", body=body, budget_s=budget_s, **fields
@@ -206,7 +209,7 @@
             request,
             self.route,
             monotonic_s(),
-            responder,
+            responder or recorder,
             **self.forwarder_options,
         )
         await self.forwarder.run()
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -252,7 +252,7 @@
         self._may_reuse = False
         if self._transport is not None:
             if exchange is None:
-                _set_discard_on_close(self._transport, False)
+                set_discard_on_close(self._transport, False)
             self._transport.abort()
         if exchange is not None:
             exchange.finish(ExchangeOutcome.ABANDONED)
@@ -291,7 +291,7 @@
         self.opened_at = self._idle_since = monotonic_s()
         set_liveness_options(transport.get_extra_info("socket"))
         # Also for a connection that the kernel ends because its peer is silent.
-        _set_discard_on_close(transport, True)
+        set_discard_on_close(transport, True)
 
     def data_received(self, data: bytes) -> None:
         """Parse the data; close the connection if no request is pending."""
@@ -451,7 +451,7 @@
         self._on_release(self)
 
 
-def _set_discard_on_close(transport: asyncio.Transport, discards: bool) -> None:
+def set_discard_on_close(transport: asyncio.Transport, discards: bool) -> None:
     """Choose whether the kernel resets the connection on close and discards bytes."""
     linger = struct.pack("ii", discards, 0)
     sock = transport.get_extra_info("socket")
--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -15,7 +15,10 @@
 
 from sequoiapoint.protocol.gateway import CallerLimits
 from sequoiapoint.protocol.ports import Headers
-from sequoiapoint.transport.async_http_client import set_liveness_options
+from sequoiapoint.transport.async_http_client import (
+    set_discard_on_close,
+    set_liveness_options,
+)
 from sequoiapoint.transport.clock import monotonic_s, pause_to_tick_s
 
 TIMEOUT_CHECK_INTERVAL_S = 0.25
@@ -186,9 +189,16 @@
             self._transport.write(data)
 
     def abort(self) -> None:
-        """Abort the connection."""
-        if self._transport is not None:
-            self._transport.abort()
+        """Abort the connection.
+
+        A caller with HTTP/1.0 takes an orderly end for the end of the response, so the
+        kernel resets its connection if one is in progress.
+        """
+        if self._transport is None:
+            return
+        if self._active is not None and not self.is_http_11:
+            set_discard_on_close(self._transport, True)
+        self._transport.abort()
 
     def stop(self) -> None:
         """Close the connection unless a request is being received or processed."""
