Check packed messages before the library decodes them

A packed message that ends too early made the library raise an error while it freed the message, which aborted the process: one datagram, cut off or changed, took a host down. (Fuzzing the datagrams aborted the test process itself: 'terminate called after throwing an instance of kj::ExceptionImpl', Premature EOF.) An unknown kind or outcome raised a RuntimeError that nobody handled.

--- a/sequoiapoint/protocol/detours.py
+++ b/sequoiapoint/protocol/detours.py
@@ -13,6 +13,7 @@
 import capnp
 
 from sequoiapoint.protocol.gateway import CallerRequest
+from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("detours.capnp")))
 DETOUR_PATH = "/detours"
@@ -157,7 +158,7 @@
                 message.isRetry,
                 request,
             )
-    except (capnp.KjException, ValueError) as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a request on a detour: {error}") from error
 
 
@@ -213,7 +214,7 @@
     """
     try:
         data = base64.b64decode(value, validate=True)
-        message = _SCHEMA.DetourReply.from_bytes_packed(data)
+        message = read_packed(_SCHEMA.DetourReply, data)
         kind = message.which()
         if kind == "response":
             group = message.response
@@ -227,7 +228,7 @@
                 group.status, group.reason, retry_after_s, message.attempts
             )
         return UnknownReply(message.unknown.reason, message.attempts)
-    except (capnp.KjException, ValueError) as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a reply: {error}") from error
 
 
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -10,6 +10,7 @@
 import capnp
 
 from sequoiapoint.protocol.gateway import Incarnation, ModelDemand, StoreRecord
+from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(Path(__file__).with_name("digest.capnp")))
@@ -344,7 +345,7 @@
     :raises ValueError: The data is not a digest.
     """
     try:
-        message = _SCHEMA.Digest.from_bytes_packed(data)
+        message = read_packed(_SCHEMA.Digest, data)
         return Digest(
             host=message.host,
             zone=message.zone,
@@ -398,7 +399,7 @@
             ),
             speeds=tuple(_decode_speed(s) for s in message.speeds),
         )
-    except capnp.KjException as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a digest: {error}") from error
 
 
@@ -459,5 +460,5 @@
             )
             age_s = _decode_age(message.ageMs)
             return TopicState(records, message.end, message.isWhole, age_s)
-    except (capnp.KjException, zlib.error) as error:
+    except (*DECODE_ERRORS, zlib.error) as error:
         raise ValueError(f"not a topic's state: {error}") from error
--- a/sequoiapoint/protocol/origins.py
+++ b/sequoiapoint/protocol/origins.py
@@ -14,6 +14,7 @@
 import capnp
 
 from sequoiapoint.protocol.gateway import Incarnation
+from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("origins.capnp")))
 PREFIX = b"\xfd"
@@ -221,7 +222,7 @@
     :raises ValueError: The data is not a message about origins.
     """
     try:
-        message = _SCHEMA.OriginMessage.from_bytes_packed(data[len(PREFIX) :])
+        message = read_packed(_SCHEMA.OriginMessage, data[len(PREFIX) :])
         stream, kind = message.stream, message.which()
         if kind == "record":
             return OriginRecord(stream, _decode_origin(message.record.origin))
@@ -231,7 +232,7 @@
             return _decode_batch(message.batch)
         reply = message.reply
         return OriginReply(stream, reply.number, _decode_origin(reply.origin))
-    except capnp.KjException as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a message about origins: {error}") from error
 
 
--- a/sequoiapoint/protocol/peers.py
+++ b/sequoiapoint/protocol/peers.py
@@ -8,9 +8,12 @@
 import capnp
 
 from sequoiapoint.protocol.member import Member
+from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(Path(__file__).with_name("peers.capnp")))
+MAX_CALL_WORDS = 2**26
+"""Maximum size of a call or a reply, in words."""
 
 
 @dataclass(frozen=True)
@@ -100,7 +103,7 @@
     :raises BadMessageError: The bytes are not a gossip message.
     """
     try:
-        message = _SCHEMA.Gossip.from_bytes_packed(data)
+        message = read_packed(_SCHEMA.Gossip, data)
         return Gossip(
             members=tuple(_decode_member(m) for m in message.members),
             loads=tuple((entry.server, entry.load) for entry in message.loads),
@@ -109,7 +112,7 @@
                 (s.fingerprint, frozenset(s.deaths)) for s in message.suspicions
             ),
         )
-    except (capnp.KjException, ValueError) as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         raise BadMessageError(str(error)) from error
 
 
@@ -161,7 +164,7 @@
     :raises BadMessageError: The bytes are not a call.
     """
     try:
-        message = _SCHEMA.Call.from_bytes_packed(data)
+        message = read_packed(_SCHEMA.Call, data, MAX_CALL_WORDS)
         kind = message.which()
         if kind == "state":
             return StateCall(message.state)
@@ -171,7 +174,7 @@
             return ClaimCall(claim.stream, record, claim.timeoutMs)
         probe = message.probe
         return ProbeCall(probe.server, probe.holder, probe.isRelease)
-    except (capnp.KjException, ValueError) as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         raise BadMessageError(str(error)) from error
 
 
@@ -190,9 +193,9 @@
     :raises BadMessageError: The bytes are not a reply.
     """
     try:
-        message = _SCHEMA.Reply.from_bytes_packed(data, traversal_limit_in_words=2**26)
+        message = read_packed(_SCHEMA.Reply, data, MAX_CALL_WORDS)
         content = bytes(message.data)
         value = json.loads(content) if content else None
         return Reply(message.isOk, message.reason, value)
-    except (capnp.KjException, ValueError) as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         raise BadMessageError(str(error)) from error
--- a/sequoiapoint/protocol/permits.py
+++ b/sequoiapoint/protocol/permits.py
@@ -13,6 +13,7 @@
 import capnp
 
 from sequoiapoint.protocol.gateway import Incarnation
+from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("permits.capnp")))
 PREFIX = b"\xfe"
@@ -124,7 +125,7 @@
     :raises ValueError: The data is not a permit message.
     """
     try:
-        message = _SCHEMA.PermitMessage.from_bytes_packed(data[len(PREFIX) :])
+        message = read_packed(_SCHEMA.PermitMessage, data[len(PREFIX) :])
         host, number = message.host, message.number
         if message.which() == "request":
             group = message.request
@@ -141,5 +142,5 @@
         group = message.reply
         outcome = PermitOutcome(str(group.outcome))
         return PermitReply(host, number, outcome, group.waitMs / 1000, group.isReserved)
-    except capnp.KjException as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a permit message: {error}") from error
--- a/sequoiapoint/protocol/slots.py
+++ b/sequoiapoint/protocol/slots.py
@@ -13,6 +13,7 @@
 import capnp
 
 from sequoiapoint.protocol.gateway import Incarnation
+from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("slots.capnp")))
 PREFIX = b"\xff"
@@ -158,7 +159,7 @@
     :raises ValueError: The data is not a slot message.
     """
     try:
-        message = _SCHEMA.SlotMessage.from_bytes_packed(data[len(PREFIX) :])
+        message = read_packed(_SCHEMA.SlotMessage, data[len(PREFIX) :])
         host, number = message.host, message.number
         kind = message.which()
         if kind == "request":
@@ -187,5 +188,5 @@
             group.slownessPercent / 100 or None,
             group.relativeTime or None,
         )
-    except capnp.KjException as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a slot message: {error}") from error
