Reject addresses, rates and sums of other hosts that cannot be sent on

A digest or a record of a host with an address that is no IP address and port, or a sum of counts above 32 bits, raised an error in the loop that sends digests. The loop failed again at each restart, until the sender was forgotten. A rate that is not a number was passed on to all hosts and their allocators.

Addresses and rates are checked when they are decoded, and sums are limited when they are encoded. The registry's records are validated by a model and counted.

--- a/sequoiapoint/node/host_registry.py
+++ b/sequoiapoint/node/host_registry.py
@@ -3,9 +3,12 @@
 import asyncio
 import json
 from collections.abc import Callable
+from typing import Annotated
+
+import pydantic
 
 from sequoiapoint.node.gateway_state import GatewayState
-from sequoiapoint.protocol.digests import Member
+from sequoiapoint.protocol.digests import MAX_UINT32, Member, checked_address
 from sequoiapoint.protocol.errors import Failure
 from sequoiapoint.state.peers import LIVENESS_TIMEOUT_S, Peers
 from sequoiapoint.transport.clock import monotonic_s
@@ -24,6 +27,14 @@
 network partition of any length."""
 
 
+class _RegisteredHost(pydantic.BaseModel):
+    """A host's record in the registry."""
+
+    zone: pydantic.StrictStr
+    address: Annotated[pydantic.StrictStr, pydantic.AfterValidator(checked_address)]
+    capacity: Annotated[int, pydantic.Field(ge=0, le=MAX_UINT32)] = 0
+
+
 class HostRegistry:
     """Registers this host and adds the other registered hosts to the peers.
 
@@ -115,12 +126,11 @@
         if host == self._local_member.host or value is None:
             return
         try:
-            known = json.loads(value)
-            self._peers.add(
-                Member(
-                    host, known["zone"], known["address"], int(known.get("capacity", 0))
-                ),
-                last_heard_at,
-            )
-        except (ValueError, KeyError, TypeError) as error:
-            self._state.log.event("record_unreadable", key=host, reason=str(error))
+            known = _RegisteredHost.model_validate_json(value)
+        except pydantic.ValidationError as error:
+            reason = str(error.errors()[0]["msg"])
+            self._state.metrics.event("record_unreadable")
+            self._state.log.event("record_unreadable", key=host, reason=reason)
+            return
+        member = Member(host, known.zone, known.address, known.capacity)
+        self._peers.add(member, last_heard_at)
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -1,6 +1,8 @@
 """Codec of the messages between gateway hosts."""
 
 import enum
+import functools
+import ipaddress
 import zlib
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
@@ -37,6 +39,12 @@
 MAX_UINT16 = 65_535
 MAX_PRIORITY = 255
 """The least urgent priority that a digest can carry."""
+MAX_KNOWN_ADDRESSES = 4_096
+"""Number of addresses of hosts that are checked once."""
+MAX_PER_S = 1e9
+"""Highest rate that a server can name; its header has at most nine digits."""
+MAX_UINT32 = 2**32 - 1
+"""Highest count or age in a message.  Sums of what other hosts report may be higher."""
 MAX_TOPIC_STATE_BYTES = 64_000_000
 """Maximum size of a topic, far above the configuration of the largest intended site."""
 TRAVERSAL_LIMIT_WORDS = MAX_TOPIC_STATE_BYTES // 8
@@ -191,13 +199,18 @@
 
 
 def _decode_members(members: Iterable[Any]) -> tuple[Member, ...]:
-    return tuple(Member(*map(m._get_by_field, _MEMBER)) for m in members)
+    host, zone, address, capacity = _MEMBER
+    return tuple(
+        Member(get(host), get(zone), checked_address(get(address)), get(capacity))
+        for get in (member._get_by_field for member in members)
+    )
 
 
 def _encode_counts(message: Any, counts: Sequence[tuple[Incarnation, int]]) -> None:
     items = message.init("counts", len(counts))
     for item, ((server, started_ms), running) in zip(items, counts, strict=True):
-        item.server, item.startedMs, item.running = server, started_ms, running
+        item.server, item.startedMs = server, started_ms
+        item.running = _uint32(running)
 
 
 def _decode_counts(message: Any) -> tuple[tuple[Incarnation, int], ...]:
@@ -237,18 +250,47 @@
     )
 
 
+@functools.lru_cache(MAX_KNOWN_ADDRESSES)
+def checked_address(address: str) -> str:
+    """Return the address of a host if it is an IP address and a port.
+
+    The sockets raise errors for any other, and the loop that sends would end.
+
+    :raises ValueError: It is not.
+    """
+    host, _, port = address.rpartition(":")
+    ipaddress.ip_address(host)
+    if not (port.isascii() and port.isdigit() and 0 < int(port) < 2**16):
+        raise ValueError(f"not a port: {port!r}")
+    return address
+
+
+def _uint32(number: int) -> int:
+    return max(0, min(MAX_UINT32, number))
+
+
 def _encode_limit(limit: ServerLimit) -> dict[str, Any]:
     server, started_ms = limit.server
     return {
         "server": server,
         "startedMs": started_ms,
         "perS": NO_LIMIT_PER_S if limit.per_s is None else limit.per_s,
-        "ageMs": max(0, round(1000 * limit.age_s)),
+        "ageMs": _uint32(round(1000 * limit.age_s)),
     }
 
 
+def checked_rate(per_s: float) -> float:
+    """Return a rate if a server can have named it.
+
+    :raises ValueError: It is not a number, or too high.
+    """
+    if not per_s <= MAX_PER_S:
+        raise ValueError(f"not a rate: {per_s}")
+    return per_s
+
+
 def _decode_limit(message: Any) -> ServerLimit:
-    per_s = None if message.perS < 0 else message.perS
+    per_s = None if message.perS < 0 else checked_rate(message.perS)
     return ServerLimit((message.server, message.startedMs), per_s, message.ageMs / 1000)
 
 
@@ -292,11 +334,11 @@
                 "service": demand.service,
                 "model": demand.model,
                 "adapter": demand.adapter,
-                "inWork": demand.running,
-                "waiting": demand.waiting,
-                "goalMs": round(demand.goal_s * 1000),
+                "inWork": _uint32(demand.running),
+                "waiting": _uint32(demand.waiting),
+                "goalMs": _uint32(round(demand.goal_s * 1000)),
                 "priority": min(demand.priority, MAX_PRIORITY),
-                "unservedMs": round(demand.unserved_s * 1000),
+                "unservedMs": _uint32(round(demand.unserved_s * 1000)),
             }
             for demand in digest.demands
         ],
@@ -305,7 +347,7 @@
             for fingerprint, deaths in digest.suspicions
         ],
         scope=digest.scope.value,
-        hostCount=digest.host_count,
+        hostCount=_uint32(digest.host_count),
         isDemandReport=digest.is_demand_report,
         isHeartbeat=digest.is_heartbeat,
         capacity=digest.capacity,
@@ -326,7 +368,11 @@
             for server, started in digest.fallen
         ],
         turnedAway=[
-            {"server": server, "startedMs": started, "ageMs": round(1000 * age_s)}
+            {
+                "server": server,
+                "startedMs": started,
+                "ageMs": _uint32(round(1000 * age_s)),
+            }
             for (server, started), age_s in digest.turned_away
         ],
         speeds=[_encode_speed(process, sample) for process, sample in digest.speeds],
@@ -349,7 +395,7 @@
         return Digest(
             host=message.host,
             zone=message.zone,
-            address=message.address,
+            address=checked_address(message.address),
             started_ms=message.startedMs,
             is_leaving=message.isLeaving,
             configuration_end=message.configurationEnd,
--- a/sequoiapoint/protocol/permits.py
+++ b/sequoiapoint/protocol/permits.py
@@ -12,6 +12,7 @@
 
 import capnp
 
+from sequoiapoint.protocol.digests import checked_rate
 from sequoiapoint.protocol.gateway import Incarnation
 from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
 
@@ -136,7 +137,7 @@
                 group.zone,
                 group.caller,
                 group.maxWaitMs / 1000,
-                group.limitPerS,
+                checked_rate(group.limitPerS),
                 group.limitAgeMs / 1000,
             )
         group = message.reply
--- a/standins/virtual/host_network.py
+++ b/standins/virtual/host_network.py
@@ -207,7 +207,9 @@
         while self.sent:
             batch, self.sent = self.sent, []
             for sender, to, data in batch:
-                self._deliver(sender, by_address["{}:{}".format(*to)], data)
+                receiver = by_address.get("{}:{}".format(*to))
+                if receiver is not None:
+                    self._deliver(sender, receiver, data)
 
     def _deliver(self, sender, receiver, data):
         if receiver in self.stopped_hosts or sender in self.stopped_hosts:
