Answer requests that have arrived as their idle connection is closed

A planned stop and the idle timeout closed connections whose next request lay in the kernel's buffer, and the kernel reset them. Such connections now stay open until the request is read and answered.

--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -220,10 +220,7 @@
         The event loop reads a connection only between its tasks.  What arrived before
         a request was sent belongs to no request, but would count as its response.
         """
-        poll = select.poll()
-        sock = self._transport.get_extra_info("socket")
-        poll.register(sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return has_unread(self._transport)
 
     def send(
         self, head: bytes, body: bytes, accepts: Callable[[int, Headers], bool]
@@ -455,6 +452,13 @@
         self._on_release(self)
 
 
+def has_unread(transport: asyncio.Transport) -> bool:
+    """Tell whether bytes or the peer's end have arrived that are not read yet."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def set_discard_on_close(transport: asyncio.Transport, discards: bool) -> None:
     """Choose whether the kernel resets the connection on close and discards bytes."""
     linger = struct.pack("ii", discards, 0)
--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -16,6 +16,7 @@
 from sequoiapoint.protocol.gateway import CallerLimits
 from sequoiapoint.protocol.ports import Headers
 from sequoiapoint.transport.async_http_client import (
+    has_unread,
     set_discard_on_close,
     set_liveness_options,
 )
@@ -201,9 +202,13 @@
         self._transport.abort()
 
     def stop(self) -> None:
-        """Close the connection unless a request is being received or processed."""
+        """Close the connection unless a request is being received or processed.
+
+        A request that has arrived but is not read yet is answered.
+        """
         if self.is_idle:
-            self.abort()
+            if self._transport is None or not has_unread(self._transport):
+                self.abort()
         elif self._active is None and not self._is_reading and not self._ignores_input:
             self._close_after_delay()
 
@@ -248,7 +253,11 @@
         waited_s = now - since
         if self._is_reading and waited_s > limits.header_timeout_s:
             self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
-        elif not self._is_reading and waited_s > limits.idle_timeout_s:
+        elif (
+            not self._is_reading
+            and waited_s > limits.idle_timeout_s
+            and not has_unread(self._transport)
+        ):
             self._server.idle_closed += 1
             self._transport.close()
 
