--- a/sequoiapoint/protocol/allowances.py
+++ b/sequoiapoint/protocol/allowances.py
@@ -14,6 +14,8 @@
 
 import capnp
 
+from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
+
 _SCHEMA = capnp.load(str(Path(__file__).with_name("allowances.capnp")))
 PREFIX = b"\xfa"
 """First byte of a datagram with an allowance message, unlike that of any other kind."""
@@ -170,7 +172,7 @@
     :raises ValueError: The data is not an allowance message.
     """
     try:
-        message = _SCHEMA.AllowanceMessage.from_bytes_packed(data[len(PREFIX) :])
+        message = read_packed(_SCHEMA.AllowanceMessage, data[len(PREFIX) :])
         host, number = message.host, message.number
         if message.which() == "request":
             group = message.request
@@ -204,5 +206,5 @@
             group.waitMs / 1000,
             tuple(group.due),
         )
-    except capnp.KjException as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not an allowance message: {error}") from error
--- a/sequoiapoint/protocol/configuration_age.py
+++ b/sequoiapoint/protocol/configuration_age.py
@@ -11,6 +11,8 @@
 
 import capnp
 
+from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
+
 _SCHEMA = capnp.load(str(Path(__file__).with_name("configuration_age.capnp")))
 PREFIX = b"\xfb"
 """First byte of a datagram with such a message.  The packed form of a digest begins
@@ -106,7 +108,7 @@
     :raises ValueError: The data is not a message about ages.
     """
     try:
-        message = _SCHEMA.ConfigurationAgeMessage.from_bytes_packed(data[len(PREFIX) :])
+        message = read_packed(_SCHEMA.ConfigurationAgeMessage, data[len(PREFIX) :])
         kind = message.which()
         if kind == "question":
             return AgeQuestion(message.number, message.question.host)
@@ -115,5 +117,5 @@
             return AgeReply(message.number, reply.version, reply.ageMs / 1000)
         notice = message.notice
         return AgeNotice(notice.sender, notice.noticeAgeMs / 1000)
-    except capnp.KjException as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a message about ages: {error}") from error
--- a/sequoiapoint/protocol/origins.py
+++ b/sequoiapoint/protocol/origins.py
@@ -255,8 +255,8 @@
     """
     content = _record_content(data, "origins")
     try:
-        return _decode_batch(_SCHEMA.OriginBatch.from_bytes_packed(content))
-    except capnp.KjException as error:
+        return _decode_batch(read_packed(_SCHEMA.OriginBatch, content))
+    except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a record about origins: {error}") from error
 
 
@@ -279,8 +279,8 @@
     """
     content = _record_content(data, "versions")
     try:
-        history = _SCHEMA.VersionHistory.from_bytes_packed(content)
+        history = read_packed(_SCHEMA.VersionHistory, content)
         versions = {entry.service: entry.version for entry in history.services}
         return VersionHistory(history.position, versions)
-    except capnp.KjException as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a record about versions: {error}") from error
