--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -1,6 +1,8 @@
 """Codec of the messages between gateway hosts."""
 
 import enum
+import functools
+import ipaddress
 import zlib
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
@@ -10,6 +12,7 @@
 import capnp
 
 from sequoiapoint.protocol.gateway import Incarnation, ModelDemand, StoreRecord
+from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(Path(__file__).with_name("digest.capnp")))
@@ -36,6 +39,12 @@
 MAX_UINT16 = 65_535
 MAX_PRIORITY = 255
 """The least urgent priority that a digest can carry."""
+MAX_KNOWN_ADDRESSES = 4_096
+"""Number of addresses of hosts that are checked once."""
+MAX_PER_S = 1e9
+"""Highest rate that a server can name; its header has at most nine digits."""
+MAX_UINT32 = 2**32 - 1
+"""Highest count or age in a message.  Sums of what other hosts report may be higher."""
 MAX_TOPIC_STATE_BYTES = 64_000_000
 """Maximum size of a topic, far above the configuration of the largest intended site."""
 TRAVERSAL_LIMIT_WORDS = MAX_TOPIC_STATE_BYTES // 8
@@ -190,13 +199,18 @@
 
 
 def _decode_members(members: Iterable[Any]) -> tuple[Member, ...]:
-    return tuple(Member(*map(m._get_by_field, _MEMBER)) for m in members)
+    host, zone, address, capacity = _MEMBER
+    return tuple(
+        Member(get(host), get(zone), checked_address(get(address)), get(capacity))
+        for get in (member._get_by_field for member in members)
+    )
 
 
 def _encode_counts(message: Any, counts: Sequence[tuple[Incarnation, int]]) -> None:
     items = message.init("counts", len(counts))
     for item, ((server, started_ms), running) in zip(items, counts, strict=True):
-        item.server, item.startedMs, item.running = server, started_ms, running
+        item.server, item.startedMs = server, started_ms
+        item.running = _uint32(running)
 
 
 def _decode_counts(message: Any) -> tuple[tuple[Incarnation, int], ...]:
@@ -236,18 +250,47 @@
     )
 
 
+@functools.lru_cache(MAX_KNOWN_ADDRESSES)
+def checked_address(address: str) -> str:
+    """Return the address of a host if it is an IP address and a port.
+
+    The sockets raise errors for any other, and the loop that sends would end.
+
+    :raises ValueError: It is not.
+    """
+    host, _, port = address.rpartition(":")
+    ipaddress.ip_address(host)
+    if not (port.isascii() and port.isdigit() and 0 < int(port) < 2**16):
+        raise ValueError(f"not a port: {port!r}")
+    return address
+
+
+def _uint32(number: int) -> int:
+    return max(0, min(MAX_UINT32, number))
+
+
 def _encode_limit(limit: ServerLimit) -> dict[str, Any]:
     server, started_ms = limit.server
     return {
         "server": server,
         "startedMs": started_ms,
         "perS": NO_LIMIT_PER_S if limit.per_s is None else limit.per_s,
-        "ageMs": max(0, round(1000 * limit.age_s)),
+        "ageMs": _uint32(round(1000 * limit.age_s)),
     }
 
 
+def checked_rate(per_s: float) -> float:
+    """Return a rate if a server can have named it.
+
+    :raises ValueError: It is not a number, or too high.
+    """
+    if not per_s <= MAX_PER_S:
+        raise ValueError(f"not a rate: {per_s}")
+    return per_s
+
+
 def _decode_limit(message: Any) -> ServerLimit:
-    per_s = None if message.perS < 0 else message.perS
+    per_s = None if message.perS < 0 else checked_rate(message.perS)
     return ServerLimit((message.server, message.startedMs), per_s, message.ageMs / 1000)
 
 
@@ -291,11 +334,11 @@
                 "service": demand.service,
                 "model": demand.model,
                 "adapter": demand.adapter,
-                "inWork": demand.running,
-                "waiting": demand.waiting,
-                "goalMs": round(demand.goal_s * 1000),
+                "inWork": _uint32(demand.running),
+                "waiting": _uint32(demand.waiting),
+                "goalMs": _uint32(round(demand.goal_s * 1000)),
                 "priority": min(demand.priority, MAX_PRIORITY),
-                "unservedMs": round(demand.unserved_s * 1000),
+                "unservedMs": _uint32(round(demand.unserved_s * 1000)),
             }
             for demand in digest.demands
         ],
@@ -304,7 +347,7 @@
             for fingerprint, deaths in digest.suspicions
         ],
         scope=digest.scope.value,
-        hostCount=digest.host_count,
+        hostCount=_uint32(digest.host_count),
         isDemandReport=digest.is_demand_report,
         isHeartbeat=digest.is_heartbeat,
         capacity=digest.capacity,
@@ -325,7 +368,11 @@
             for server, started in digest.fallen
         ],
         turnedAway=[
-            {"server": server, "startedMs": started, "ageMs": round(1000 * age_s)}
+            {
+                "server": server,
+                "startedMs": started,
+                "ageMs": _uint32(round(1000 * age_s)),
+            }
             for (server, started), age_s in digest.turned_away
         ],
         speeds=[_encode_speed(process, sample) for process, sample in digest.speeds],
@@ -344,11 +391,11 @@
     :raises ValueError: The data is not a digest.
     """
     try:
-        message = _SCHEMA.Digest.from_bytes_packed(data)
+        message = read_packed(_SCHEMA.Digest, data)
         return Digest(
             host=message.host,
             zone=message.zone,
-            address=message.address,
+            address=checked_address(message.address),
             started_ms=message.startedMs,
             is_leaving=message.isLeaving,
             configuration_end=message.configurationEnd,
@@ -398,7 +445,7 @@
             ),
             speeds=tuple(_decode_speed(s) for s in message.speeds),
         )
-    except capnp.KjException as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a digest: {error}") from error
 
 
@@ -459,5 +506,5 @@
             )
             age_s = _decode_age(message.ageMs)
             return TopicState(records, message.end, message.isWhole, age_s)
-    except (capnp.KjException, zlib.error) as error:
+    except (*DECODE_ERRORS, zlib.error) as error:
         raise ValueError(f"not a topic's state: {error}") from error
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -9,6 +9,7 @@
 import enum
 import math
 import re
+import select
 import socket
 import struct
 from collections import deque
@@ -99,6 +100,8 @@
     :ivar outcome: How the response ended.
     :ivar on_body: Receives the parts of the body; if None, they are buffered.
     :ivar is_paused: Whether no data is read as their receiver does not keep up.
+    :ivar is_ended_by_close: Whether only the end of the connection completed the
+        response; a server that breaks off ends it alike.
     """
 
     def __init__(
@@ -110,6 +113,7 @@
         self.outcome: asyncio.Future[ExchangeOutcome] = loop.create_future()
         self.on_body: Callable[[bytes], None] | None = None
         self.is_paused = False
+        self.is_ended_by_close = False
         self._accepts = accepts
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -209,6 +213,15 @@
         except (OSError, struct.error):
             return math.inf
 
+    @property
+    def has_unread(self) -> bool:
+        """Tell whether bytes or the peer's end have arrived that are not read yet.
+
+        The event loop reads a connection only between its tasks.  What arrived before
+        a request was sent belongs to no request, but would count as its response.
+        """
+        return has_unread(self._transport)
+
     def send(
         self, head: bytes, body: bytes, accepts: Callable[[int, Headers], bool]
     ) -> Exchange:
@@ -239,7 +252,7 @@
         self._may_reuse = False
         if self._transport is not None:
             if exchange is None:
-                _set_discard_on_close(self._transport, False)
+                set_discard_on_close(self._transport, False)
             self._transport.abort()
         if exchange is not None:
             exchange.finish(ExchangeOutcome.ABANDONED)
@@ -278,7 +291,7 @@
         self.opened_at = self._idle_since = monotonic_s()
         set_liveness_options(transport.get_extra_info("socket"))
         # Also for a connection that the kernel ends because its peer is silent.
-        _set_discard_on_close(transport, True)
+        set_discard_on_close(transport, True)
 
     def data_received(self, data: bytes) -> None:
         """Parse the data; close the connection if no request is pending."""
@@ -327,6 +340,7 @@
         if self._exchange is not None:
             is_complete = self._exchange.head.done() and not self._is_framed
             self._may_reuse = False
+            self._exchange.is_ended_by_close = is_complete
             self._end(
                 ExchangeOutcome.COMPLETE if is_complete else ExchangeOutcome.CLOSED
             )
@@ -438,7 +452,14 @@
         self._on_release(self)
 
 
-def _set_discard_on_close(transport: asyncio.Transport, discards: bool) -> None:
+def has_unread(transport: asyncio.Transport) -> bool:
+    """Tell whether bytes or the peer's end have arrived that are not read yet."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def set_discard_on_close(transport: asyncio.Transport, discards: bool) -> None:
     """Choose whether the kernel resets the connection on close and discards bytes."""
     linger = struct.pack("ii", discards, 0)
     sock = transport.get_extra_info("socket")
@@ -499,7 +520,7 @@
         now = monotonic_s()
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_reusable(now):
+            if connection.is_reusable(now) and not connection.has_unread:
                 return connection
             connection.close()
         return await self._connect(timeout_s)
--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -15,7 +15,11 @@
 
 from sequoiapoint.protocol.gateway import CallerLimits
 from sequoiapoint.protocol.ports import Headers
-from sequoiapoint.transport.async_http_client import set_liveness_options
+from sequoiapoint.transport.async_http_client import (
+    has_unread,
+    set_discard_on_close,
+    set_liveness_options,
+)
 from sequoiapoint.transport.clock import monotonic_s, pause_to_tick_s
 
 TIMEOUT_CHECK_INTERVAL_S = 0.25
@@ -186,14 +190,25 @@
             self._transport.write(data)
 
     def abort(self) -> None:
-        """Abort the connection."""
-        if self._transport is not None:
-            self._transport.abort()
+        """Abort the connection.
+
+        A caller with HTTP/1.0 takes an orderly end for the end of the response, so the
+        kernel resets its connection if one is in progress.
+        """
+        if self._transport is None:
+            return
+        if self._active is not None and not self.is_http_11:
+            set_discard_on_close(self._transport, True)
+        self._transport.abort()
 
     def stop(self) -> None:
-        """Close the connection unless a request is being received or processed."""
+        """Close the connection unless a request is being received or processed.
+
+        A request that has arrived but is not read yet is answered.
+        """
         if self.is_idle:
-            self.abort()
+            if self._transport is None or not has_unread(self._transport):
+                self.abort()
         elif self._active is None and not self._is_reading and not self._ignores_input:
             self._close_after_delay()
 
@@ -238,7 +253,11 @@
         waited_s = now - since
         if self._is_reading and waited_s > limits.header_timeout_s:
             self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
-        elif not self._is_reading and waited_s > limits.idle_timeout_s:
+        elif (
+            not self._is_reading
+            and waited_s > limits.idle_timeout_s
+            and not has_unread(self._transport)
+        ):
             self._server.idle_closed += 1
             self._transport.close()
 
