--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -77,9 +77,6 @@
 crashes as it begins to write may have sent the first one."""
 BROKEN_REASONS = frozenset({ExchangeOutcome.CLOSED.value, ExchangeOutcome.RESET.value})
 """Failure reasons of a connection that broke."""
-UNFRAMED_REASON = "no_length"
-"""Failure reason of a success whose end only the end of its connection shows.  A server
-that breaks off ends its connection alike, so such a response may be incomplete."""
 MISDIRECTED_REASON = f"server_said_{int(http.HTTPStatus.MISDIRECTED_REQUEST)}"
 """Failure reason if the server lacks the requested model or adapter, or is not the
 addressed one."""
@@ -782,8 +779,6 @@
         )
         if exchange_outcome is not ExchangeOutcome.COMPLETE:
             return _AttemptOutcome.UNKNOWN, exchange_outcome.value
-        if exchange.is_ended_by_close and 200 <= head.status < 300:
-            return _AttemptOutcome.UNKNOWN, UNFRAMED_REASON
         is_error = head.status >= 500
         may_repeat = self._route.may_repeat and self._has_attempts_left()
         has_time = waiting.may_send_again(self._remaining_s())
@@ -848,9 +843,7 @@
         if buffered:
             forward_events(buffered)
         exchange_outcome = await self._await_stream(exchange, received, entry)
-        is_complete = exchange_outcome is ExchangeOutcome.COMPLETE
-        is_end_certain = is_complete and not exchange.is_ended_by_close
-        if is_end_certain and not splitter.has_partial:
+        if exchange_outcome is ExchangeOutcome.COMPLETE and not splitter.has_partial:
             if not responder.is_started:
                 responder.start_stream(head.status, list(head.headers))
             responder.end_stream()
@@ -863,9 +856,11 @@
             )
             return _AttemptOutcome.DELIVERED, ""
         splitter.drop_partial()
-        reason = exchange_outcome.value
-        if is_complete:
-            reason = "partial_event" if is_end_certain else UNFRAMED_REASON
+        reason = (
+            exchange_outcome.value
+            if exchange_outcome is not ExchangeOutcome.COMPLETE
+            else "partial_event"
+        )
         return (
             _AttemptOutcome.BROKEN_STREAM
             if responder.is_started
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -100,8 +100,6 @@
     :ivar outcome: How the response ended.
     :ivar on_body: Receives the parts of the body; if None, they are buffered.
     :ivar is_paused: Whether no data is read as their receiver does not keep up.
-    :ivar is_ended_by_close: Whether only the end of the connection completed the
-        response; a server that breaks off ends it alike.
     """
 
     def __init__(
@@ -113,7 +111,6 @@
         self.outcome: asyncio.Future[ExchangeOutcome] = loop.create_future()
         self.on_body: Callable[[bytes], None] | None = None
         self.is_paused = False
-        self.is_ended_by_close = False
         self._accepts = accepts
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -340,7 +337,6 @@
         if self._exchange is not None:
             is_complete = self._exchange.head.done() and not self._is_framed
             self._may_reuse = False
-            self._exchange.is_ended_by_close = is_complete
             self._end(
                 ExchangeOutcome.COMPLETE if is_complete else ExchangeOutcome.CLOSED
             )
