--- a/sequoiapoint/state/server_speed.py
+++ b/sequoiapoint/state/server_speed.py
@@ -31,7 +31,7 @@
 """Number of observations of the typical server that each one is taken to have had, so
 that a few odd ones do not count as its speed."""
 RETENTION_S = 30.0
-"""Time without news of a process after which it is removed."""
+"""Time without observations of a process after which it is removed."""
 MIN_SLOWNESS, MAX_SLOWNESS = 0.1, 20.0
 """Bounds of a statement; beyond them it shifts the choice of servers no further."""
 MAX_RELATIVE_TIME = 100.0
