Take no model from an engine's entry that the leader has withdrawn

Cause: an engine that evicts a model lists it in its entries until its last request has ended, and turns new requests away. Each such entry made all hosts, and the leader's own broadcasts, count the model as held again.

Change: what the leader has withdrawn is not taken from entries for four seconds. A response that the engine lacks the model counts for twice as long each time in a row, and an engine that turns a request away although it has free slots counts as lacking the model.

--- a/sequoiapoint/node/placement_controller.py
+++ b/sequoiapoint/node/placement_controller.py
@@ -561,7 +561,7 @@
             waiting for the engine's models and adapters.
         """
         incarnation = record.entry.incarnation
-        if self._state.fleet.set_held(incarnation, record.usable()):
+        if self._state.fleet.set_held(incarnation, record.usable(), monotonic_s()):
             self._state.wait_queue.notify()
             self._exchange.placement.schedule_holding_update(incarnation, is_broadcast)
 
--- a/sequoiapoint/node/placement_exchange.py
+++ b/sequoiapoint/node/placement_exchange.py
@@ -229,7 +229,9 @@
             return
         if leader is None or leader.host != digest.host:
             return
-        changes = [self._state.fleet.set_held(i, held) for i, held in digest.holdings]
+        changes = [
+            self._state.fleet.set_held(i, held, now) for i, held in digest.holdings
+        ]
         if any(changes):
             self._state.wait_queue.notify()
 
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -698,6 +698,10 @@
         if outcome is _AttemptOutcome.DELIVERED and not reason:
             self._note_work(entry, now - sent_at, pace, now)
             self._clear_parts()
+            if self._selector.is_engine:
+                state.fleet.note_served(
+                    entry, self._request.model, self._request.adapter
+                )
         elif has_crashed and self._splitter.count - events_before < ANSWERED_EVENTS:
             self._suspect_parts(entry)
         has_response = self._head is not None
@@ -755,7 +759,7 @@
             self._note_back_off(entry, head.retry_after_s, now)
         self._log_unreadable(entry, head)
         if head.was_not_run:
-            if head.is_wrong_server and self._selector.is_engine:
+            if self._selector.is_engine and head.lacks_model:
                 self._state.fleet.note_not_held(
                     entry, self._request.model, self._request.adapter, now
                 )
--- a/sequoiapoint/node/store_watch.py
+++ b/sequoiapoint/node/store_watch.py
@@ -410,7 +410,7 @@
                 self._state.metrics.event("server_entry_restored")
                 self._state.log.event("server_entry", "restored", server=entry.server)
                 continue
-            if not fleet.put(entry):
+            if not fleet.put(entry, monotonic_s()):
                 self._state.metrics.event("server_entry_outdated")
             elif known is None or (known.state, known.incarnation) != (
                 entry.state,
--- a/sequoiapoint/protocol/gateway.py
+++ b/sequoiapoint/protocol/gateway.py
@@ -7,6 +7,7 @@
 
 import enum
 import functools
+import http
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -372,6 +373,22 @@
     brittle_per_s: "float | None | Unreadable" = None
     unreadable: tuple[str, ...] = ()
 
+    @property
+    def lacks_model(self) -> bool:
+        """Tell whether an engine turned a request away for its model or adapter.
+
+        An engine that has room turns away what is being evicted.
+        """
+        if self.is_wrong_server or not self.was_not_run:
+            return self.is_wrong_server
+        has_room = (
+            self.load is not None
+            and self.load.slots is not None
+            and not self.load.waiting
+            and self.load.running < self.load.slots
+        )
+        return has_room and self.status == http.HTTPStatus.SERVICE_UNAVAILABLE
+
 
 class OrderAction(enum.Enum):
     """The action of an order."""
--- a/sequoiapoint/state/fleet.py
+++ b/sequoiapoint/state/fleet.py
@@ -9,6 +9,10 @@
 Entries come from the platform's store.  The models and adapters of an engine come from
 its entry and, between entries, from the leader; a server's own response takes
 precedence over both.
+
+An engine that evicts a model lists it in its entries until the last request for it has
+ended, and turns new ones away.  So what the leader has withdrawn is not taken from
+entries again for a while.
 """
 
 import math
@@ -27,10 +31,30 @@
     :param held: The adapters by model.
     :param not_held_until: Pairs of model and adapter that the server reported as not
         held, each with the time until which its report takes precedence.
+    :param not_held_count: How often in a row the server has reported so.
+    :param withdrawn_until: Models that the leader has withdrawn, each with the time
+        until which entries that list it do not count.
     """
 
     held: dict[str, set[str]] = field(default_factory=dict)
     not_held_until: dict[tuple[str, str], float] = field(default_factory=dict)
+    not_held_count: dict[tuple[str, str], int] = field(default_factory=dict)
+    withdrawn_until: dict[str, float] = field(default_factory=dict)
+
+    def withdraw(self, held: Mapping[str, Iterable[str]], until: float) -> None:
+        """Note which models are withdrawn if the leader names these as held."""
+        withdrawn = self.held.keys() - held.keys()
+        for model in held:
+            self.withdrawn_until.pop(model, None)
+        self.withdrawn_until.update(dict.fromkeys(withdrawn, until))
+
+    def listed(self, entry: ServerEntry, now: float) -> dict[str, set[str]]:
+        """Return the models that an entry lists, except withdrawn ones."""
+        return {
+            model.name: set(model.adapters) | self.held.get(model.name, set())
+            for model in entry.models
+            if self.withdrawn_until.get(model.name, -math.inf) <= now
+        }
 
 
 MAX_FORMER = 512
@@ -40,7 +64,14 @@
 longer than an entry may be missing from the store."""
 NOT_HELD_TTL_S = 0.3
 """Time for which a server's response that it lacks a model or adapter takes precedence:
-some round trips, after which the other sources are up to date."""
+some round trips, after which the other sources are up to date.  It doubles with each
+such response in a row, as the other sources may lag by seconds."""
+MAX_NOT_HELD_TTL_S = 2.4
+"""Maximum of that time."""
+WITHDRAWN_TTL_S = 4.0
+"""Time for which a model that the leader has withdrawn is not taken from entries: its
+last requests end, and the engine writes an entry without it.  A zone that is cut off
+from the leader uses what entries list afterwards."""
 
 
 class Fleet:
@@ -67,9 +98,10 @@
         """Return all entries by server."""
         return self._entries
 
-    def put(self, entry: ServerEntry) -> bool:
+    def put(self, entry: ServerEntry, now: float = -math.inf) -> bool:
         """Add or update an entry.
 
+        :param now: The time, in seconds; no withdrawn model counts as held before it.
         :return: Whether it was applied; an entry of an earlier process of the same
             server is ignored.
         """
@@ -86,11 +118,7 @@
         self._by_service.setdefault(entry.service, {})[entry.server] = entry
         if entry.models is not None:
             contents = self._contents.setdefault(entry.incarnation, EngineContents())
-            previous = contents.held
-            contents.held = {
-                model.name: set(model.adapters) | previous.get(model.name, set())
-                for model in entry.models
-            }
+            contents.held = contents.listed(entry, now)
         return True
 
     def remove(self, server: str) -> None:
@@ -230,10 +258,14 @@
         return {model: frozenset(names) for model, names in contents.held.items()}
 
     def set_held(
-        self, incarnation: Incarnation, held: Mapping[str, Iterable[str]]
+        self,
+        incarnation: Incarnation,
+        held: Mapping[str, Iterable[str]],
+        now: float = -math.inf,
     ) -> bool:
         """Replace the models of an engine by those that the leader reports.
 
+        :param now: The time, in seconds.
         :return: Whether they changed; a report about another process is ignored.
         """
         entry = self._entries.get(incarnation[0])
@@ -242,8 +274,11 @@
         contents = self._contents.setdefault(incarnation, EngineContents())
         new_held = {model: set(adapters) for model, adapters in held.items()}
         has_changed = new_held != contents.held
+        contents.withdraw(new_held, now + WITHDRAWN_TTL_S)
+        for pair in _pairs(new_held) - _pairs(contents.held):
+            contents.not_held_until.pop(pair, None)
+            contents.not_held_count.pop(pair, None)
         contents.held = new_held
-        contents.not_held_until.clear()
         return has_changed
 
     def note_not_held(
@@ -251,4 +286,25 @@
     ) -> None:
         """Record a server's response that it lacks a model or an adapter."""
         contents = self._contents.setdefault(entry.incarnation, EngineContents())
-        contents.not_held_until[(model, adapter)] = now + NOT_HELD_TTL_S
+        pair = (model, adapter)
+        if contents.not_held_until.get(pair, -math.inf) > now:
+            # Requests that were sent before the first such response.
+            return
+        count = contents.not_held_count.get(pair, 0)
+        contents.not_held_count[pair] = count + 1
+        ttl_s = min(MAX_NOT_HELD_TTL_S, NOT_HELD_TTL_S * 2.0**count)
+        contents.not_held_until[pair] = now + ttl_s
+
+    def note_served(self, entry: ServerEntry, model: str, adapter: str) -> None:
+        """Record that a server has run a request for a model and adapter."""
+        contents = self._contents.get(entry.incarnation)
+        if contents is not None:
+            contents.not_held_count.pop((model, adapter), None)
+            contents.not_held_until.pop((model, adapter), None)
+
+
+def _pairs(held: Mapping[str, Iterable[str]]) -> set[tuple[str, str]]:
+    """Return all pairs of model and adapter; those without adapter have ""."""
+    return {
+        (model, name) for model, adapters in held.items() for name in ("", *adapters)
+    }
--- a/sequoiapoint/state/fleet_test.py
+++ b/sequoiapoint/state/fleet_test.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sequoiapoint.protocol.gateway import HeldModel, ServerEntry, ServerState
-from sequoiapoint.state.fleet import NOT_HELD_TTL_S, Fleet
+from sequoiapoint.state.fleet import NOT_HELD_TTL_S, WITHDRAWN_TTL_S, Fleet
 
 ENTRY = ServerEntry(
     "s-1",
@@ -128,3 +128,42 @@
     fleet.put(restarted)
     assert fleet.is_staying(restarted)
     assert fleet.leaving_s(restarted, 12.0) is None
+
+
+@pytest.mark.parametrize(
+    ("after_s", "is_held"),
+    [(0.5, False), (WITHDRAWN_TTL_S - 0.1, False), (WITHDRAWN_TTL_S + 0.1, True)],
+)
+def test_an_entry_does_not_bring_back_a_model_that_is_being_evicted(after_s, is_held):
+    # An engine lists a model until its last request has ended, and turns new ones away:
+    # hosts sent 70 requests in two seconds to one engine that evicted a model.
+    fleet = fleet_of(ENTRY)
+    fleet.set_held(ENTRY.incarnation, {}, 10.0)
+    fleet.put(replace(ENTRY, report_count=2), 10.0 + after_s)
+    assert fleet.holds(ENTRY, "oak", "", 10.0 + after_s) is is_held
+    assert ("oak" in fleet.held_by(ENTRY)) is is_held
+
+
+def test_the_leader_brings_back_a_model_whose_eviction_it_gave_up():
+    fleet = fleet_of(ENTRY)
+    fleet.set_held(ENTRY.incarnation, {}, 10.0)
+    fleet.set_held(ENTRY.incarnation, {"oak": {"a1"}}, 10.5)
+    fleet.put(replace(ENTRY, report_count=2), 10.6)
+    assert fleet.holds(ENTRY, "oak", "a1", 10.6)
+
+
+def test_a_server_that_repeatedly_lacks_a_model_is_tried_less_often():
+    # An eviction that is carried out late is known to no other source for seconds.
+    fleet = fleet_of(ENTRY)
+    tried, now = 0, 10.0
+    while now < 14.0:
+        if fleet.holds(ENTRY, "oak", "", now):
+            tried += 1
+            fleet.note_not_held(ENTRY, "oak", "", now)
+            fleet.set_held(ENTRY.incarnation, {"oak": {"a1"}}, now)
+        now += 0.01
+    assert tried <= 4
+    fleet.note_served(ENTRY, "oak", "")
+    assert fleet.holds(ENTRY, "oak", "", now)
+    fleet.note_not_held(ENTRY, "oak", "", now)
+    assert fleet.holds(ENTRY, "oak", "", now + 1.1 * NOT_HELD_TTL_S)
