Keep the copies of busy models as traffic begins

Cause: in the first 0.2 s of traffic the leader has no report of requests for the models in highest demand, so all of their copies but one count as surplus.

Change: until a service has had requests for 2.5 s, a model with several copies keeps them. Models with one copy can be evicted as before.

--- a/sequoiapoint/coordination/demand_history.py
+++ b/sequoiapoint/coordination/demand_history.py
@@ -20,6 +20,12 @@
 UNPLACED_AFTER_S = 0.5
 """Time for which requests have to wait for a model or adapter that no engine holds
 before it is reported; most adapters load within milliseconds."""
+SETTLING_S = 2.5
+"""Time from the first requests to a service until it is known which copies of models
+are surplus.  Before, models in high demand seem to need none: their first requests have
+not been reported yet, and fewer run at a time than later."""
+QUIET_S = 5.0
+"""Time without requests to a service after which its demand has to settle again."""
 ADAPTER_RECENT_S = 5.0
 """Time after its last request for which an adapter counts as recently requested."""
 
@@ -54,6 +60,7 @@
         self._running: dict[tuple[str, str], float] = {}
         self._waiting: Counter[tuple[str, str]] = Counter()
         self._last_requested_at: dict[tuple[str, str], float] = {}
+        self._active: dict[str, tuple[float, float]] = {}
         self._min_goals: dict[tuple[str, str], float] = {}
         self._min_priorities: dict[tuple[str, str], int] = {}
         self._adapter_last_requested_at: dict[tuple[str, str, str], float] = {}
@@ -72,6 +79,7 @@
         self._pairs_waiting = {}
         for demand in total:
             key = (demand.service, demand.model)
+            self._note_active(demand.service, now)
             running_totals[key] += demand.running
             self._waiting[key] += demand.waiting
             self._last_requested_at[key] = now
@@ -91,6 +99,20 @@
             smoothed = self._running.get(key, 0.0)
             self._running[key] = smoothed + weight * (running_totals[key] - smoothed)
 
+    def _note_active(self, service: str, now: float) -> None:
+        """Record since when and until when a service has had requests."""
+        since, until = self._active.get(service, (now, now))
+        self._active[service] = (now if now - until > QUIET_S else since, now)
+
+    def is_settled(self, service: str, now: float) -> bool:
+        """Tell whether requests have come for long enough to tell surplus copies.
+
+        Answers traffic that begins at full rate: for the first seconds, no model seems
+        to be in demand, and those with the most copies would lose them first.
+        """
+        since, until = self._active.get(service, (now, now))
+        return now - until <= QUIET_S and now - since >= SETTLING_S
+
     def _update_unserved(self, demand: ModelDemand, now: float) -> None:
         """Track since when requests have waited with none being served.
 
--- a/sequoiapoint/coordination/demand_history_test.py
+++ b/sequoiapoint/coordination/demand_history_test.py
@@ -75,3 +75,24 @@
     history.update([ModelDemand("lm", "oak", "", 1, 0, 0.3, 0)], 109.0)
     history.update([replace(waits("oak"), unserved_s=9.0)], 110.0)
     assert unserved_s(history, 110.0) == 1.0
+
+
+@pytest.mark.parametrize(
+    ("requests_at", "now", "is_settled"),
+    [
+        ([], 20.0, False),
+        ([10.0], 10.5, False),
+        ([10.0, 11.0, 12.0], 12.4, False),
+        ([10.0, 11.0, 12.0], 12.6, True),
+        ([10.0, 12.0, 14.0, 20.0], 20.0, False),
+        ([10.0, 12.0, 14.0, 20.0, 22.5], 22.5, True),
+    ],
+)
+def test_demand_settles_some_time_after_the_first_requests(
+    requests_at, now, is_settled
+):
+    # Traffic that began at full rate made the busiest models lose copies within 0.2 s.
+    history = DemandHistory(0.0)
+    for at in requests_at:
+        history.update([waits("oak")], at)
+    assert history.is_settled("lm", now) is is_settled
--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -177,6 +177,7 @@
     store_loads_left: int,
     now: float = 0.0,
     may_evict: bool = True,
+    is_settled: bool = True,
 ) -> list[PlannedOrder]:
     """Plan at most one model order for each engine.
 
@@ -190,8 +191,10 @@
         allows.
     :param now: The time, in seconds.
     :param may_evict: Whether the demand is known well enough to evict models.
+    :param is_settled: Whether there have been requests for long enough to tell which
+        copies are surplus.  Until then a model with several copies keeps them.
     """
-    planner = _Planner(records, spec, demand_by_model, now, may_evict)
+    planner = _Planner(records, spec, demand_by_model, now, may_evict, is_settled)
     orders: list[PlannedOrder] = []
     lacking = planner.models_lacking_copies()
     while lacking and planner.free:
@@ -228,6 +231,7 @@
         demand_by_model: Mapping[str, DemandStats],
         now: float,
         may_evict: bool,
+        is_settled: bool,
     ) -> None:
         self._may_evict = may_evict
         self._records = records
@@ -285,13 +289,14 @@
         self._surplus = {
             name: EvictionReason.SURPLUS
             for name, copies in self._copy_counts.items()
-            if copies > self._targets[name]
+            if is_settled
+            and copies > self._targets[name]
             and self._utilisation(name, copies - 1) <= max_surplus_utilisation
         }
         self._non_surplus = [
             name
             for name, copies in self._copy_counts.items()
-            if copies > 0 and name not in self._surplus
+            if copies > 0 and name not in self._surplus and (is_settled or copies == 1)
         ]
 
     def _serves(self, record: EngineRecord) -> bool:
--- a/sequoiapoint/coordination/model_placement_test.py
+++ b/sequoiapoint/coordination/model_placement_test.py
@@ -424,3 +424,23 @@
         for may_evict in (True, False)
     ]
     assert actions == [{OrderAction.EVICT}, set()]
+
+
+@pytest.mark.parametrize(
+    ("is_settled", "evicted"), [(False, {"m2", "m3", "m4"}), (True, {"m0", "m1"})]
+)
+def test_busy_models_keep_their_copies_as_traffic_begins(is_settled, evicted):
+    # In the first 0.2 s of traffic nothing had been reported of the busiest models yet,
+    # and many of their copies were evicted for models with one waiting request.
+    engines = [
+        engine("a", "m0", "m1", "m2"),
+        engine("b", "m0", "m1", "m3"),
+        engine("c", "m0", "m1", "m4"),
+    ]
+    demand = {"m9": URGENT_WAITS}
+    orders = model_placement.plan_models(
+        engines, SPEC, demand, 10, is_settled=is_settled
+    )
+    assert [(o.action, o.model in evicted) for o in orders] == [
+        (OrderAction.EVICT, True)
+    ]
--- a/sequoiapoint/node/placement_controller.py
+++ b/sequoiapoint/node/placement_controller.py
@@ -204,7 +204,7 @@
             self._start_order(order, spec, now)
         self._log_demand(service, records, demand, now)
         if now >= self._next_model_plan_at:
-            self._plan_service_models(plannable, spec, demand, now)
+            self._plan_service_models(service, plannable, spec, demand, now)
             ended = monotonic_s()
             self._next_model_plan_at = ended + _pause_s(
                 ended - now, MAX_MODEL_PLAN_SHARE
@@ -217,6 +217,7 @@
 
     def _plan_service_models(
         self,
+        service: str,
         plannable: list[EngineRecord],
         spec: EngineSpec,
         demand: Mapping[str, DemandStats],
@@ -224,7 +225,13 @@
     ) -> None:
         remaining = self._remaining_weight_store_loads(spec, now)
         for order in model_placement.plan_models(
-            plannable, spec, demand, remaining, now, now >= self._demand_known_at
+            plannable,
+            spec,
+            demand,
+            remaining,
+            now,
+            now >= self._demand_known_at,
+            self._demand.is_settled(service, now),
         ):
             self._start_order(order, spec, now)
         for order in adapter_placement.plan_prefetch(plannable, spec, demand):
