Index the slot allocator's queue by server, priority and organisation

Cause: for each release and each queued request, the allocator examined every queued request (1.01 ms for both at 1,000 queued requests, 0.03 ms at 10), and did not reply within 60 ms in a burst.

Change: the queued requests that a server can run are kept by priority and lateness, and within these by organisation in order of deadline (SlotQueue). A free slot compares the first requests of the organisations. Heaps of goal times and deadlines move requests that have become late and drop those that have expired. The prediction counts the requests ahead by server, each by the probability that it runs there. Reports and the expiry change the counts of the engines concerned only.

The prediction counts an engine only if a request has ended there in the last 10 s.

--- a/sequoiapoint/coordination/fair_share.py
+++ b/sequoiapoint/coordination/fair_share.py
@@ -10,7 +10,7 @@
 had no requests for a time starts at the current one, so it cannot save up its share.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Any, TypeVar
 
 MIN_WEIGHT_SHARE = 0.25
@@ -51,6 +51,25 @@
         step = 1.0 / self._weights.get(organisation, 1.0)
         return max(self._now, self._finish.get(organisation, 0.0)) + ahead * step
 
+    def positions(self, organisations: Iterable[str]) -> list[float]:
+        """Return the positions of several organisations, see ``position``."""
+        now, finish = self._now, self._finish.get
+        return [
+            at if (at := finish(name, 0.0)) > now else now for name in organisations
+        ]
+
+    def served_before(
+        self, organisations: Collection[str], position: float
+    ) -> list[float]:
+        """Return how many requests of each organisation can precede a position.
+
+        A whole number n means that request n of the organisation, counted from 0, is at
+        the position; a negative number, that its first one comes after it.
+        """
+        weight = self._weights.get
+        positions = zip(organisations, self.positions(organisations), strict=True)
+        return [(position - own) * weight(name, 1.0) for name, own in positions]
+
     def note_served(self, organisation: str) -> None:
         """Record that a request of an organisation has been served."""
         start = self.position(organisation)
--- a/sequoiapoint/coordination/slot_allocator.py
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -19,8 +19,9 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from sequoiapoint.coordination import server_choice, waiting
+from sequoiapoint.coordination import server_choice
 from sequoiapoint.coordination.fair_share import FairShare
+from sequoiapoint.coordination.slot_queue import SlotQueue
 from sequoiapoint.protocol.gateway import Incarnation
 from sequoiapoint.protocol.slots import (
     NO_SERVER,
@@ -82,6 +83,9 @@
 USE_WEIGHT = 0.1
 """Weight of the newest request in the moving average of the time that slots are used,
 from which waits are predicted."""
+RECENT_END_S = 10.0
+"""Time since the last end of a request at an engine for which its rate counts in
+predictions: the longest streams, and an idle time before a burst."""
 
 
 @dataclass
@@ -94,6 +98,7 @@
     :param unreachable_count: Number of failures to connect in a row.
     :param broken_count: Number of connections in a row that broke before a response.
     :param mean_use_s: Moving average of the time from a grant to its release.
+    :param ended_at: When a request last ended there, in seconds.
     """
 
     incarnation: Incarnation
@@ -105,6 +110,7 @@
     broken_count: int = 0
     avoided_until: float = -math.inf
     mean_use_s: float | None = None
+    ended_at: float = -math.inf
 
     @property
     def server(self) -> str:
@@ -115,13 +121,18 @@
         """Tell whether a request may be sent to the engine."""
         return self.used < self.slots and self.avoided_until <= now
 
-    @property
-    def end_rate(self) -> float:
-        """Return the rate at which requests end if all slots are used, a second."""
-        return self.slots / self.mean_use_s if self.mean_use_s else 0.0
+    def end_rate(self, now: float) -> float:
+        """Return the rate at which requests end if all slots are used, a second.
+
+        :return: 0 if none has ended lately.
+        """
+        if not self.mean_use_s or now - self.ended_at > RECENT_END_S:
+            return 0.0
+        return self.slots / self.mean_use_s
 
-    def record_use(self, seconds: float) -> None:
-        """Record for how long a slot was used."""
+    def record_use(self, seconds: float, now: float) -> None:
+        """Record for how long a slot was used that is free now."""
+        self.ended_at = now
         if self.mean_use_s is None:
             self.mean_use_s = seconds
         self.mean_use_s += USE_WEIGHT * (seconds - self.mean_use_s)
@@ -160,29 +171,6 @@
     granted_at: float
 
 
-@dataclass(frozen=True)
-class _Queued:
-    request: SlotRequest
-    asked_at: float
-    deadline: float
-    goal_at: float
-    order: int
-
-    def rank(
-        self, shares: FairShare, now: float
-    ) -> tuple[int, bool, float, float, int]:
-        """Return a key that sorts the request to be granted a slot next first.
-
-        Of those that are equally urgent, up to their deadlines, it is one of the
-        organisation that has had the least for its weight.
-        """
-        priority, is_late, deadline = waiting.urgency(
-            self.request.priority, self.goal_at, self.deadline, now
-        )
-        position = shares.position(self.request.organisation)
-        return (priority, is_late, position, deadline, self.order)
-
-
 @dataclass
 class _Host:
     """What is known of one host's requests.
@@ -208,9 +196,10 @@
         self._engines: dict[Incarnation, Engine] = {}
         self._by_server: dict[str, Engine] = {}
         self._hosts: dict[str, _Host] = {}
-        self._queue: dict[tuple[str, int], _Queued] = {}
-        self._order = itertools.count()
+        self._counts: Counter[Incarnation] = Counter()
+        self._changed: set[Incarnation] = set()
         self._shares = FairShare()
+        self._queue = SlotQueue(self._shares, QUEUE_TTL_S)
         self._choices = itertools.count(1)
 
     @property
@@ -243,6 +232,8 @@
             if known is not None:
                 known.slots, known.is_brittle = engine.slots, engine.is_brittle
                 engine = known
+            else:
+                self._changed.add(engine.incarnation)
             updated[engine.incarnation] = engine
         self._engines = updated
         self._by_server = {engine.server: engine for engine in updated.values()}
@@ -252,8 +243,7 @@
         self, host: str, counts: Mapping[Incarnation, int], now: float
     ) -> None:
         """Set the number of a host's running requests by engine."""
-        known = self._hosts.setdefault(host, _Host(now))
-        known.heard_at = now
+        known = self._hear(host, now)
         granted: Counter[Incarnation] = Counter()
         for number, grant in sorted(
             known.grants.items(), key=lambda item: -item[1].granted_at
@@ -261,38 +251,58 @@
             is_reported = granted[grant.engine] < counts.get(grant.engine, 0)
             if not is_reported and now - grant.granted_at > GRANT_IN_FLIGHT_S:
                 del known.grants[number]
+                self._add(grant.engine, -1)
                 continue
             granted[grant.engine] += 1
-        known.unallocated = {
+        unallocated = {
             engine: count - granted[engine]
             for engine, count in counts.items()
             if engine in self._engines and count > granted[engine]
         }
+        for engine in unallocated.keys() | known.unallocated.keys():
+            before = known.unallocated.get(engine, 0)
+            self._add(engine, unallocated.get(engine, 0) - before)
+        known.unallocated = unallocated
+
+    def _hear(self, name: str, now: float) -> _Host:
+        """Return a host that has sent a message; the last heard of is the last."""
+        host = self._hosts.pop(name, None) or _Host(now)
+        host.heard_at = now
+        self._hosts[name] = host
+        return host
 
     def expire(self, now: float) -> None:
         """Drop silent hosts and requests whose hosts no longer ask; count again."""
-        self._hosts = {
-            name: host
-            for name, host in self._hosts.items()
-            if now - host.heard_at <= REPORT_TTL_S
-        }
-        self._queue = {
-            identity: queued
-            for identity, queued in self._queue.items()
-            if now - queued.asked_at <= QUEUE_TTL_S and queued.deadline > now
-        }
+        while self._hosts:
+            name, host = next(iter(self._hosts.items()))
+            if now - host.heard_at <= REPORT_TTL_S:
+                break
+            del self._hosts[name]
+            for incarnation, count in host.unallocated.items():
+                self._add(incarnation, -count)
+            for grant in host.grants.values():
+                self._add(grant.engine, -1)
+        self._queue.advance(now)
         self._recount()
 
+    def _add(self, engine: Incarnation, count: int) -> None:
+        """Change the count of an engine's requests as of the next recount.
+
+        Slots that become free are granted after a recount, so that no request that
+        arrives before it precedes more urgent ones in the queue.
+        """
+        if count:
+            self._counts[engine] += count
+            self._changed.add(engine)
+
     def _recount(self) -> None:
-        for engine in self._engines.values():
-            engine.used = 0
-        for host in self._hosts.values():
-            for incarnation, count in host.unallocated.items():
-                if incarnation in self._engines:
-                    self._engines[incarnation].used += count
-            for grant in host.grants.values():
-                if grant.engine in self._engines:
-                    self._engines[grant.engine].used += 1
+        for incarnation in self._changed:
+            engine = self._engines.get(incarnation)
+            if engine is not None:
+                engine.used = self._counts[incarnation]
+            if not self._counts[incarnation]:
+                del self._counts[incarnation]
+        self._changed.clear()
 
     # Requests
 
@@ -302,72 +312,64 @@
         A request that was granted a slot before, whose reply may be lost, is granted
         the same slot again.
         """
-        host = self._hosts.setdefault(request.host, _Host(now))
-        host.heard_at = now
+        host = self._hear(request.host, now)
         grant = host.grants.get(request.number)
         if grant is not None:
             return SlotReply(
                 request.host, request.number, SlotOutcome.GRANTED, grant.engine
             )
-        identity = (request.host, request.number)
-        known = self._queue.pop(identity, None)
+        self._queue.advance(now)
+        known = self._queue.pop(request.host, request.number)
         engine = self._best_engine(request, now)
         if engine is not None:
             return self._grant(engine, request, now)
-        order = next(self._order) if known is None else known.order
-        self._queue[identity] = _Queued(
-            request, now, now + request.remaining_s, now + request.goal_s, order
-        )
-        wait_s = self._predicted_wait_s(self._queue[identity], now)
+        order = None if known is None else known.order
+        rates = self._end_rates(request.candidates, now)
+        queued = self._queue.add(request, self._parts(rates), now, order)
+        rate = sum(rates.values())
+        wait_s = self._queue.ahead(queued) / rate if rate else 0.0
         return SlotReply(
             request.host, request.number, SlotOutcome.QUEUED, wait_s=wait_s
         )
 
-    def _predicted_wait_s(self, queued: _Queued, now: float) -> float:
-        """Return when a queued request will be granted a slot, in seconds from now.
-
-        It is the number of more urgent requests for the same engines, divided by the
-        rate at which their slots become free while all are used.
+    def _end_rates(self, servers: Iterable[str], now: float) -> dict[str, float]:
+        """Return the rate at which the slots of each server become free, a second."""
+        engines = self._by_server
+        return {
+            server: engines[server].end_rate(now) if server in engines else 0.0
+            for server in servers
+        }
 
-        :return: 0 if nothing has ended there so far.
-        """
-        servers = queued.request.candidates
-        engines = [e for name in servers if (e := self._by_server.get(name))]
-        rate = sum(engine.end_rate for engine in engines)
-        if not rate:
-            return 0.0
-        priority, rank, ahead = (
-            queued.request.priority,
-            queued.rank(self._shares, now),
-            0,
-        )
-        for other in self._queue.values():
-            request = other.request
-            if request.candidates != servers and not (
-                set(servers) & set(request.candidates)
-            ):
-                continue
-            if request.priority < priority or (
-                request.priority == priority and other.rank(self._shares, now) <= rank
-            ):
-                ahead += 1
-        return ahead / rate
+    def _parts(self, rates: Mapping[str, float]) -> dict[str, float]:
+        """Return the probability that a request is run by each of its servers."""
+        weights = rates
+        total = sum(rates.values())
+        if not total:
+            weights = {
+                server: engine.slots if (engine := self._by_server.get(server)) else 0
+                for server in rates
+            }
+            total = sum(weights.values()) or 1.0
+        return {server: weight / total for server, weight in weights.items()}
 
     def release(self, release: SlotRelease, now: float) -> list[SlotReply]:
         """Record the end of a request, and return the grants that this allows."""
-        self._queue.pop((release.host, release.number), None)
+        self._queue.pop(release.host, release.number)
         engine = self._engines.get(release.engine)
         if engine is not None:
             engine.record_quality(release.quality, now)
             self._record_speed(release, now)
         host = self._hosts.get(release.host)
         grant = None if host is None else host.grants.pop(release.number, None)
-        if grant is None or grant.engine not in self._engines:
+        if grant is None:
+            return []
+        self._counts[grant.engine] -= 1
+        freed = self._engines.get(grant.engine)
+        if freed is None:
             return []
-        freed = self._engines[grant.engine]
         freed.used -= 1
         if release.quality is not SlotQuality.UNUSED:
-            freed.record_use(now - grant.granted_at)
+            freed.record_use(now - grant.granted_at, now)
         return self._grant_queued([freed], now)
 
     def _record_speed(self, release: SlotRelease, now: float) -> None:
@@ -383,38 +385,22 @@
         return self._grant_queued(self._engines.values(), now)
 
     def _grant_queued(self, engines: Iterable[Engine], now: float) -> list[SlotReply]:
+        self._queue.advance(now)
         if not self._queue:
             return []
         replies = []
-        for engine in list(engines):
+        for engine in engines:
             while engine.has_free_slot(now):
-                queued = self._most_urgent(engine, now)
+                queued = self._queue.most_urgent(engine.server)
                 if queued is None:
                     break
-                request = queued.request
-                del self._queue[(request.host, request.number)]
-                replies.append(self._grant(engine, request, now))
+                self._queue.pop(*queued.identity)
+                replies.append(self._grant(engine, queued.request, now))
         return replies
 
-    def _most_urgent(self, engine: Engine, now: float) -> _Queued | None:
-        """Return the most urgent queued request that an engine can run."""
-        server, best, best_rank = engine.server, None, None
-        for queued in self._queue.values():
-            if best is not None and queued.request.priority > best.request.priority:
-                # Most requests of a long queue are of the least urgent priority.
-                continue
-            if (
-                server in queued.request.candidates
-                and now - queued.asked_at <= QUEUE_TTL_S
-                and queued.deadline > now
-            ):
-                rank = queued.rank(self._shares, now)
-                if best is None or rank < best_rank:
-                    best, best_rank = queued, rank
-        return best
-
     def _grant(self, engine: Engine, request: SlotRequest, now: float) -> SlotReply:
         engine.used += 1
+        self._counts[engine.incarnation] += 1
         self._shares.note_served(request.organisation)
         host = self._hosts.setdefault(request.host, _Host(now))
         host.grants[request.number] = _Grant(engine.incarnation, now)
