Start: import only what the selected command needs, no collections meanwhile

Cause: a start of `sequoiapoint gateway` imported all commands, the JSON5 parser and the models of the other commands, and collected garbage while it imported.

tests/docs_test.py passes the arguments to build_parser, as it imports by them.

--- a/sequoiapoint/cli/check.py
+++ b/sequoiapoint/cli/check.py
@@ -9,9 +9,8 @@
 from sequoiapoint.protocol.settings import load_settings
 
 
-def add_parser(commands: argparse._SubParsersAction) -> None:
-    """Add the command and its arguments."""
-    parser = commands.add_parser("check", help="check a settings file")
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of the command."""
     parser.add_argument("--settings", required=True, metavar="FILE")
     parser.add_argument("--json", action="store_true", help="print JSON")
     parser.set_defaults(run=run)
--- a/sequoiapoint/cli/config.py
+++ b/sequoiapoint/cli/config.py
@@ -20,9 +20,8 @@
 }
 
 
-def add_parser(commands: argparse._SubParsersAction) -> None:
-    """Add the command with its actions and their arguments."""
-    parser = commands.add_parser("config", help="the operators' document")
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the actions of the command and their arguments."""
     actions = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
     show = actions.add_parser("show", help="print the document in force")
     remote.add_arguments(show)
--- a/sequoiapoint/cli/drain.py
+++ b/sequoiapoint/cli/drain.py
@@ -6,9 +6,8 @@
 from sequoiapoint.protocol.errors import Failure
 
 
-def add_parser(commands: argparse._SubParsersAction) -> None:
-    """Add the command and its arguments."""
-    parser = commands.add_parser("drain", help="stop a host gracefully")
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of the command."""
     remote.add_arguments(parser)
     parser.set_defaults(run=run)
 
--- a/sequoiapoint/cli/explain.py
+++ b/sequoiapoint/cli/explain.py
@@ -7,9 +7,8 @@
 from sequoiapoint.protocol.errors import Failure
 
 
-def add_parser(commands: argparse._SubParsersAction) -> None:
-    """Add the command and its arguments."""
-    parser = commands.add_parser("explain", help="tell what was decided and why")
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of the command."""
     parser.add_argument("subject", help="a request id, a model, an adapter or a server")
     remote.add_arguments(parser)
     parser.set_defaults(run=run)
--- a/sequoiapoint/cli/serve.py
+++ b/sequoiapoint/cli/serve.py
@@ -2,20 +2,23 @@
 
 import argparse
 
-from sequoiapoint.cli.settings_file import add_process_command
+from sequoiapoint.cli import garbage_collection
+from sequoiapoint.cli.settings_file import add_process_arguments
 from sequoiapoint.protocol.settings import Settings, load_settings
-from sequoiapoint.transport import logs
 
 
-def add_parser(commands: argparse._SubParsersAction) -> None:
-    """Add the command and its arguments."""
-    add_process_command(commands, "serve", "run one entry host", load_settings, run)
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of the command."""
+    add_process_arguments(parser, load_settings, run)
 
 
 def run(settings: Settings, path: str) -> None:
     """Run the process."""
-    logs.set_up(settings.log_level, host=settings.host)
-    # Imported here, so that the other commands start fast.
+    # Imported here, after the settings were found to be valid.
     from sequoiapoint.node.entry_host import EntryHost
+    from sequoiapoint.transport import logs
 
-    EntryHost(settings).run()
+    logs.set_up(settings.log_level, host=settings.host)
+    host = EntryHost(settings)
+    garbage_collection.resume_after_start()
+    host.run()
--- a/sequoiapoint/cli/settings_file.py
+++ b/sequoiapoint/cli/settings_file.py
@@ -9,14 +9,12 @@
 from sequoiapoint.protocol import jsonc
 
 
-def add_process_command(
-    commands: argparse._SubParsersAction,
-    name: str,
-    help_text: str,
+def add_process_arguments(
+    parser: argparse.ArgumentParser,
     load: Callable[[str], jsonc.LoadResult],
     start: Callable[[Any, str], None],
 ) -> None:
-    """Add a command that loads a settings file and runs a process with it.
+    """Make a command load a settings file and run a process with it.
 
     :param load: Loads the command's settings from a path.
     :param start: Runs the process, given the settings and the path of their file.
@@ -31,6 +29,5 @@
         start(loaded.value, arguments.settings)
         return exit_codes.OK
 
-    parser = commands.add_parser(name, help=help_text)
     parser.add_argument("--settings", required=True, metavar="FILE")
     parser.set_defaults(run=run)
--- a/sequoiapoint/node/entry_host.py
+++ b/sequoiapoint/node/entry_host.py
@@ -27,6 +27,7 @@
 from sequoiapoint.node.probe_slots import ProbeSlots
 from sequoiapoint.node.runtime import CoordinationState, HostRuntime
 from sequoiapoint.protocol import invariants
+from sequoiapoint.protocol.addresses import split_address
 from sequoiapoint.protocol.errors import Failure
 from sequoiapoint.protocol.member import Member
 from sequoiapoint.protocol.peers import (
@@ -41,7 +42,7 @@
     encode_reply,
 )
 from sequoiapoint.protocol.records import CONTROL_STREAM, keys_stream
-from sequoiapoint.protocol.settings import Settings, split_address
+from sequoiapoint.protocol.settings import Settings
 from sequoiapoint.state.control import ControlState
 from sequoiapoint.state.keys import KeyState
 from sequoiapoint.transport import clock, logs
--- a/sequoiapoint/protocol/document.py
+++ b/sequoiapoint/protocol/document.py
@@ -8,8 +8,8 @@
 
 import pydantic
 
+from sequoiapoint.protocol.addresses import Address
 from sequoiapoint.protocol.jsonc import InvalidModelError, Location
-from sequoiapoint.protocol.settings import Address
 
 Name = pydantic.constr(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")
 
--- a/sequoiapoint/protocol/gateway_settings.py
+++ b/sequoiapoint/protocol/gateway_settings.py
@@ -7,7 +7,7 @@
 import pydantic
 
 from sequoiapoint.protocol import jsonc
-from sequoiapoint.protocol.settings import Address
+from sequoiapoint.protocol.addresses import Address
 
 
 class _StrictModel(pydantic.BaseModel):
--- a/sequoiapoint/protocol/jsonc_test.py
+++ b/sequoiapoint/protocol/jsonc_test.py
@@ -1,3 +1,5 @@
+import json
+
 import pytest
 
 from sequoiapoint.protocol.jsonc import load_file, load_text
@@ -61,3 +63,26 @@
 def test_a_missing_file_is_reported_as_an_error():
     loaded = load_file("/nonexistent/settings.json", Settings)
     assert "cannot be read" in loaded.errors[0].message
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {},
+        {"limits": {"body_timeout_s": "BODY"}},
+        {"zone": "é\u00fc\n\U0001f600"},
+        {"unknown": None, "seeds": ["1.2.3.4:5", 6]},
+        {"limits": {"threads": 2**70}},
+    ],
+)
+@pytest.mark.parametrize("number", ["2000e-3", "-1.5E+2", "NaN", "true", "1"])
+def test_plain_json_is_read_as_with_comments(fields, number):
+    """Guards against differences between the two parsers."""
+    document = {
+        "host": "a-0", "site": "s", "zone": "a", "address": "127.0.0.1:80",
+        "peer_address": "127.0.0.1:81", "platform": "127.0.0.1:82",
+    }  # fmt: skip
+    text = json.dumps(document | fields, indent=1, ensure_ascii=False)
+    text = text.replace('"BODY"', number)
+    plain, commented = (load_text(text + c, "f", Settings) for c in ("", "// remark"))
+    assert plain == commented
--- a/sequoiapoint/protocol/settings.py
+++ b/sequoiapoint/protocol/settings.py
@@ -9,8 +9,7 @@
 import pydantic
 
 from sequoiapoint.protocol import jsonc
-
-Address = pydantic.constr(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")
+from sequoiapoint.protocol.addresses import Address
 
 
 class _StrictModel(pydantic.BaseModel):
@@ -63,13 +62,3 @@
     :return: The settings, or every error with file and line.
     """
     return jsonc.load_file(path, Settings)
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Split an address into its IP address and its port.
-
-    :param address: For example ``127.0.0.1:8080``.
-    :return: The IP address and the port.
-    """
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/sequoiapoint/transport/peer_link.py
+++ b/sequoiapoint/transport/peer_link.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
+from sequoiapoint.protocol.addresses import split_address
 from sequoiapoint.protocol.errors import Failure, FailureKind
-from sequoiapoint.protocol.settings import split_address
 
 MAX_DATAGRAM_BYTES = 65_000
 MAX_FRAME_BYTES = 64_000_000
--- a/standins/web.py
+++ b/standins/web.py
@@ -14,7 +14,7 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
-from sequoiapoint.protocol.settings import split_address
+from sequoiapoint.protocol.addresses import split_address
 from sequoiapoint.transport.http_server import HttpServer
 
 
--- a/tests/docs_test.py
+++ b/tests/docs_test.py
@@ -46,7 +46,7 @@
 @pytest.mark.parametrize("command", list(documented_commands()))
 def test_every_documented_command_is_accepted_by_the_parser(command):
     arguments = command.replace("VERSION", "1").split()
-    assert build_parser().parse_args(arguments).run
+    assert build_parser(arguments).parse_args(arguments).run
 
 
 @pytest.mark.parametrize("target", re.findall(r"make ([a-z]+)", "make demo make test"))
--- a/tests/whole_path_test.py
+++ b/tests/whole_path_test.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from sequoiapoint.protocol.addresses import split_address
 from sequoiapoint.protocol.errors import Failure
-from sequoiapoint.protocol.settings import split_address
 from standins import deployments
 from standins.answers import expected_response
 from standins.cluster import Cluster, Deployment
