--- a/sequoiapoint/coordination/slot_queue_test.py
+++ b/sequoiapoint/coordination/slot_queue_test.py
@@ -1,4 +1,4 @@
-"""The order of grants, compared with a model that examines every queued request."""
+"""Order of grants and predicted waits, against a model that examines every request."""
 
 import random
 from collections import Counter
@@ -14,7 +14,7 @@
     released,
     withdrawn,
 )
-from sequoiapoint.protocol.slots import SlotOutcome, SlotQuality, SlotRequest
+from sequoiapoint.protocol.slots import SlotOutcome, SlotQuality, SlotReply, SlotRequest
 
 SERVERS = ("e-0", "e-1", "e-2", "e-3")
 WEIGHTS = {"a": 1.0, "b": 2.5, "c": 0.2}
@@ -172,3 +172,74 @@
 def test_grants_are_in_the_order_of_a_model_that_examines_every_request(seed):
     """Guards against an index that misses a change of lateness, share or servers."""
     assert Comparison(seed).play() > 20
+
+
+USE_S = 0.1
+
+
+def busy(*names, ended_at=0.0):
+    """Return an allocator whose engines of one slot are full and end in ``USE_S``."""
+    slots = SlotAllocator()
+    engines = [Engine((name, 1), 1, mean_use_s=USE_S) for name in names]
+    for engine in engines:
+        engine.ended_at = ended_at
+    slots.set_engines(engines, 0.0)
+    for number, name in enumerate(names):
+        slots.request(asked(-1 - number, candidates=(name,)), 0.0)
+    return slots
+
+
+def asked(number, priority=1, goal_s=9.0, name="", candidates=("e-1",), remaining_s=9):
+    return SlotRequest("h", number, candidates, priority, remaining_s, goal_s, name)
+
+
+BOTH = ("e-1", "e-2")
+
+
+@pytest.mark.parametrize(
+    ("queued", "last", "ahead"),
+    [
+        ([], {}, 1),
+        ([{"priority": 0}] * 3 + [{"priority": 2}] * 4, {}, 4),
+        ([{"priority": 0, "goal_s": 0.0}] * 3, {}, 4),
+        ([{"goal_s": 0.0}] * 4, {}, 1),
+        ([{}] * 4, {"goal_s": 0.0}, 5),
+        ([{"remaining_s": 5}] * 2 + [{}] * 4, {"remaining_s": 7}, 3),
+        ([{"name": "a"}] * 20, {"name": "b"}, 2),
+        ([{"name": "a"}] * 20 + [{"name": "b"}] * 3, {"name": "b"}, 8),
+        ([{"candidates": ("e-2",)}] * 9, {}, 1),
+        ([{"candidates": BOTH, "remaining_s": 5}] * 8, {}, 5),
+        ([{"candidates": BOTH, "remaining_s": 5}] * 8, {"candidates": BOTH}, 9 / 2),
+        ([{"candidates": BOTH, "priority": 0}] * 8, {}, 5),
+    ],
+)
+def test_a_predicted_wait_is_that_of_the_requests_that_precede(queued, last, ahead):
+    slots = busy("e-1", "e-2")
+    for number, fields in enumerate(queued):
+        assert slots.request(asked(number, **fields), 0.0).outcome is SlotOutcome.QUEUED
+    reply = slots.request(asked(99, **last), 0.0)
+    assert reply.wait_s == pytest.approx(ahead * USE_S, rel=0.2)
+
+
+@pytest.mark.parametrize(("ended_at", "wait_s"), [(50.0, USE_S), (20.0, 0.0)])
+def test_nothing_is_predicted_if_no_request_has_ended_lately(ended_at, wait_s):
+    """Guards against rejections based on what a stalled engine did before."""
+    slots = busy("e-1", ended_at=ended_at)
+    assert slots.request(asked(1), 55.0).wait_s == pytest.approx(wait_s)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_requests_of_several_organisations_are_granted_slots_as_predicted(seed):
+    rng, slots = random.Random(seed), busy("e-1")
+    slots.set_weights(WEIGHTS)
+    requests = [
+        asked(number, name=rng.choice("abc"), remaining_s=rng.uniform(5, 9))
+        for number in range(60)
+    ]
+    for request in requests:
+        slots.request(request, 0.0)
+    predicted = {r.number: slots.request(r, 0.0).wait_s / USE_S for r in requests}
+    grant = SlotReply("h", -1, SlotOutcome.GRANTED, ("e-1", 1))
+    for position in range(1, 61):
+        (grant,) = slots.release(released(grant, SlotQuality.UNUSED), 0.0)
+        assert predicted[grant.number] == pytest.approx(position, abs=1.5)
