Read the values of messages by their fields

pycapnp looks a field up by name at each access, which takes 1.3 us against 0.35 us by the field; the kind of a union takes 2.1 us against 0.36 us. Slot, allowance, permit, origin and age messages are now read by fields that are looked up once. The check of packed messages reads runs with fewer steps.

--- a/sequoiapoint/protocol/allowances.py
+++ b/sequoiapoint/protocol/allowances.py
@@ -15,8 +15,27 @@
 import capnp
 
 from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
+from sequoiapoint.protocol.readers import UnionFields, read_fields, struct_fields
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("allowances.capnp")))
+_MESSAGE = struct_fields(_SCHEMA.AllowanceMessage, "host", "number")
+_KINDS = UnionFields(
+    _SCHEMA.AllowanceMessage,
+    {
+        "request": (
+            "organisation",
+            "version",
+            "ratePerS",
+            "burst",
+            "charges",
+            "left",
+            "ahead",
+            "returned",
+        ),
+        "reply": ("outcome", "waitsMs", "credit", "denyMs", "waitMs", "due"),
+    },
+)
+_CHARGE = struct_fields(_SCHEMA.Charge, "cost", "caller", "maxWaitMs")
 PREFIX = b"\xfa"
 """First byte of a datagram with an allowance message, unlike that of any other kind."""
 MAX_WAIT_MS = 2**32 - 1
@@ -96,6 +115,7 @@
 
 
 AllowanceMessage = AllowanceRequest | AllowanceReply
+_OUTCOMES = {outcome.value: outcome for outcome in AllowanceOutcome}
 
 
 def caller_mark(caller: int) -> int:
@@ -166,6 +186,11 @@
         raise ValueError("not an allowance message: units out of range")
 
 
+def _decode_charge(message: Any) -> Charge:
+    cost, caller, max_wait_ms = read_fields(message, _CHARGE)
+    return Charge(cost, caller, max_wait_ms / 1000)
+
+
 def decode_allowance_message(data: bytes) -> AllowanceMessage:
     """Decode a datagram that begins with ``PREFIX``.
 
@@ -173,38 +198,37 @@
     """
     try:
         message = read_packed(_SCHEMA.AllowanceMessage, data[len(PREFIX) :])
-        host, number = message.host, message.number
-        if message.which() == "request":
-            group = message.request
-            _require_units(
-                (group.ratePerS, group.burst, group.left, group.ahead, group.returned)
-            )
-            _require_units(charge.cost for charge in group.charges)
+        host, number = read_fields(message, _MESSAGE)
+        kind, values = _KINDS.read(message)
+        if kind == "request":
+            organisation, version, rate_per_s, burst, encoded, *credits = values
+            left, ahead, returned = credits
+            charges = tuple(_decode_charge(charge) for charge in encoded)
+            _require_units((rate_per_s, burst, left, ahead, returned))
+            _require_units(charge.cost for charge in charges)
             return AllowanceRequest(
                 host,
                 number,
-                group.organisation,
-                group.version,
-                group.ratePerS,
-                group.burst,
-                tuple(
-                    Charge(c.cost, c.caller, c.maxWaitMs / 1000) for c in group.charges
-                ),
-                group.left,
-                group.ahead,
-                group.returned,
+                organisation,
+                version,
+                rate_per_s,
+                burst,
+                charges,
+                left,
+                ahead,
+                returned,
             )
-        group = message.reply
-        _require_units((group.credit,))
+        outcome, waits_ms, credit, deny_ms, wait_ms, due = values
+        _require_units((credit,))
         return AllowanceReply(
             host,
             number,
-            AllowanceOutcome(str(group.outcome)),
-            tuple(wait_ms / 1000 for wait_ms in group.waitsMs),
-            group.credit,
-            group.denyMs / 1000,
-            group.waitMs / 1000,
-            tuple(group.due),
+            _OUTCOMES[str(outcome)],
+            tuple(each_ms / 1000 for each_ms in waits_ms),
+            credit,
+            deny_ms / 1000,
+            wait_ms / 1000,
+            tuple(due),
         )
     except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not an allowance message: {error}") from error
--- a/sequoiapoint/protocol/configuration_age.py
+++ b/sequoiapoint/protocol/configuration_age.py
@@ -12,8 +12,18 @@
 import capnp
 
 from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
+from sequoiapoint.protocol.readers import UnionFields, read_fields, struct_fields
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("configuration_age.capnp")))
+_NUMBER = struct_fields(_SCHEMA.ConfigurationAgeMessage, "number")
+_KINDS = UnionFields(
+    _SCHEMA.ConfigurationAgeMessage,
+    {
+        "question": ("host",),
+        "reply": ("version", "ageMs"),
+        "notice": ("sender", "noticeAgeMs"),
+    },
+)
 PREFIX = b"\xfb"
 """First byte of a datagram with such a message.  The packed form of a digest begins
 with another byte, as its first word has zero bytes."""
@@ -109,13 +119,13 @@
     """
     try:
         message = read_packed(_SCHEMA.ConfigurationAgeMessage, data[len(PREFIX) :])
-        kind = message.which()
+        kind, values = _KINDS.read(message)
         if kind == "question":
-            return AgeQuestion(message.number, message.question.host)
+            return AgeQuestion(*read_fields(message, _NUMBER), *values)
         if kind == "reply":
-            reply = message.reply
-            return AgeReply(message.number, reply.version, reply.ageMs / 1000)
-        notice = message.notice
-        return AgeNotice(notice.sender, notice.noticeAgeMs / 1000)
+            version, age_ms = values
+            return AgeReply(*read_fields(message, _NUMBER), version, age_ms / 1000)
+        sender, age_ms = values
+        return AgeNotice(sender, age_ms / 1000)
     except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a message about ages: {error}") from error
--- a/sequoiapoint/protocol/origins.py
+++ b/sequoiapoint/protocol/origins.py
@@ -5,7 +5,7 @@
 """
 
 import hashlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from functools import singledispatch
 from pathlib import Path
@@ -15,8 +15,28 @@
 
 from sequoiapoint.protocol.gateway import Incarnation
 from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
+from sequoiapoint.protocol.readers import UnionFields, read_fields, struct_fields
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("origins.capnp")))
+_STREAM = struct_fields(_SCHEMA.OriginMessage, "stream")
+_BATCH_NAMES = ("groups", "writtenMs")
+_BATCH = struct_fields(_SCHEMA.OriginBatch, *_BATCH_NAMES)
+_KINDS = UnionFields(
+    _SCHEMA.OriginMessage,
+    {
+        "record": ("origin",),
+        "query": ("number",),
+        "reply": ("number", "origin"),
+        "batch": _BATCH_NAMES,
+    },
+)
+_ORIGIN = struct_fields(
+    _SCHEMA.Origin, "version", "server", "startedMs", "connectedAgeMs"
+)
+_GROUP = struct_fields(
+    _SCHEMA.OriginGroup,
+    *("version", "streams", "isCertain", "server", "startedMs", "connectedAgeMs"),
+)
 PREFIX = b"\xfd"
 """First byte of a datagram with such a message.  The packed form of a digest begins
 with another byte, as its first word has zero bytes."""
@@ -143,8 +163,8 @@
 
 
 def _decode_origin(message: Any) -> Origin:
-    server = (message.server, message.startedMs)
-    return Origin(message.version, server, message.connectedAgeMs / 1000)
+    version, server, started_ms, connected_age_ms = read_fields(message, _ORIGIN)
+    return Origin(version, (server, started_ms), connected_age_ms / 1000)
 
 
 def _encode_group(group: OriginGroup) -> dict[str, Any]:
@@ -160,16 +180,17 @@
 
 
 def _decode_group(group: Any) -> OriginGroup:
-    keys = group.streams
+    version, keys, is_certain, name, started_ms, connected_age_ms = read_fields(
+        group, _GROUP
+    )
     if len(keys) % KEY_BYTES:
         raise ValueError(f"keys of streams have {len(keys)} bytes")
     streams = tuple(keys[i : i + KEY_BYTES] for i in range(0, len(keys), KEY_BYTES))
-    if group.isCertain:
-        return OriginGroup(group.version, streams)
-    if not group.server:
+    if is_certain:
+        return OriginGroup(version, streams)
+    if not name:
         raise ValueError("the version is not certain, and no server is named")
-    server = (group.server, group.startedMs)
-    return OriginGroup(group.version, streams, server, group.connectedAgeMs / 1000)
+    return OriginGroup(version, streams, (name, started_ms), connected_age_ms / 1000)
 
 
 def _batch_fields(batch: OriginBatch) -> dict[str, Any]:
@@ -177,9 +198,9 @@
     return {"groups": groups, "writtenMs": batch.written_ms}
 
 
-def _decode_batch(batch: Any) -> OriginBatch:
-    groups = tuple(_decode_group(group) for group in batch.groups)
-    return OriginBatch(groups, batch.writtenMs)
+def _decode_batch(values: Iterable[Any]) -> OriginBatch:
+    groups, written_ms = values
+    return OriginBatch(tuple(map(_decode_group, groups)), written_ms)
 
 
 @singledispatch
@@ -223,15 +244,17 @@
     """
     try:
         message = read_packed(_SCHEMA.OriginMessage, data[len(PREFIX) :])
-        stream, kind = message.stream, message.which()
+        (stream,) = read_fields(message, _STREAM)
+        kind, values = _KINDS.read(message)
         if kind == "record":
-            return OriginRecord(stream, _decode_origin(message.record.origin))
+            (origin,) = values
+            return OriginRecord(stream, _decode_origin(origin))
         if kind == "query":
-            return OriginQuery(stream, message.query.number)
+            return OriginQuery(stream, *values)
         if kind == "batch":
-            return _decode_batch(message.batch)
-        reply = message.reply
-        return OriginReply(stream, reply.number, _decode_origin(reply.origin))
+            return _decode_batch(values)
+        number, origin = values
+        return OriginReply(stream, number, _decode_origin(origin))
     except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a message about origins: {error}") from error
 
@@ -255,7 +278,9 @@
     """
     content = _record_content(data, "origins")
     try:
-        return _decode_batch(read_packed(_SCHEMA.OriginBatch, content))
+        return _decode_batch(
+            read_fields(read_packed(_SCHEMA.OriginBatch, content), _BATCH)
+        )
     except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a record about origins: {error}") from error
 
--- a/sequoiapoint/protocol/packed.py
+++ b/sequoiapoint/protocol/packed.py
@@ -18,6 +18,8 @@
 _READS_PER_WORD = 8
 """How often a word may be read; the library limits reads against loops of pointers."""
 _ALL_ZERO, _ALL_SET = 0x00, 0xFF
+_SET_WORD_BYTES = 1 + WORD_BYTES + 1
+"""The size of a packed word without zero bytes, up to the length of the run."""
 _PLAIN_WORD_BYTES = bytes(
     0 if tag in (_ALL_ZERO, _ALL_SET) else 1 + tag.bit_count() for tag in range(256)
 )
@@ -27,15 +29,6 @@
 word.  The number of further segments is 0 there, and takes no bytes."""
 
 
-def struct_fields(schema: Any, *names: str) -> list[Any]:
-    """Return fields of a struct or group, by which its readers are read fastest.
-
-    A look-up by name takes three times as long.
-    """
-    fields = schema.schema.fields
-    return [fields[name] for name in names]
-
-
 def read_packed(schema: Any, data: bytes, max_words: int = MAX_WORDS) -> Any:
     """Decode a packed message.
 
@@ -65,21 +58,25 @@
 
 def _count_words(data: bytes) -> int:
     """Return the number of words that the data stands for."""
-    sizes = data.translate(_PLAIN_WORD_BYTES)
+    sizes = data.translate(_PLAIN_WORD_BYTES) + bytes(_SET_WORD_BYTES)
     end = len(data)
     position = words = 0
-    while position < end:
-        words += 1
-        if size := sizes[position]:
+    while True:
+        while size := sizes[position]:
             position += size
-        elif data[position] == _ALL_ZERO:
+            words += 1
+        if position >= end:
+            break
+        words += 1
+        if data[position] == _ALL_ZERO:
             words += data[position + 1]
             position += 2
         else:
-            # The next words follow as they are.
-            run = data[position + 1 + WORD_BYTES]
-            words += run
-            position += 2 + WORD_BYTES * (run + 1)
+            position += _SET_WORD_BYTES
+            if run := data[position - 1]:
+                # The next words follow as they are.
+                words += run
+                position += WORD_BYTES * run
     if position > end:
         raise ValueError("not a message: cut off")
     return words
--- a/sequoiapoint/protocol/permits.py
+++ b/sequoiapoint/protocol/permits.py
@@ -15,8 +15,25 @@
 from sequoiapoint.protocol.digests import checked_rate
 from sequoiapoint.protocol.gateway import Incarnation
 from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
+from sequoiapoint.protocol.readers import UnionFields, read_fields, struct_fields
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("permits.capnp")))
+_MESSAGE = struct_fields(_SCHEMA.PermitMessage, "host", "number")
+_KINDS = UnionFields(
+    _SCHEMA.PermitMessage,
+    {
+        "request": (
+            "server",
+            "startedMs",
+            "zone",
+            "caller",
+            "maxWaitMs",
+            "limitPerS",
+            "limitAgeMs",
+        ),
+        "reply": ("outcome", "waitMs", "isReserved"),
+    },
+)
 PREFIX = b"\xfe"
 """First byte of a datagram with a permit message.  The packed form of a digest begins
 with another byte, as its first word has zero bytes."""
@@ -75,6 +92,7 @@
 
 
 PermitMessage = PermitRequest | PermitReply
+_OUTCOMES = {outcome.value: outcome for outcome in PermitOutcome}
 
 
 @singledispatch
@@ -127,21 +145,23 @@
     """
     try:
         message = read_packed(_SCHEMA.PermitMessage, data[len(PREFIX) :])
-        host, number = message.host, message.number
-        if message.which() == "request":
-            group = message.request
+        host, number = read_fields(message, _MESSAGE)
+        kind, values = _KINDS.read(message)
+        if kind == "request":
+            server, started_ms, zone, caller, max_wait_ms, per_s, age_ms = values
             return PermitRequest(
                 host,
                 number,
-                (group.server, group.startedMs),
-                group.zone,
-                group.caller,
-                group.maxWaitMs / 1000,
-                checked_rate(group.limitPerS),
-                group.limitAgeMs / 1000,
+                (server, started_ms),
+                zone,
+                caller,
+                max_wait_ms / 1000,
+                checked_rate(per_s),
+                age_ms / 1000,
             )
-        group = message.reply
-        outcome = PermitOutcome(str(group.outcome))
-        return PermitReply(host, number, outcome, group.waitMs / 1000, group.isReserved)
+        outcome, wait_ms, is_reserved = values
+        return PermitReply(
+            host, number, _OUTCOMES[str(outcome)], wait_ms / 1000, is_reserved
+        )
     except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a permit message: {error}") from error
--- a/sequoiapoint/protocol/slots.py
+++ b/sequoiapoint/protocol/slots.py
@@ -14,8 +14,24 @@
 
 from sequoiapoint.protocol.gateway import Incarnation
 from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
+from sequoiapoint.protocol.readers import UnionFields, read_fields, struct_fields
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("slots.capnp")))
+_MESSAGE = struct_fields(_SCHEMA.SlotMessage, "host", "number")
+_KINDS = UnionFields(
+    _SCHEMA.SlotMessage,
+    {
+        "request": ("candidates", "priority", "remainingMs", "goalMs", "organisation"),
+        "reply": ("outcome", "server", "startedMs", "waitMs"),
+        "release": (
+            "server",
+            "startedMs",
+            "quality",
+            "slownessPercent",
+            "relativeTime",
+        ),
+    },
+)
 PREFIX = b"\xff"
 """First byte of a datagram with a slot message.  The packed form of a digest begins
 with another byte, as its first word has zero bytes."""
@@ -109,6 +125,8 @@
 
 
 SlotMessage = SlotRequest | SlotReply | SlotRelease
+_OUTCOMES = {outcome.value: outcome for outcome in SlotOutcome}
+_QUALITIES = {quality.value: quality for quality in SlotQuality}
 
 
 @singledispatch
@@ -162,33 +180,33 @@
     """
     try:
         message = read_packed(_SCHEMA.SlotMessage, data[len(PREFIX) :])
-        host, number = message.host, message.number
-        kind = message.which()
+        host, number = read_fields(message, _MESSAGE)
+        kind, values = _KINDS.read(message)
         if kind == "request":
-            group = message.request
+            candidates, priority, remaining_ms, goal_ms, organisation = values
             return SlotRequest(
                 host,
                 number,
-                tuple(group.candidates),
-                group.priority,
-                group.remainingMs / 1000,
-                group.goalMs / 1000,
-                group.organisation,
+                tuple(candidates),
+                priority,
+                remaining_ms / 1000,
+                goal_ms / 1000,
+                organisation,
             )
         if kind == "reply":
-            group = message.reply
-            outcome = SlotOutcome(str(group.outcome))
-            engine = (group.server, group.startedMs)
-            return SlotReply(host, number, outcome, engine, group.waitMs / 1000)
-        group = message.release
-        quality = SlotQuality(str(group.quality))
+            outcome, server, started_ms, wait_ms = values
+            engine = (server, started_ms)
+            return SlotReply(
+                host, number, _OUTCOMES[str(outcome)], engine, wait_ms / 1000
+            )
+        server, started_ms, quality, slowness_percent, relative_time = values
         return SlotRelease(
             host,
             number,
-            (group.server, group.startedMs),
-            quality,
-            group.slownessPercent / 100 or None,
-            group.relativeTime or None,
+            (server, started_ms),
+            _QUALITIES[str(quality)],
+            slowness_percent / 100 or None,
+            relative_time or None,
         )
     except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a slot message: {error}") from error
