Read digests by fields; decode each member once

All values of a digest are read by fields that are looked up once, empty lists are not iterated, and members that digests repeat twice a second become one object, whose address is checked once.

--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -4,33 +4,39 @@
 import functools
 import ipaddress
 import zlib
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import capnp
 
 from sequoiapoint.protocol.gateway import Incarnation, ModelDemand, StoreRecord
 from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
+from sequoiapoint.protocol.readers import read_fields, struct_fields
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(Path(__file__).with_name("digest.capnp")))
 
 
-def _fields(struct: str, *names: str) -> list[Any]:
-    """Return fields of a struct, by which its readers are read fastest.
-
-    A look-up by name takes three times as long, and digests have hundreds of values.
-    """
-    fields = getattr(_SCHEMA, struct).schema.fields
-    return [fields[name] for name in names]
-
-
-_COUNT = _fields("Count", "server", "startedMs", "running")
-_MEMBER = _fields("Member", "host", "zone", "address", "capacity")
-_HOLDING = _fields("Holding", "server", "startedMs", "models")
-_HELD_MODEL = _fields("HeldModel", "model", "adapters")
+_COUNT = struct_fields(_SCHEMA.Count, "server", "startedMs", "running")
+_PROCESS = struct_fields(_SCHEMA.Process, "server", "startedMs")
+_DEMAND = struct_fields(
+    _SCHEMA.Demand,
+    *("service", "model", "adapter", "inWork", "waiting"),
+    *("goalMs", "priority", "unservedMs"),
+)
+_MEMBER = struct_fields(_SCHEMA.Member, "host", "zone", "address", "capacity")
+_HOLDING = struct_fields(_SCHEMA.Holding, "server", "startedMs", "models")
+_HELD_MODEL = struct_fields(_SCHEMA.HeldModel, "model", "adapters")
+_SUSPICION = struct_fields(_SCHEMA.Suspicion, "fingerprint", "deaths")
+_SUSPECT_PART = struct_fields(_SCHEMA.SuspectPart, "part", "crashes", "isCleared")
+_LIMIT = struct_fields(_SCHEMA.Limit, "server", "startedMs", "perS", "ageMs")
+_SERVER_AGE = struct_fields(_SCHEMA.ServerAge, "server", "startedMs", "ageMs")
+_SPEED = struct_fields(
+    _SCHEMA.Speed, "process", "slownessPercent", "ageCs", "workPermille", "samples"
+)
+_DIGEST = dict(_SCHEMA.Digest.schema.fields)
 
 NO_LIMIT_PER_S = -1.0
 """Stands for a server that names no limit."""
@@ -39,6 +45,8 @@
 MAX_UINT16 = 65_535
 MAX_PRIORITY = 255
 """The least urgent priority that a digest can carry."""
+MAX_KNOWN_MEMBERS = 4_096
+"""Number of members of digests that are kept; far more than hosts are intended."""
 MAX_KNOWN_ADDRESSES = 4_096
 """Number of addresses of hosts that are checked once."""
 MAX_PER_S = 1e9
@@ -53,6 +61,9 @@
 """Level of the fastest compression, which reduces a configuration to a fifth."""
 
 
+Item = TypeVar("Item")
+
+
 class Scope(enum.Enum):
     """The set of hosts whose requests a digest counts."""
 
@@ -62,6 +73,9 @@
     NONE = "none"
 
 
+_SCOPES = {scope.value: scope for scope in Scope}
+
+
 @dataclass(frozen=True)
 class Member:
     """A gateway host and its address for digests and calls from other hosts.
@@ -184,6 +198,12 @@
         return Member(self.host, self.zone, self.address, self.capacity)
 
 
+def _decode_each(
+    decode: Callable[[Any], Item], messages: Sequence[Any]
+) -> tuple[Item, ...]:
+    return tuple(map(decode, messages)) if len(messages) else ()
+
+
 def _encode_age(age_s: float | None) -> int:
     return UNKNOWN_AGE_MS if age_s is None else round(1000 * age_s)
 
@@ -198,12 +218,19 @@
         item.address, item.capacity = member.address, member.capacity
 
 
-def _decode_members(members: Iterable[Any]) -> tuple[Member, ...]:
-    host, zone, address, capacity = _MEMBER
-    return tuple(
-        Member(get(host), get(zone), checked_address(get(address)), get(capacity))
-        for get in (member._get_by_field for member in members)
-    )
+@functools.lru_cache(MAX_KNOWN_MEMBERS)
+def _known_member(host: str, zone: str, address: str, capacity: int) -> Member:
+    """Return a member whose address has been checked.
+
+    Digests list the same members twice a second; equal ones become one object.
+
+    :raises ValueError: The address is not an IP address and a port.
+    """
+    return Member(host, zone, checked_address(address), capacity)
+
+
+def _decode_member(message: Any) -> Member:
+    return _known_member(*read_fields(message, _MEMBER))
 
 
 def _encode_counts(message: Any, counts: Sequence[tuple[Incarnation, int]]) -> None:
@@ -213,14 +240,43 @@
         item.running = _uint32(running)
 
 
-def _decode_counts(message: Any) -> tuple[tuple[Incarnation, int], ...]:
+def _decode_counts(counts: Iterable[Any]) -> tuple[tuple[Incarnation, int], ...]:
     server, started_ms, running = _COUNT
     return tuple(
         ((get(server), get(started_ms)), get(running))
-        for get in (count._get_by_field for count in message.counts)
+        for get in (count._get_by_field for count in counts)
     )
 
 
+def _decode_process(message: Any) -> Incarnation:
+    server, started_ms = read_fields(message, _PROCESS)
+    return server, started_ms
+
+
+def _decode_demand(message: Any) -> ModelDemand:
+    *names, running, waiting, goal_ms, priority, unserved_ms = read_fields(
+        message, _DEMAND
+    )
+    return ModelDemand(
+        *names, running, waiting, goal_ms / 1000, priority, unserved_ms / 1000
+    )
+
+
+def _decode_suspicion(message: Any) -> tuple[str, frozenset[str]]:
+    fingerprint, deaths = read_fields(message, _SUSPICION)
+    return fingerprint, frozenset(deaths)
+
+
+def _decode_suspect_part(message: Any) -> tuple[str, frozenset[int], bool]:
+    part, crashes, is_cleared = read_fields(message, _SUSPECT_PART)
+    return part, frozenset(crashes), is_cleared
+
+
+def _decode_server_age(message: Any) -> tuple[Incarnation, float]:
+    server, started_ms, age_ms = read_fields(message, _SERVER_AGE)
+    return (server, started_ms), age_ms / 1000
+
+
 def _encode_holdings(
     message: Any,
     holdings: Sequence[tuple[Incarnation, Mapping[str, frozenset[str]]]],
@@ -234,7 +290,7 @@
 
 
 def _decode_holdings(
-    message: Any,
+    holdings: Iterable[Any],
 ) -> tuple[tuple[Incarnation, dict[str, frozenset[str]]], ...]:
     server, started_ms, models = _HOLDING
     name, adapters = _HELD_MODEL
@@ -246,7 +302,7 @@
                 for get_model in (model._get_by_field for model in get(models))
             },
         )
-        for get in (holding._get_by_field for holding in message.holdings)
+        for get in (holding._get_by_field for holding in holdings)
     )
 
 
@@ -290,8 +346,9 @@
 
 
 def _decode_limit(message: Any) -> ServerLimit:
-    per_s = None if message.perS < 0 else checked_rate(message.perS)
-    return ServerLimit((message.server, message.startedMs), per_s, message.ageMs / 1000)
+    server, started_ms, per_s, age_ms = read_fields(message, _LIMIT)
+    limit = None if per_s < 0 else checked_rate(per_s)
+    return ServerLimit((server, started_ms), limit, age_ms / 1000)
 
 
 def _cut(value: float) -> int:
@@ -308,12 +365,19 @@
     }
 
 
-def _decode_speed(message: Any) -> tuple[int, SpeedSample]:
-    return message.process, SpeedSample(
-        message.slownessPercent / 100,
-        message.ageCs / 100,
-        message.workPermille / 1000,
-        message.samples / 10,
+def _decode_speeds(speeds: Iterable[Any]) -> tuple[tuple[int, SpeedSample], ...]:
+    process, slowness_percent, age_cs, work_permille, samples = _SPEED
+    return tuple(
+        (
+            get(process),
+            SpeedSample(
+                get(slowness_percent) / 100,
+                get(age_cs) / 100,
+                get(work_permille) / 1000,
+                get(samples) / 10,
+            ),
+        )
+        for get in (speed._get_by_field for speed in speeds)
     )
 
 
@@ -392,58 +456,42 @@
     """
     try:
         message = read_packed(_SCHEMA.Digest, data)
+        get, fields = message._get_by_field, _DIGEST
         return Digest(
-            host=message.host,
-            zone=message.zone,
-            address=checked_address(message.address),
-            started_ms=message.startedMs,
-            is_leaving=message.isLeaving,
-            configuration_end=message.configurationEnd,
-            server_end=message.serverEnd,
-            is_store_reachable=message.isStoreReachable,
-            fence=message.fence,
-            counts=_decode_counts(message),
-            demands=tuple(
-                ModelDemand(
-                    d.service,
-                    d.model,
-                    d.adapter,
-                    d.inWork,
-                    d.waiting,
-                    d.goalMs / 1000,
-                    d.priority,
-                    d.unservedMs / 1000,
-                )
-                for d in message.demands
-            ),
-            holdings=_decode_holdings(message),
-            suspicions=tuple(
-                (s.fingerprint, frozenset(s.deaths)) for s in message.suspicions
-            ),
-            scope=Scope(str(message.scope)),
-            host_count=message.hostCount,
-            members=_decode_members(message.members),
-            relays=_decode_members(message.relays),
-            contested=_decode_members(message.contested),
-            is_demand_report=message.isDemandReport,
-            is_heartbeat=message.isHeartbeat,
-            capacity=message.capacity,
-            leaving_servers=tuple(
-                (p.server, p.startedMs) for p in message.leavingServers
-            ),
-            server_age_s=_decode_age(message.serverAgeMs),
-            suspect_parts=tuple(
-                (s.part, frozenset(s.crashes), s.isCleared)
-                for s in message.suspectParts
+            host=get(fields["host"]),
+            zone=get(fields["zone"]),
+            address=checked_address(get(fields["address"])),
+            started_ms=get(fields["startedMs"]),
+            is_leaving=get(fields["isLeaving"]),
+            configuration_end=get(fields["configurationEnd"]),
+            server_end=get(fields["serverEnd"]),
+            is_store_reachable=get(fields["isStoreReachable"]),
+            fence=get(fields["fence"]),
+            counts=_decode_counts(get(fields["counts"])),
+            demands=_decode_each(_decode_demand, get(fields["demands"])),
+            holdings=_decode_holdings(get(fields["holdings"])),
+            suspicions=_decode_each(_decode_suspicion, get(fields["suspicions"])),
+            scope=_SCOPES[str(get(fields["scope"]))],
+            host_count=get(fields["hostCount"]),
+            members=_decode_each(_decode_member, get(fields["members"])),
+            relays=_decode_each(_decode_member, get(fields["relays"])),
+            contested=_decode_each(_decode_member, get(fields["contested"])),
+            is_demand_report=get(fields["isDemandReport"]),
+            is_heartbeat=get(fields["isHeartbeat"]),
+            capacity=get(fields["capacity"]),
+            leaving_servers=_decode_each(
+                _decode_process, get(fields["leavingServers"])
             ),
-            limits=tuple(_decode_limit(limit) for limit in message.limits),
-            live_zones=tuple(message.liveZones),
-            brittle=tuple(_decode_limit(limit) for limit in message.brittle),
-            fallen=tuple((p.server, p.startedMs) for p in message.fallen),
-            turned_away=tuple(
-                ((a.server, a.startedMs), a.ageMs / 1000) for a in message.turnedAway
+            server_age_s=_decode_age(get(fields["serverAgeMs"])),
+            suspect_parts=_decode_each(
+                _decode_suspect_part, get(fields["suspectParts"])
             ),
-            speeds=tuple(_decode_speed(s) for s in message.speeds),
+            limits=_decode_each(_decode_limit, get(fields["limits"])),
+            live_zones=tuple(get(fields["liveZones"])),
+            brittle=_decode_each(_decode_limit, get(fields["brittle"])),
+            fallen=_decode_each(_decode_process, get(fields["fallen"])),
+            turned_away=_decode_each(_decode_server_age, get(fields["turnedAway"])),
+            speeds=_decode_speeds(get(fields["speeds"])),
         )
     except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a digest: {error}") from error
