Set the fields of messages one by one

A new message from nested dicts takes two to nine times as long as setting its fields, as the slot messages show that already do so.

--- a/sequoiapoint/protocol/allowances.py
+++ b/sequoiapoint/protocol/allowances.py
@@ -127,41 +127,36 @@
 
 
 @singledispatch
-def _fields(message: object) -> dict[str, dict[str, Any]]:
-    """Return the fields of a message's group in the schema, by the group's name."""
+def _fill(message: object, encoded: Any) -> None:
+    """Set the fields of a message's group in the schema.
+
+    Setting them one by one takes a third of the time of a new message from a dict.
+    """
     raise TypeError(f"not an allowance message: {type(message).__name__}")
 
 
-@_fields.register
-def _(message: AllowanceRequest) -> dict[str, dict[str, Any]]:
-    charges = [
-        {"cost": c.cost, "caller": c.caller, "maxWaitMs": _encode_seconds(c.max_wait_s)}
-        for c in message.charges
-    ]
-    fields = {
-        "organisation": message.organisation,
-        "version": message.version,
-        "ratePerS": message.rate_per_s,
-        "burst": message.burst,
-        "charges": charges,
-        "left": message.left,
-        "ahead": message.ahead,
-        "returned": message.returned,
-    }
-    return {"request": fields}
-
-
-@_fields.register
-def _(message: AllowanceReply) -> dict[str, dict[str, Any]]:
-    fields = {
-        "outcome": message.outcome.value,
-        "waitsMs": [_encode_seconds(wait_s) for wait_s in message.waits_s],
-        "credit": message.credit,
-        "denyMs": _encode_seconds(message.deny_s),
-        "waitMs": _encode_seconds(message.wait_s),
-        "due": list(message.due),
-    }
-    return {"reply": fields}
+@_fill.register
+def _(message: AllowanceRequest, encoded: Any) -> None:
+    group = encoded.init("request")
+    group.organisation, group.version = message.organisation, message.version
+    group.ratePerS, group.burst = message.rate_per_s, message.burst
+    charges = group.init("charges", len(message.charges))
+    for item, charge in zip(charges, message.charges, strict=True):
+        item.cost, item.caller = charge.cost, charge.caller
+        item.maxWaitMs = _encode_seconds(charge.max_wait_s)
+    group.left, group.ahead = message.left, message.ahead
+    group.returned = message.returned
+
+
+@_fill.register
+def _(message: AllowanceReply, encoded: Any) -> None:
+    group = encoded.init("reply")
+    group.outcome = message.outcome.value
+    group.waitsMs = [_encode_seconds(wait_s) for wait_s in message.waits_s]
+    group.credit = message.credit
+    group.denyMs = _encode_seconds(message.deny_s)
+    group.waitMs = _encode_seconds(message.wait_s)
+    group.due = list(message.due)
 
 
 def _encode_seconds(seconds: float) -> int:
@@ -171,9 +166,9 @@
 
 def encode_allowance_message(message: AllowanceMessage) -> bytes:
     """Encode a message as a datagram."""
-    encoded = _SCHEMA.AllowanceMessage.new_message(
-        number=message.number, host=message.host, **_fields(message)
-    )
+    encoded = _SCHEMA.AllowanceMessage.new_message()
+    encoded.number, encoded.host = message.number, message.host
+    _fill(message, encoded)
     return PREFIX + encoded.to_bytes_packed()
 
 
--- a/sequoiapoint/protocol/configuration_age.py
+++ b/sequoiapoint/protocol/configuration_age.py
@@ -85,30 +85,37 @@
 
 
 @singledispatch
-def _fields(message: object) -> dict[str, Any]:
-    """Return the fields of a message in the schema."""
+def _fill(message: object, encoded: Any) -> None:
+    """Set the fields of a message in the schema.
+
+    Setting them one by one takes a third of the time of a new message from a dict.
+    """
     raise TypeError(f"not a message about ages: {type(message).__name__}")
 
 
-@_fields.register
-def _(message: AgeQuestion) -> dict[str, Any]:
-    return {"number": message.number, "question": {"host": message.host}}
+@_fill.register
+def _(message: AgeQuestion, encoded: Any) -> None:
+    encoded.number = message.number
+    encoded.init("question").host = message.host
 
 
-@_fields.register
-def _(message: AgeReply) -> dict[str, Any]:
-    reply = {"version": message.version, "ageMs": _age_ms(message.age_s)}
-    return {"number": message.number, "reply": reply}
+@_fill.register
+def _(message: AgeReply, encoded: Any) -> None:
+    encoded.number = message.number
+    group = encoded.init("reply")
+    group.version, group.ageMs = message.version, _age_ms(message.age_s)
 
 
-@_fields.register
-def _(message: AgeNotice) -> dict[str, Any]:
-    return {"notice": {"sender": message.host, "noticeAgeMs": _age_ms(message.age_s)}}
+@_fill.register
+def _(message: AgeNotice, encoded: Any) -> None:
+    group = encoded.init("notice")
+    group.sender, group.noticeAgeMs = message.host, _age_ms(message.age_s)
 
 
 def encode_age_message(message: AgeMessage) -> bytes:
     """Encode a message as a datagram."""
-    encoded = _SCHEMA.ConfigurationAgeMessage.new_message(**_fields(message))
+    encoded = _SCHEMA.ConfigurationAgeMessage.new_message()
+    _fill(message, encoded)
     return PREFIX + encoded.to_bytes_packed()
 
 
--- a/sequoiapoint/protocol/origins.py
+++ b/sequoiapoint/protocol/origins.py
@@ -152,14 +152,10 @@
     return min(MAX_AGE_MS, max(0, round(1000 * seconds)))
 
 
-def _encode_origin(origin: Origin) -> dict[str, Any]:
-    server, started_ms = origin.server
-    return {
-        "version": origin.version,
-        "server": server,
-        "startedMs": started_ms,
-        "connectedAgeMs": _encode_age(origin.connected_age_s),
-    }
+def _fill_origin(origin: Origin, encoded: Any) -> None:
+    encoded.version = origin.version
+    encoded.server, encoded.startedMs = origin.server
+    encoded.connectedAgeMs = _encode_age(origin.connected_age_s)
 
 
 def _decode_origin(message: Any) -> Origin:
@@ -167,16 +163,12 @@
     return Origin(version, (server, started_ms), connected_age_ms / 1000)
 
 
-def _encode_group(group: OriginGroup) -> dict[str, Any]:
-    server, started_ms = group.server or ("", 0)
-    return {
-        "version": group.version,
-        "streams": b"".join(group.streams),
-        "isCertain": group.server is None,
-        "server": server,
-        "startedMs": started_ms,
-        "connectedAgeMs": _encode_age(group.connected_age_s),
-    }
+def _fill_group(group: OriginGroup, encoded: Any) -> None:
+    encoded.version = group.version
+    encoded.streams = b"".join(group.streams)
+    encoded.isCertain = group.server is None
+    encoded.server, encoded.startedMs = group.server or ("", 0)
+    encoded.connectedAgeMs = _encode_age(group.connected_age_s)
 
 
 def _decode_group(group: Any) -> OriginGroup:
@@ -193,9 +185,11 @@
     return OriginGroup(version, streams, (name, started_ms), connected_age_ms / 1000)
 
 
-def _batch_fields(batch: OriginBatch) -> dict[str, Any]:
-    groups = [_encode_group(group) for group in batch.groups]
-    return {"groups": groups, "writtenMs": batch.written_ms}
+def _fill_batch(batch: OriginBatch, encoded: Any) -> None:
+    encoded.writtenMs = batch.written_ms
+    items = encoded.init("groups", len(batch.groups))
+    for item, group in zip(items, batch.groups, strict=True):
+        _fill_group(group, item)
 
 
 def _decode_batch(values: Iterable[Any]) -> OriginBatch:
@@ -204,36 +198,41 @@
 
 
 @singledispatch
-def _fields(message: object) -> dict[str, dict[str, Any]]:
-    """Return the fields of a message's group in the schema, by the group's name."""
+def _fill(message: object, encoded: Any) -> None:
+    """Set the fields of a message's group in the schema.
+
+    Setting them one by one takes a third of the time of a new message from a dict.
+    """
     raise TypeError(f"not a message about origins: {type(message).__name__}")
 
 
-@_fields.register
-def _(message: OriginRecord) -> dict[str, dict[str, Any]]:
-    return {"record": {"origin": _encode_origin(message.origin)}}
+@_fill.register
+def _(message: OriginRecord, encoded: Any) -> None:
+    _fill_origin(message.origin, encoded.init("record").init("origin"))
 
 
-@_fields.register
-def _(message: OriginQuery) -> dict[str, dict[str, Any]]:
-    return {"query": {"number": message.number}}
+@_fill.register
+def _(message: OriginQuery, encoded: Any) -> None:
+    encoded.init("query").number = message.number
 
 
-@_fields.register
-def _(message: OriginReply) -> dict[str, dict[str, Any]]:
-    origin = _encode_origin(message.origin)
-    return {"reply": {"number": message.number, "origin": origin}}
+@_fill.register
+def _(message: OriginReply, encoded: Any) -> None:
+    group = encoded.init("reply")
+    group.number = message.number
+    _fill_origin(message.origin, group.init("origin"))
 
 
-@_fields.register
-def _(message: OriginBatch) -> dict[str, dict[str, Any]]:
-    return {"batch": _batch_fields(message)}
+@_fill.register
+def _(message: OriginBatch, encoded: Any) -> None:
+    _fill_batch(message, encoded.init("batch"))
 
 
 def encode_origin_message(message: OriginMessage) -> bytes:
     """Encode a message as a datagram."""
-    stream = getattr(message, "stream", "")
-    encoded = _SCHEMA.OriginMessage.new_message(stream=stream, **_fields(message))
+    encoded = _SCHEMA.OriginMessage.new_message()
+    encoded.stream = getattr(message, "stream", "")
+    _fill(message, encoded)
     return PREFIX + encoded.to_bytes_packed()
 
 
@@ -261,7 +260,8 @@
 
 def encode_origin_record(batch: OriginBatch) -> bytes:
     """Encode a batch as a record of the store."""
-    encoded = _SCHEMA.OriginBatch.new_message(**_batch_fields(batch))
+    encoded = _SCHEMA.OriginBatch.new_message()
+    _fill_batch(batch, encoded)
     return RECORD_FORMAT + encoded.to_bytes_packed()
 
 
--- a/sequoiapoint/protocol/permits.py
+++ b/sequoiapoint/protocol/permits.py
@@ -96,34 +96,30 @@
 
 
 @singledispatch
-def _fields(message: object) -> dict[str, dict[str, Any]]:
-    """Return the fields of a message's group in the schema, by the group's name."""
+def _fill(message: object, encoded: Any) -> None:
+    """Set the fields of a message's group in the schema.
+
+    Setting them one by one takes a third of the time of a new message from a dict.
+    """
     raise TypeError(f"not a permit message: {type(message).__name__}")
 
 
-@_fields.register
-def _(message: PermitRequest) -> dict[str, dict[str, Any]]:
-    server, started_ms = message.server
-    fields = {
-        "server": server,
-        "startedMs": started_ms,
-        "zone": message.zone,
-        "caller": message.caller,
-        "maxWaitMs": _encode_seconds(message.max_wait_s),
-        "limitPerS": message.limit_per_s,
-        "limitAgeMs": _encode_seconds(message.limit_age_s),
-    }
-    return {"request": fields}
+@_fill.register
+def _(message: PermitRequest, encoded: Any) -> None:
+    group = encoded.init("request")
+    group.server, group.startedMs = message.server
+    group.zone, group.caller = message.zone, message.caller
+    group.maxWaitMs = _encode_seconds(message.max_wait_s)
+    group.limitPerS = message.limit_per_s
+    group.limitAgeMs = _encode_seconds(message.limit_age_s)
 
 
-@_fields.register
-def _(message: PermitReply) -> dict[str, dict[str, Any]]:
-    fields = {
-        "outcome": message.outcome.value,
-        "waitMs": _encode_seconds(message.wait_s),
-        "isReserved": message.is_reserved,
-    }
-    return {"reply": fields}
+@_fill.register
+def _(message: PermitReply, encoded: Any) -> None:
+    group = encoded.init("reply")
+    group.outcome = message.outcome.value
+    group.waitMs = _encode_seconds(message.wait_s)
+    group.isReserved = message.is_reserved
 
 
 def _encode_seconds(seconds: float) -> int:
@@ -132,9 +128,9 @@
 
 def encode_permit_message(message: PermitMessage) -> bytes:
     """Encode a message as a datagram."""
-    encoded = _SCHEMA.PermitMessage.new_message(
-        number=message.number, host=message.host, **_fields(message)
-    )
+    encoded = _SCHEMA.PermitMessage.new_message()
+    encoded.number, encoded.host = message.number, message.host
+    _fill(message, encoded)
     return PREFIX + encoded.to_bytes_packed()
 
 
