Return a connection on which nothing was sent to its pool

Cause: a stream goes on only over a connection that is certain to lead to the process behind it, which takes 0.5 s or more, and a permit is valid for 0.4 s. The connection was closed with the expired permit, so each round began with a new one. Change: a connection on which the request may not be sent is kept for the next round, except to a server that has left. A new connection is kept as long as the peer's earlier ones; the default of 0.4 s would end it before it is certain. The first connection of a host to a server that has stated no idle timeout yet still ends so. The double of the site returns unused connections in request_forwarder_test.py.

--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -75,6 +75,8 @@
 ANSWERED_EVENTS = 2
 """Events of a stream after which its engine counts as having answered.  An engine that
 crashes as it begins to write may have sent the first one."""
+LEFT_REASON = "left_before_sending"
+"""Reason if the server stopped accepting requests after it was selected."""
 BROKEN_REASONS = frozenset({ExchangeOutcome.CLOSED.value, ExchangeOutcome.RESET.value})
 """Failure reasons of a connection that broke."""
 MISDIRECTED_REASON = f"server_said_{int(http.HTTPStatus.MISDIRECTED_REQUEST)}"
@@ -597,8 +599,10 @@
                 entry, selector, connection
             )
         finally:
-            if outcome is not None:
+            if reason == LEFT_REASON:
                 connection.close()
+            elif outcome is not None:
+                pool.put_back(connection)
         if outcome is None:
             return connection
         self._log_attempt(entry, outcome.value, reason)
@@ -615,7 +619,7 @@
             return _AttemptOutcome.SERVER_LEFT, "process_uncertain"
         now = monotonic_s()
         if not selector.may_send_to(entry, now):
-            return _AttemptOutcome.SERVER_LEFT, "left_before_sending"
+            return _AttemptOutcome.SERVER_LEFT, LEFT_REASON
         if not selector.is_permitted(entry, now):
             return _AttemptOutcome.NOT_PERMITTED, "no_permit_before_sending"
         if self._rejected_part() is not None:
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -59,7 +59,9 @@
     :ivar responses: Responses still to be given, by server: status and headers.
     :ivar flow_control: The functions that pause and resume the source of a stream.
     :ivar forwarder: That of the last request.
-    :ivar on_connect: Called with the server before a connection to it is returned.
+    :ivar on_connect: Called with the server before a connection to it is opened.
+    :ivar unused: Connections that were returned, as none was sent on, by server.
+    :ivar opened: The number of connections that were opened.
     """
 
     def __init__(self, monkeypatch, *servers):
@@ -69,6 +71,7 @@
         self.streamed, self.is_endless, self.exchange = [], False, None
         self.flow_control = None
         self.route = ROUTE
+        self.unused, self.opened = {}, 0
         self.origins = _Origins()
         self.detours = Detours()
         self.forwarder_options = {}
@@ -111,6 +114,7 @@
                 acquire=lambda t: self._connect(entry),
                 refuses_connections=lambda t: self._refuses_connections(entry),
                 accepts_connections=lambda t: _result(not self.is_cut_off),
+                put_back=self.unused.setdefault(entry.server, []).append,
             ),
         )
 
@@ -118,6 +122,9 @@
         self.logged.append((name, outcome, fields))
 
     async def _connect(self, entry):
+        if self.unused.get(entry.server):
+            return self.unused[entry.server].pop()
+        self.opened += 1
         self.on_connect(entry.server)
         exchanges = []
 
@@ -781,6 +788,34 @@
     assert (status, site.sent) == (503, [])
 
 
+CERTAIN_AFTER_S = 0.05
+
+
+def test_a_stream_goes_on_at_a_limited_server_though_its_first_permit_expires(
+    monkeypatch,
+):
+    """Guards against rounds with a new connection each, none of which becomes certain.
+
+    A connection is certain some time after it was opened, which is longer than a permit
+    is valid.
+    """
+    site = versions_site(monkeypatch, s_1="v1")
+    site.responses["s-1"] = [(200, [SIGNED], b"id: 8\ndata: x\n\n")]
+    site.origins.recorded["known"] = StreamOrigin("v1", ("s-9", 1), 0.0)
+    site.state.limits.note(LimitNotice(("s-1", 1), 9.0, monotonic_s()))
+    site.permits = lambda entry, max_wait_s: Permit(
+        entry.incarnation, monotonic_s() + 0.8 * CERTAIN_AFTER_S
+    )
+
+    async def is_certain(server, connected_at):
+        await asyncio.sleep(connected_at + CERTAIN_AFTER_S - monotonic_s())
+        return True
+
+    site.origins.is_certain = is_certain
+    status, _ = asyncio.run(site.request(last_event_id="7", resumes="known"))
+    assert (status, site.sent, site.opened) == (200, ["s-1"], 1)
+
+
 @pytest.mark.parametrize(("is_cut_off", "status"), [(True, 200), (False, 403)])
 def test_what_ran_as_its_host_was_cut_off_from_all_servers_is_not_rejected(
     monkeypatch, is_cut_off, status
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -154,10 +154,16 @@
     """One connection to a peer.
 
     :param on_release: Called when the connection is idle or closed.
+    :param idle_limit_s: Idle time after which it is not used again, until a response
+        states the peer's timeout.
     :ivar opened_at: When the connection was established, in seconds.
     """
 
-    def __init__(self, on_release: Callable[["ClientConnection"], None]) -> None:
+    def __init__(
+        self,
+        on_release: Callable[["ClientConnection"], None],
+        idle_limit_s: float = DEFAULT_IDLE_TIMEOUT_S,
+    ) -> None:
         self._on_release = on_release
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -175,7 +181,7 @@
         self._has_surplus_bytes = False
         self._may_reuse = True
         self._tolerates_silence = False
-        self._idle_limit_s = DEFAULT_IDLE_TIMEOUT_S
+        self.idle_limit_s = idle_limit_s
         self._idle_since = 0.0
         self.opened_at = 0.0
 
@@ -190,7 +196,7 @@
         One that has been idle for longer must also be known to lead to the peer still.
         """
         idle_s = now - self._idle_since
-        if not self.is_open or idle_s >= self._idle_limit_s:
+        if not self.is_open or idle_s >= self.idle_limit_s:
             return False
         return idle_s < MAX_IDLE_S or self._unheard_s() < MAX_IDLE_S
 
@@ -432,7 +438,7 @@
         if match is None:
             return
         timeout_s = float(match[1])
-        self._idle_limit_s = min(
+        self.idle_limit_s = min(
             MAX_KEPT_IDLE_S, max(timeout_s - IDLE_MARGIN_S, timeout_s / 2)
         )
 
@@ -507,6 +513,7 @@
         self._idle: deque[ClientConnection] = deque()
         self._open: set[ClientConnection] = set()
         self._connecting = 0
+        self._idle_limit_s = DEFAULT_IDLE_TIMEOUT_S
         self.opened = 0
 
     @property
@@ -533,7 +540,9 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self._release), self._host, self._port
+                    lambda: ClientConnection(self._release, self._idle_limit_s),
+                    self._host,
+                    self._port,
                 )
         except TimeoutError:
             return self._failure("connect_timeout")
@@ -570,8 +579,14 @@
     def _failure(self, reason: str, detail: str = "") -> Failure:
         return Failure(FailureKind.NOT_SENT, reason, "connect", self._address, detail)
 
+    def put_back(self, connection: ClientConnection) -> None:
+        """Keep an acquired connection for another request, as none was sent on it."""
+        self._release(connection)
+
     def _release(self, connection: ClientConnection) -> None:
         if connection.is_open:
+            # The peer is one process, so its next connections end after the same time.
+            self._idle_limit_s = connection.idle_limit_s
             self._idle.append(connection)
             return
         self._open.discard(connection)
--- a/sequoiapoint/transport/async_http_client_test.py
+++ b/sequoiapoint/transport/async_http_client_test.py
@@ -483,3 +483,26 @@
             return exchange.outcome.result(), await peer.pool.refuses_connections(0.5)
 
     assert asyncio.run(scenario()) == (ExchangeOutcome.RESET, False)
+
+
+@pytest.mark.parametrize("header", [b"", b"Keep-Alive: timeout=3\r\n"])
+def test_an_unused_connection_is_kept_as_long_as_the_peer_usually_keeps_one(header):
+    """Guards against a connection that is closed before a stream can go on over it."""
+    response = COMPLETE_RESPONSE.replace(b"Request-Id: r\r\n", header)
+
+    async def scenario():
+        async with Peer(response) as peer:
+            await peer.send()
+            used, unused = [await peer.pool.acquire(1.0) for _ in range(2)]
+            await asyncio.sleep(async_http_client.DEFAULT_IDLE_TIMEOUT_S + 0.1)
+            peer.pool.put_back(unused)
+            is_kept = await peer.pool.acquire(1.0) is unused
+            for connection in (used, unused):
+                connection.close()
+            peer.pool.put_back(unused)
+            await asyncio.sleep(0.01)
+            return is_kept, peer.pool.size
+
+    is_kept, size = asyncio.run(scenario())
+    assert is_kept is bool(header)
+    assert size == (0 if header else 1)
