Exclude a suspension of the process from the time-out of a request's receipt

Cause: after a suspension of 2.6 s while it received a request, a host counted that time against the limit of 2 s and answered 408. Change: the time by which the check of time-outs is late does not count for the connections that had waited before it was due.

--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -239,12 +239,20 @@
         else:
             self._transport.resume_reading()
 
-    def check_timeouts(self, now: float) -> None:
+    def check_timeouts(self, now: float, late_s: float = 0.0) -> None:
         """Close an idle connection; reject a request that arrives too slowly.
 
         The timeout limits the time to receive the whole head, and each pause within the
         body.
+
+        :param late_s: Time by which the check is late, in seconds.  It does not count,
+            as the process was suspended and read nothing.
         """
+        due_at = now - late_s
+        if self._head_started_at <= due_at:
+            self._head_started_at += late_s
+        if self._last_progress_s <= due_at:
+            self._last_progress_s += late_s
         if self._ignores_input or self._active is not None:
             return
         limits = self._server.limits
@@ -518,9 +526,11 @@
     async def _check_timeouts(self) -> None:
         while True:
             await self.has_connections.wait()
-            await asyncio.sleep(pause_to_tick_s(TIMEOUT_CHECK_INTERVAL_S))
+            pause_s = pause_to_tick_s(TIMEOUT_CHECK_INTERVAL_S)
+            due_at = monotonic_s() + pause_s
+            await asyncio.sleep(pause_s)
             if not self.connections:
                 self.has_connections.clear()
             now = monotonic_s()
             for connection in list(self.connections):
-                connection.check_timeouts(now)
+                connection.check_timeouts(now, max(0.0, now - due_at))
--- a/sequoiapoint/transport/async_http_server_test.py
+++ b/sequoiapoint/transport/async_http_server_test.py
@@ -1,6 +1,8 @@
 import asyncio
 import contextlib
 import socket
+import time
+from dataclasses import replace
 
 import pytest
 
@@ -408,3 +410,22 @@
     received, busy_before, busy_after = run(scenario())
     assert received.endswith(LONG_BODY)
     assert (busy_before, busy_after) == (1, 0)
+
+
+@pytest.mark.parametrize("sent", [VALID_REQUEST[:9], VALID_REQUEST[:-1]])
+def test_a_request_is_not_rejected_for_a_suspension_of_the_process(sent):
+    """Guards against a 408 to a caller that has sent its request in time."""
+
+    async def scenario():
+        async with RecordingServer() as recorder:
+            recorder.server.limits = replace(LIMITS, header_timeout_s=0.8)
+            reader, writer = await recorder.connect()
+            writer.write(sent)
+            await asyncio.sleep(0.1)
+            time.sleep(1.6)
+            await asyncio.sleep(0.1)
+            writer.write(VALID_REQUEST[len(sent) :])
+            async with asyncio.timeout(3):
+                return await reader.readuntil(b"ok")
+
+    assert run(scenario()).startswith(b"HTTP/1.1 200 ")
