--- a/sequoiapoint/protocol/configuration_age.py
+++ b/sequoiapoint/protocol/configuration_age.py
@@ -12,8 +12,18 @@
 import capnp
 
 from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
+from sequoiapoint.protocol.readers import UnionFields, read_fields, struct_fields
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("configuration_age.capnp")))
+_NUMBER = struct_fields(_SCHEMA.ConfigurationAgeMessage, "number")
+_KINDS = UnionFields(
+    _SCHEMA.ConfigurationAgeMessage,
+    {
+        "question": ("host",),
+        "reply": ("version", "ageMs"),
+        "notice": ("sender", "noticeAgeMs"),
+    },
+)
 PREFIX = b"\xfb"
 """First byte of a datagram with such a message.  The packed form of a digest begins
 with another byte, as its first word has zero bytes."""
@@ -75,30 +85,37 @@
 
 
 @singledispatch
-def _fields(message: object) -> dict[str, Any]:
-    """Return the fields of a message in the schema."""
+def _fill(message: object, encoded: Any) -> None:
+    """Set the fields of a message in the schema.
+
+    Setting them one by one takes a third of the time of a new message from a dict.
+    """
     raise TypeError(f"not a message about ages: {type(message).__name__}")
 
 
-@_fields.register
-def _(message: AgeQuestion) -> dict[str, Any]:
-    return {"number": message.number, "question": {"host": message.host}}
+@_fill.register
+def _(message: AgeQuestion, encoded: Any) -> None:
+    encoded.number = message.number
+    encoded.init("question").host = message.host
 
 
-@_fields.register
-def _(message: AgeReply) -> dict[str, Any]:
-    reply = {"version": message.version, "ageMs": _age_ms(message.age_s)}
-    return {"number": message.number, "reply": reply}
+@_fill.register
+def _(message: AgeReply, encoded: Any) -> None:
+    encoded.number = message.number
+    group = encoded.init("reply")
+    group.version, group.ageMs = message.version, _age_ms(message.age_s)
 
 
-@_fields.register
-def _(message: AgeNotice) -> dict[str, Any]:
-    return {"notice": {"sender": message.host, "noticeAgeMs": _age_ms(message.age_s)}}
+@_fill.register
+def _(message: AgeNotice, encoded: Any) -> None:
+    group = encoded.init("notice")
+    group.sender, group.noticeAgeMs = message.host, _age_ms(message.age_s)
 
 
 def encode_age_message(message: AgeMessage) -> bytes:
     """Encode a message as a datagram."""
-    encoded = _SCHEMA.ConfigurationAgeMessage.new_message(**_fields(message))
+    encoded = _SCHEMA.ConfigurationAgeMessage.new_message()
+    _fill(message, encoded)
     return PREFIX + encoded.to_bytes_packed()
 
 
@@ -109,13 +126,13 @@
     """
     try:
         message = read_packed(_SCHEMA.ConfigurationAgeMessage, data[len(PREFIX) :])
-        kind = message.which()
+        kind, values = _KINDS.read(message)
         if kind == "question":
-            return AgeQuestion(message.number, message.question.host)
+            return AgeQuestion(*read_fields(message, _NUMBER), *values)
         if kind == "reply":
-            reply = message.reply
-            return AgeReply(message.number, reply.version, reply.ageMs / 1000)
-        notice = message.notice
-        return AgeNotice(notice.sender, notice.noticeAgeMs / 1000)
+            version, age_ms = values
+            return AgeReply(*read_fields(message, _NUMBER), version, age_ms / 1000)
+        sender, age_ms = values
+        return AgeNotice(sender, age_ms / 1000)
     except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a message about ages: {error}") from error
--- a/sequoiapoint/protocol/permits.py
+++ b/sequoiapoint/protocol/permits.py
@@ -15,8 +15,25 @@
 from sequoiapoint.protocol.digests import checked_rate
 from sequoiapoint.protocol.gateway import Incarnation
 from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
+from sequoiapoint.protocol.readers import UnionFields, read_fields, struct_fields
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("permits.capnp")))
+_MESSAGE = struct_fields(_SCHEMA.PermitMessage, "host", "number")
+_KINDS = UnionFields(
+    _SCHEMA.PermitMessage,
+    {
+        "request": (
+            "server",
+            "startedMs",
+            "zone",
+            "caller",
+            "maxWaitMs",
+            "limitPerS",
+            "limitAgeMs",
+        ),
+        "reply": ("outcome", "waitMs", "isReserved"),
+    },
+)
 PREFIX = b"\xfe"
 """First byte of a datagram with a permit message.  The packed form of a digest begins
 with another byte, as its first word has zero bytes."""
@@ -75,37 +92,34 @@
 
 
 PermitMessage = PermitRequest | PermitReply
+_OUTCOMES = {outcome.value: outcome for outcome in PermitOutcome}
 
 
 @singledispatch
-def _fields(message: object) -> dict[str, dict[str, Any]]:
-    """Return the fields of a message's group in the schema, by the group's name."""
+def _fill(message: object, encoded: Any) -> None:
+    """Set the fields of a message's group in the schema.
+
+    Setting them one by one takes a third of the time of a new message from a dict.
+    """
     raise TypeError(f"not a permit message: {type(message).__name__}")
 
 
-@_fields.register
-def _(message: PermitRequest) -> dict[str, dict[str, Any]]:
-    server, started_ms = message.server
-    fields = {
-        "server": server,
-        "startedMs": started_ms,
-        "zone": message.zone,
-        "caller": message.caller,
-        "maxWaitMs": _encode_seconds(message.max_wait_s),
-        "limitPerS": message.limit_per_s,
-        "limitAgeMs": _encode_seconds(message.limit_age_s),
-    }
-    return {"request": fields}
+@_fill.register
+def _(message: PermitRequest, encoded: Any) -> None:
+    group = encoded.init("request")
+    group.server, group.startedMs = message.server
+    group.zone, group.caller = message.zone, message.caller
+    group.maxWaitMs = _encode_seconds(message.max_wait_s)
+    group.limitPerS = message.limit_per_s
+    group.limitAgeMs = _encode_seconds(message.limit_age_s)
 
 
-@_fields.register
-def _(message: PermitReply) -> dict[str, dict[str, Any]]:
-    fields = {
-        "outcome": message.outcome.value,
-        "waitMs": _encode_seconds(message.wait_s),
-        "isReserved": message.is_reserved,
-    }
-    return {"reply": fields}
+@_fill.register
+def _(message: PermitReply, encoded: Any) -> None:
+    group = encoded.init("reply")
+    group.outcome = message.outcome.value
+    group.waitMs = _encode_seconds(message.wait_s)
+    group.isReserved = message.is_reserved
 
 
 def _encode_seconds(seconds: float) -> int:
@@ -114,9 +128,9 @@
 
 def encode_permit_message(message: PermitMessage) -> bytes:
     """Encode a message as a datagram."""
-    encoded = _SCHEMA.PermitMessage.new_message(
-        number=message.number, host=message.host, **_fields(message)
-    )
+    encoded = _SCHEMA.PermitMessage.new_message()
+    encoded.number, encoded.host = message.number, message.host
+    _fill(message, encoded)
     return PREFIX + encoded.to_bytes_packed()
 
 
@@ -127,21 +141,23 @@
     """
     try:
         message = read_packed(_SCHEMA.PermitMessage, data[len(PREFIX) :])
-        host, number = message.host, message.number
-        if message.which() == "request":
-            group = message.request
+        host, number = read_fields(message, _MESSAGE)
+        kind, values = _KINDS.read(message)
+        if kind == "request":
+            server, started_ms, zone, caller, max_wait_ms, per_s, age_ms = values
             return PermitRequest(
                 host,
                 number,
-                (group.server, group.startedMs),
-                group.zone,
-                group.caller,
-                group.maxWaitMs / 1000,
-                checked_rate(group.limitPerS),
-                group.limitAgeMs / 1000,
+                (server, started_ms),
+                zone,
+                caller,
+                max_wait_ms / 1000,
+                checked_rate(per_s),
+                age_ms / 1000,
             )
-        group = message.reply
-        outcome = PermitOutcome(str(group.outcome))
-        return PermitReply(host, number, outcome, group.waitMs / 1000, group.isReserved)
+        outcome, wait_ms, is_reserved = values
+        return PermitReply(
+            host, number, _OUTCOMES[str(outcome)], wait_ms / 1000, is_reserved
+        )
     except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a permit message: {error}") from error
