Count the latency goal of a caller that comes back from its first attempt

Cause: callers that were rejected come back as new requests, and preceded requests of their priority that could still be on time. Their wait was limited to leave time for another attempt, although callers come back only once.

Change: a host computes the time when a request is late from the first attempt (StatedTimes), and lets a request that has come back wait for 0.75 of its remaining time or of the event timeout.

--- a/sequoiapoint/coordination/waiting.py
+++ b/sequoiapoint/coordination/waiting.py
@@ -16,6 +16,9 @@
 LOAD_TOLERANT_WAIT_SHARE = 0.75
 """Share of the remaining time or the event timeout that such a request may wait, while
 rarely requested models replace each other in memory."""
+RETURN_WAIT_SHARE = 0.75
+"""Share of the remaining time or the event timeout that the request of a caller which
+has come back may wait."""
 MIN_EVENT_TIMEOUT_S = 2.0
 """Time without an event after which the first callers abandon a stream."""
 EVENT_TIMEOUT_SHARE = 0.6
@@ -47,18 +50,22 @@
 rejected together do not come back together."""
 
 
-def wait_limit_s(route: Route, remaining_s: float) -> float:
+def wait_limit_s(route: Route, remaining_s: float, is_return: bool = False) -> float:
     """Return how long a request may wait for a server, in seconds.
 
     :param remaining_s: Time until its caller's deadline.
+    :param is_return: Whether its caller was rejected before.  It does not come back
+        again, so no time has to remain for another attempt.
     """
+    share = RETURN_WAIT_SHARE if is_return else WAIT_SHARE
     if not route.is_stream:
-        return min(remaining_s, max(route.goal_s, WAIT_SHARE * remaining_s))
-    limit_s = min(
-        WAIT_SHARE * remaining_s, EVENT_TIMEOUT_SHARE * event_timeout_s(route)
-    )
+        return min(remaining_s, max(route.goal_s, share * remaining_s))
+    timeout_s = event_timeout_s(route)
+    limit_s = min(WAIT_SHARE * remaining_s, EVENT_TIMEOUT_SHARE * timeout_s)
+    if is_return:
+        limit_s = RETURN_WAIT_SHARE * min(remaining_s, timeout_s)
     if route.goal_s >= LOAD_TOLERANT_GOAL_S:
-        limit_s = LOAD_TOLERANT_WAIT_SHARE * min(remaining_s, event_timeout_s(route))
+        limit_s = LOAD_TOLERANT_WAIT_SHARE * min(remaining_s, timeout_s)
     return min(remaining_s, max(route.goal_s, limit_s))
 
 
--- a/sequoiapoint/coordination/waiting_test.py
+++ b/sequoiapoint/coordination/waiting_test.py
@@ -39,6 +39,18 @@
     assert 0 < limit_s <= bound
 
 
+@pytest.mark.parametrize(
+    ("goal_s", "is_stream", "remaining_s", "expected"),
+    [(0.3, True, 5.0, 1.5), (0.2, False, 1.0, 0.75), (5.0, True, 20.0, 15.0)],
+)
+def test_a_caller_that_has_come_back_may_wait_longer(
+    goal_s, is_stream, remaining_s, expected
+):
+    """It does not come back again, so no time has to remain for another attempt."""
+    limit_s = waiting.wait_limit_s(route(goal_s, is_stream), remaining_s, True)
+    assert limit_s == pytest.approx(expected)
+
+
 @pytest.mark.parametrize(
     ("goal_s", "gap_s", "expected"),
     [(0.3, 0.15, 2.0), (3.0, 0.15, 12.0), (0.3, 0.5, 4.0)],
--- a/sequoiapoint/node/gateway_state.py
+++ b/sequoiapoint/node/gateway_state.py
@@ -33,6 +33,7 @@
 from sequoiapoint.state.server_limits import LimitNotice, ServerLimits
 from sequoiapoint.state.server_load import ServerLoads
 from sequoiapoint.state.server_speed import ServerSpeeds
+from sequoiapoint.state.stated_times import StatedTimes
 from sequoiapoint.transport.async_http_client import ConnectionPool
 from sequoiapoint.transport.clock import monotonic_s
 from sequoiapoint.transport.decision_log import DecisionLog
@@ -177,6 +178,7 @@
     fleet: Fleet = field(default_factory=Fleet)
     loads: ServerLoads = field(default_factory=ServerLoads)
     speeds: ServerSpeeds = field(default_factory=ServerSpeeds)
+    stated_times: StatedTimes = field(default_factory=StatedTimes)
     limits: ServerLimits = field(default_factory=ServerLimits)
     reachability: Reachability = field(default_factory=Reachability)
     brittle: BrittleServers = field(default_factory=BrittleServers)
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -208,6 +208,11 @@
             budget_s = min(budget_s, request.budget_s)
         self._deadline = arrived_s + budget_s
         self._fingerprint = request_fingerprint(request)
+        under_way_s = 0.0
+        if not is_on_detour:
+            under_way_s = state.stated_times.note(
+                route.name, request.budget_s, arrived_s
+            )
         self._selector = ServerSelector(
             state,
             exchange,
@@ -216,6 +221,7 @@
             arrived_s,
             self._deadline,
             self._fingerprint,
+            under_way_s,
         )
         self._record = RequestRecord(state, request, route, arrived_s)
         self._splitter = EventSplitter(request.last_event_id)
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -927,6 +927,27 @@
     assert (monotonic_s() - started_at < 0.05) == (wait_s > 1.0)
 
 
+@pytest.mark.parametrize(("budget_s", "left_s"), [(1.0, 0.5), (0.7, 0.2), (0.4, 0.0)])
+def test_the_latency_goal_counts_from_the_first_attempt_of_a_caller(
+    monkeypatch, budget_s, left_s
+):
+    """Guards against callers that come back and precede requests that are not late."""
+    site = Site(monkeypatch, ENTRY)
+    site.route = replace(ROUTE, goal_s=0.5)
+    site.responses = {"s-1": [load(b"0,0,8")] * 11}
+    goals = []
+
+    async def grant(ticket, zone, request, are_brittle=False):
+        goals.append(request.goal_s)
+        ticket.grant = SlotReply("h", 0, SlotOutcome.GRANTED, ENTRY.incarnation)
+        return SlotOutcome.GRANTED
+
+    site.allocate = grant
+    for budget in [1.0] * 10 + [budget_s]:
+        assert asyncio.run(site.request(budget_s=budget))[0] == 200
+    assert goals[-1] == pytest.approx(left_s, abs=0.05)
+
+
 def test_a_granted_slot_is_released_with_what_the_server_stated(monkeypatch):
     site = Site(monkeypatch, ENTRY)
     site.responses = {"s-1": [load(b"1,0,8,250"), load(b"1,3,8,250"), load(b"1,0,8")]}
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -64,6 +64,7 @@
 class ServerSelector:
     """Selects the server for each attempt of one request.
 
+    :param under_way_s: Time since the first attempt of its caller, see ``StatedTimes``.
     :ivar service: The service that runs the request.
     :ivar priority: The urgency of the request; 0 is the most urgent.
     :ivar demand_key: Service, model and adapter under which the demand is counted.
@@ -89,12 +90,14 @@
         arrived_s: float,
         deadline: float,
         fingerprint: int,
+        under_way_s: float = 0.0,
     ) -> None:
         self._state = state
         self._permits = exchange.permits
         self._permit: Permit | None = None
         self._fingerprint = fingerprint
-        self._arrived_s = arrived_s
+        self._goal_at = arrived_s - under_way_s + route.goal_s
+        self._is_return = under_way_s > 0.0
         self._slots = exchange.slots
         self._ticket: SlotTicket | None = None
         self._asked_servers: set[Incarnation] = set()
@@ -211,7 +214,9 @@
     async def _select(self, ticket: SlotTicket) -> ServerEntry | None:
         state = self._state
         started_at = monotonic_s()
-        limit_s = waiting.wait_limit_s(self._route, (self._deadline - monotonic_s()))
+        limit_s = waiting.wait_limit_s(
+            self._route, self._deadline - started_at, self._is_return
+        )
         is_waiting = False
         try:
             while True:
@@ -246,7 +251,7 @@
                         state.replan_requested.set()
                 await state.wait_queue.wait(
                     self.priority,
-                    self._arrived_s + self._route.goal_s,
+                    self._goal_at,
                     self._deadline,
                     MAX_WAIT_INTERVAL_S,
                     ticket.number,
@@ -480,7 +485,7 @@
                 tuple(servers),
                 self.priority,
                 self._deadline - now,
-                max(0.0, self._arrived_s + self._route.goal_s - now),
+                max(0.0, self._goal_at - now),
                 self._request.organisation or "",
             )
             outcome = await self._slots.ask(
