Wake waiting requests by what concerns them; find holders of a model by an index

Cause: a waiting request was re-evaluated every 0.1 s and at each finished request, and each time every engine was asked whether it holds the model. While one allocator was silent, the others were asked again at each of these polls.

Change: Fleet keeps an index of the engines that hold a model and announces changes (on_change). A request that an allocator has queued waits for its grant, for a change of the servers of its model, for the end of a back-off, an avoidance or a report that an engine lacks the model, and for its next question after 0.5 s. A finished request wakes only requests for the same service that this host places by itself; these keep the interval of 0.1 s, as estimates of load fade without a notification. Entries that change nothing wake nobody. Allocators that have queued a request are asked again only after 0.5 s, also while another one is silent. The timed wait is a timer on the future.

--- a/sequoiapoint/node/gateway_state.py
+++ b/sequoiapoint/node/gateway_state.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 import xxhash
@@ -52,6 +52,19 @@
     return "{}@{}".format(*server)
 
 
+@dataclass(frozen=True)
+class _WaitingRequest:
+    """What is known of a waiting request; see ``WaitQueue.wait``."""
+
+    priority: int
+    goal_at: float
+    deadline: float
+    organisation: str
+    service: str
+    model: str
+    needs_capacity: bool
+
+
 class WaitQueue:
     """Requests that wait for a server, woken in the order of their urgency.
 
@@ -59,11 +72,14 @@
     fair between organisations.
 
     :ivar shares: What the organisations have been served at this host.
+    :ivar change_count: Number of notifications so far, except those about capacity.
+        A request that was not waiting can tell by it whether it has missed one.
     """
 
     def __init__(self) -> None:
         self.shares = FairShare()
-        self._waiting: dict[asyncio.Future[None], tuple[int, float, float, str]] = {}
+        self.change_count = 0
+        self._waiting: dict[asyncio.Future[None], _WaitingRequest] = {}
         self._by_number: dict[int, asyncio.Future[None]] = {}
 
     async def wait(
@@ -74,23 +90,34 @@
         timeout_s: float,
         number: int = 0,
         organisation: str = "",
+        *,
+        service: str = "",
+        model: str = "",
+        needs_capacity: bool = True,
     ) -> None:
         """Wait for the next notification, or until the timeout in seconds expires.
 
         The priority and the times are those of ``coordination.waiting.urgency``.
 
         :param number: Identifies the request for ``wake``; 0 for none.
+        :param service: The service that should run the request; "" if any may.
+        :param model: The model that it needs; "" for none.
+        :param needs_capacity: Whether this host chooses a server as soon as one has
+            capacity; otherwise the request waits for a grant or for a model.
         """
-        future = asyncio.get_running_loop().create_future()
-        self._waiting[future] = (priority, goal_at, deadline, organisation)
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
+        self._waiting[future] = _WaitingRequest(
+            priority, goal_at, deadline, organisation, service, model, needs_capacity
+        )
         if number:
             self._by_number[number] = future
+        # asyncio.timeout costs several times as much as a timer on the future.
+        timer = loop.call_later(timeout_s, _finish, future)
         try:
-            async with asyncio.timeout(timeout_s):
-                await future
-        except TimeoutError:
-            pass
+            await future
         finally:
+            timer.cancel()
             self._waiting.pop(future, None)
             if number:
                 del self._by_number[number]
@@ -98,22 +125,63 @@
     def wake(self, number: int) -> None:
         """Wake one request if it waits."""
         future = self._by_number.get(number)
-        if future is not None and not future.done():
-            future.set_result(None)
+        if future is not None:
+            _finish(future)
 
     def notify(self) -> None:
         """Wake all waiting requests, the most urgent first."""
-        entries, self._waiting = self._waiting, {}
+        self.change_count += 1
+        self._wake(list(self._waiting))
+
+    def notify_capacity(self, service: str) -> None:
+        """Wake the requests for which a service's servers may have capacity now."""
+        self._wake(
+            [
+                future
+                for future, request in self._waiting.items()
+                if request.needs_capacity and request.service in ("", service)
+            ]
+        )
+
+    def notify_servers(self, service: str, models: Collection[str] | None) -> None:
+        """Wake the requests that are concerned by a change of a service's servers.
+
+        :param models: The models that are held or not any more; None if the change
+            concerns all requests for the service.
+        """
+        self.change_count += 1
+        self._wake(
+            [
+                future
+                for future, request in self._waiting.items()
+                if request.service in ("", service)
+                and (models is None or request.model in models)
+            ]
+        )
+
+    def _wake(self, futures: list[asyncio.Future[None]]) -> None:
+        if not futures:
+            return
         now = monotonic_s()
-        keys = {f: waiting.urgency(*entry[:3], now) for f, entry in entries.items()}
+        entries = {future: self._waiting.pop(future) for future in futures}
+        keys = {
+            future: waiting.urgency(
+                request.priority, request.goal_at, request.deadline, now
+            )
+            for future, request in entries.items()
+        }
         for future in self.shares.ordered(
             entries,
-            lambda future: entries[future][3],
+            lambda future: entries[future].organisation,
             lambda future: keys[future],
             lambda future: keys[future][:2],
         ):
-            if not future.done():
-                future.set_result(None)
+            _finish(future)
+
+
+def _finish(future: asyncio.Future[None]) -> None:
+    if not future.done():
+        future.set_result(None)
 
 
 class ServerPools:
@@ -196,6 +264,10 @@
     configuration_age_s: Callable[[], float] = lambda: 0.0
     _retry_windows: dict[str, RetryWindow] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        """Let waiting requests learn of changes of the servers."""
+        self.fleet.on_change = self.wait_queue.notify_servers
+
     def retry_window(self, service: str) -> RetryWindow:
         """Return the retry budget of a service."""
         window = self._retry_windows.get(service)
--- a/sequoiapoint/node/placement_controller.py
+++ b/sequoiapoint/node/placement_controller.py
@@ -562,7 +562,6 @@
         """
         incarnation = record.entry.incarnation
         if self._state.fleet.set_held(incarnation, record.usable(), monotonic_s()):
-            self._state.wait_queue.notify()
             self._exchange.placement.schedule_holding_update(incarnation, is_broadcast)
 
     def _log_change(self, record: EngineRecord, outcome: str, models: str) -> None:
--- a/sequoiapoint/node/placement_exchange.py
+++ b/sequoiapoint/node/placement_exchange.py
@@ -229,11 +229,8 @@
             return
         if leader is None or leader.host != digest.host:
             return
-        changes = [
-            self._state.fleet.set_held(i, held, now) for i, held in digest.holdings
-        ]
-        if any(changes):
-            self._state.wait_queue.notify()
+        for incarnation, held in digest.holdings:
+            self._state.fleet.set_held(incarnation, held, now)
 
 
 def broadcast_kind(digest: Digest) -> Hashable:
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -294,7 +294,7 @@
             self._record.slowness if is_used else None,
             self._relative_time if is_used else None,
         )
-        self._state.wait_queue.notify()
+        self._state.wait_queue.notify_capacity(selector.service)
 
     async def _run(self) -> None:
         state = self._state
@@ -825,7 +825,7 @@
             if self._origin is None and self._route.is_resumable:
                 self._note_first_event(entry, connection)
             if load.note_first_event(self._attempt_number):
-                self._state.wait_queue.notify()
+                self._state.wait_queue.notify_capacity(self._selector.service)
             self._record.record_event()
             pace.record_event(monotonic_s())
             if splitter.count >= answered_count:
@@ -1281,6 +1281,7 @@
         """
         load = self._state.loads.get_or_create(entry.incarnation)
         load.note_back_off(now + seconds)
+        self._state.wait_queue.notify_servers(entry.service, None)
         self._state.metrics.event("server_backs_off")
         self._state.log.event(
             "server_backs_off",
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -14,6 +14,7 @@
     STREAM_IDLE_TIMEOUT_S,
     RequestForwarder,
 )
+from sequoiapoint.node.server_selector import ServerSelector
 from sequoiapoint.platform.callers import PlatformCallerCodec
 from sequoiapoint.platform.servers import PlatformServerCodec
 from sequoiapoint.protocol.api_keys import key_digest, key_label
@@ -927,6 +928,105 @@
     assert (monotonic_s() - started_at < 0.05) == (wait_s > 1.0)
 
 
+def holding_site(monkeypatch, *servers):
+    """Return a site whose engines hold "oak"."""
+    site = Site(monkeypatch, *servers)
+    spec = EngineSpec(8, 100.0, 2, 1.0, {"oak": None})
+    site.state.configuration.services["web"] = ServiceSpec("web", 100, spec)
+    for entry in servers:
+        site.state.fleet.set_held(entry.incarnation, {"oak": set()})
+    return site
+
+
+def _back_off(state, server):
+    state.loads.get_or_create((server, 1)).note_back_off(monotonic_s() + 0.15)
+
+
+@pytest.mark.parametrize(
+    ("prepare", "change", "asked_at"),
+    [
+        (lambda state: None, lambda state: None, [0.0, 0.5]),
+        (
+            lambda state: None,
+            lambda state: state.fleet.set_held(("s-2", 1), {"oak": set()}),
+            [0.0, 0.25, 0.75],
+        ),
+        (
+            lambda state: None,
+            lambda state: state.fleet.set_held(("s-2", 1), {"elm": set()}),
+            [0.0, 0.5],
+        ),
+        (
+            lambda state: _back_off(state, "s-3"),
+            lambda state: None,
+            [0.0, 0.15, 0.65],
+        ),
+        (
+            lambda state: state.fleet.note_not_held(
+                replace(ENTRY, server="s-3"), "oak", "", monotonic_s()
+            ),
+            lambda state: None,
+            [0.0, 0.3, 0.8],
+        ),
+    ],
+    ids=["nothing", "holder", "other_model", "back_off", "not_held"],
+)
+def test_a_queued_request_asks_again_only_if_servers_have_changed(
+    monkeypatch, prepare, change, asked_at
+):
+    """Each waiting request looked at all engines every 0.1 s and at each response."""
+    servers = [replace(ENTRY, server=f"s-{n}") for n in (1, 2, 3)]
+    site = holding_site(monkeypatch, *servers)
+    site.state.fleet.set_held(("s-2", 1), {})
+    site.route = replace(ROUTE, goal_s=0.9)
+    selections, times = [], []
+    serving = ServerSelector._serving
+
+    def select(selector, now):
+        selections.append(now)
+        return serving(selector, now)
+
+    monkeypatch.setattr(ServerSelector, "_serving", select)
+
+    async def queue(ticket, zone, request, are_brittle=False):
+        times.append(monotonic_s())
+        return SlotOutcome.QUEUED
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        prepare(site.state)
+        loop.call_later(0.25, change, site.state)
+        for n in range(50):
+            loop.call_later(0.02 * n, site.state.wait_queue.notify_capacity, "web")
+        await site.request(budget_s=1.0, model="oak")
+
+    site.allocate = queue
+    started_at = monotonic_s()
+    asyncio.run(run())
+    assert [at - started_at for at in times] == pytest.approx(asked_at, abs=0.1)
+    assert len(selections) <= len(asked_at) + 2
+
+
+def test_a_request_learns_of_a_model_that_was_loaded_while_it_asked(monkeypatch):
+    """Guards against a change that is missed as the request does not wait yet."""
+    servers = [replace(ENTRY, server=f"s-{n}") for n in (1, 2)]
+    site = holding_site(monkeypatch, *servers)
+    site.state.fleet.set_held(("s-2", 1), {})
+    site.responses = {"s-2": [(200, [SIGNED])]}
+
+    async def allocate(ticket, zone, request, are_brittle=False):
+        if "s-2" in request.candidates:
+            ticket.grant = SlotReply("h", 0, SlotOutcome.GRANTED, ("s-2", 1))
+            return SlotOutcome.GRANTED
+        site.state.fleet.set_held(("s-2", 1), {"oak": set()})
+        return SlotOutcome.QUEUED
+
+    site.allocate = allocate
+    started_at = monotonic_s()
+    assert asyncio.run(site.request(model="oak"))[0] == 200
+    assert monotonic_s() - started_at < 0.2
+
+
 def test_a_granted_slot_is_released_with_what_the_server_stated(monkeypatch):
     site = Site(monkeypatch, ENTRY)
     site.responses = {"s-1": [load(b"1,0,8,250"), load(b"1,3,8,250"), load(b"1,0,8")]}
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -3,7 +3,7 @@
 import asyncio
 import copy
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence, Set
 from typing import Self
 
 from sequoiapoint.coordination import server_choice, waiting
@@ -56,9 +56,14 @@
 UNRESERVED_SPREAD = 0.5
 """Share by which the time is extended at random for callers without a reserved permit,
 so that they do not come back together."""
-MAX_WAIT_INTERVAL_S = 0.1
-"""Maximum time between two selections for a waiting request.  The end of a server's
-back-off period wakes no request."""
+CAPACITY_CHECK_INTERVAL_S = 0.1
+"""Maximum time between two selections by the host itself: its estimates of load fade
+with time, and the other hosts' counts arrive without a notification."""
+MAX_WAIT_INTERVAL_S = 0.5
+"""Maximum time between two selections for any waiting request, in case a notification
+is missed."""
+MIN_WAIT_INTERVAL_S = 0.002
+"""Minimum time between them; the event loop's timers may be a millisecond early."""
 
 
 class ServerSelector:
@@ -98,7 +103,12 @@
         self._slots = exchange.slots
         self._ticket: SlotTicket | None = None
         self._asked_servers: set[Incarnation] = set()
-        self._asked_at = 0.0
+        self._ask_again_at = 0.0
+        self._questions: dict[str, tuple[tuple[str, ...], bool]] = {}
+        self._silent_zones: Set[str] = set()
+        self._is_queued = False
+        self._needs_capacity = False
+        self._back_off_ends_at = math.inf
         self._silent_server = ""
         self._request = request
         self._route = route
@@ -159,7 +169,8 @@
             limit on its wait has passed, too many connections have failed, a part of
             its prompt is rejected, or the host is cut off from the servers.
         """
-        self._asked_servers = set()
+        self._asked_servers, self._silent_zones = set(), set()
+        self._is_queued = False
         with self._slots.ticket() as ticket:
             entry = await self._select(ticket)
             is_granted = (
@@ -213,6 +224,7 @@
         started_at = monotonic_s()
         limit_s = waiting.wait_limit_s(self._route, (self._deadline - monotonic_s()))
         is_waiting = False
+        give_up_at = math.inf
         try:
             while True:
                 now = monotonic_s()
@@ -225,6 +237,11 @@
                     return None
                 if state.prompt_quarantine.rejected_part(self._request.shared_parts):
                     return None
+                has_ended = now >= give_up_at and not self._needs_capacity
+                if has_ended and ticket.grant is None:
+                    # Nothing has changed since the last selection.
+                    return None
+                changes_seen = state.wait_queue.change_count
                 entry = await self._acquire(ticket, now)
                 if entry is not None:
                     return entry
@@ -233,7 +250,8 @@
                 if self._is_version_missing():
                     self.reason = "version_not_served"
                     return None
-                if now - started_at > limit_s or now > state.queue_deadline:
+                give_up_at = min(started_at + limit_s, state.queue_deadline)
+                if now >= give_up_at:
                     return None
                 expected_s = self._slot_expected_at - now
                 if waiting.is_too_late(expected_s, self._deadline - now):
@@ -244,19 +262,48 @@
                     if self.is_engine:
                         state.demand.adjust(self.demand_key, now, waiting=1)
                         state.replan_requested.set()
+                has_missed_change = changes_seen != state.wait_queue.change_count
+                now = monotonic_s()
+                select_again_at = min(
+                    self._select_again_at(now, has_missed_change),
+                    give_up_at,
+                    self._deadline - MIN_ATTEMPT_TIME_S,
+                )
                 await state.wait_queue.wait(
                     self.priority,
                     self._arrived_s + self._route.goal_s,
                     self._deadline,
-                    MAX_WAIT_INTERVAL_S,
+                    max(MIN_WAIT_INTERVAL_S, select_again_at - now),
                     ticket.number,
                     self._request.organisation or "",
+                    service=self.service,
+                    model=self._request.model if self.is_engine else "",
+                    needs_capacity=self._needs_capacity,
                 )
         finally:
             self.waited_s += monotonic_s() - started_at
             if is_waiting and self.is_engine:
                 state.demand.adjust(self.demand_key, monotonic_s(), waiting=-1)
 
+    def _select_again_at(self, now: float, has_missed_change: bool) -> float:
+        """Return when to select again for a request that nothing wakes before.
+
+        :param has_missed_change: Whether servers have changed since the last selection
+            began, for which the request was not woken as it did not wait yet.
+        """
+        if self._needs_capacity or has_missed_change:
+            return now + CAPACITY_CHECK_INTERVAL_S
+        times = [now + MAX_WAIT_INTERVAL_S, self._back_off_ends_at]
+        if self._asked_servers:
+            times.append(self._ask_again_at)
+        if self.is_engine:
+            fleet, request = self._state.fleet, self._request
+            held_again_at = fleet.held_again_at(
+                self.service, request.model, request.adapter, now
+            )
+            times.append(held_again_at)
+        return min(times)
+
     async def _acquire(self, ticket: SlotTicket, now: float) -> ServerEntry | None:
         """Return a server that can take the request now, None if there is none.
 
@@ -265,6 +312,7 @@
         """
         serving = self._serving(now)
         limited = [e for e in serving if self._has_limit(e)]
+        self._needs_capacity = bool(limited)
         if not limited:
             return await self._acquire_unlimited(ticket, serving, now)
         others = [e for e in serving if not self._has_limit(e)]
@@ -378,50 +426,76 @@
         )
 
     async def _acquire_unlimited(
-        self, ticket: SlotTicket, serving: list[ServerEntry], now: float
+        self, ticket: SlotTicket, serving: Sequence[ServerEntry], now: float
     ) -> ServerEntry | None:
         """Return one of the servers without a limit that can take the request now."""
         if not self._slots.is_active:
             free = [e for e in serving if not self._is_brittle(e, now)]
+            self._needs_capacity |= bool(free)
             entry = self._choose(free, now)
             if entry is not None or len(free) == len(serving):
                 return entry
-            serving = [
-                e
-                for e in serving
-                if self._is_brittle(e, now) and self._has_connections_left(e)
-            ]
+            serving = self._with_connections_left(
+                [e for e in serving if self._is_brittle(e, now)]
+            )
         elif not self.is_engine:
-            serving = [e for e in serving if self._has_connections_left(e)]
+            serving = self._with_connections_left(serving)
             if not serving:
                 self.reason = "no_connection"
-        if ticket.grant is None and serving and self._is_ask_due(serving, now):
-            silent_zones, is_queued = await self._ask_zones(ticket, serving, now)
-            if ticket.grant is None and silent_zones:
-                self._asked_servers = set()
-                zones = server_choice.zones_to_choose_alone(
-                    silent_zones, is_queued, self._state.settings.zone
-                )
-                remaining = [
-                    e
-                    for e in serving
-                    if self._zone_to_ask(e, now) in zones
-                    and not self._is_brittle(e, now)
-                ]
-                return self._choose(remaining, monotonic_s())
+        if not serving:
+            self._asked_servers = self._silent_zones = set()
+        elif ticket.grant is None:
+            await self._ask_if_due(ticket, serving, now)
+            if ticket.grant is None and self._silent_zones:
+                return self._choose_alone(serving, monotonic_s())
         return self._granted_server(ticket)
 
-    def _is_ask_due(self, serving: list[ServerEntry], now: float) -> bool:
-        """Tell whether to ask for a slot (again).
+    def _with_connections_left(
+        self, serving: Sequence[ServerEntry]
+    ) -> list[ServerEntry]:
+        """Return the servers to which this host may open another connection."""
+        remaining = [e for e in serving if self._has_connections_left(e)]
+        self._needs_capacity |= len(remaining) < len(serving)
+        return remaining
+
+    async def _ask_if_due(
+        self, ticket: SlotTicket, serving: Sequence[ServerEntry], now: float
+    ) -> None:
+        """Ask for a slot, unless this was done and nothing has changed.
 
         Queued requests are woken by a grant.  They ask again only if there are other
-        engines to run them, and now and then because messages may be lost.
+        engines to run them, and now and then because messages may be lost.  Allocators
+        that could not be reached are asked at each selection; the exchange sends them
+        nothing for a while.
         """
         servers = {entry.incarnation for entry in serving}
-        if servers == self._asked_servers and now - self._asked_at < REPEAT_INTERVAL_S:
-            return False
-        self._asked_servers, self._asked_at = servers, now
-        return True
+        if servers != self._asked_servers or now >= self._ask_again_at:
+            self._asked_servers = servers
+            self._ask_again_at = now + REPEAT_INTERVAL_S
+            self._questions = self._servers_by_allocator(serving, now)
+            self._silent_zones, self._is_queued = await self._ask_zones(
+                ticket, self._questions, now
+            )
+        elif self._silent_zones:
+            self._silent_zones, is_queued = await self._ask_zones(
+                ticket, self._silent_zones, now
+            )
+            self._is_queued |= is_queued
+
+    def _choose_alone(
+        self, serving: Sequence[ServerEntry], now: float
+    ) -> ServerEntry | None:
+        """Choose a server of the zones whose allocators cannot be reached."""
+        zones = server_choice.zones_to_choose_alone(
+            self._silent_zones, self._is_queued, self._state.settings.zone
+        )
+        remaining = [
+            e
+            for e in serving
+            if self._zone_to_ask(e, now) in zones and not self._is_brittle(e, now)
+        ]
+        self._needs_capacity |= bool(remaining)
+        return self._choose(remaining, now)
 
     def _granted_server(self, ticket: SlotTicket) -> ServerEntry | None:
         if ticket.grant is None:
@@ -435,57 +509,71 @@
         self._slots.release(ticket, SlotQuality.UNUSED)
         return None
 
-    async def _ask_zones(
-        self, ticket: SlotTicket, serving: list[ServerEntry], now: float
-    ) -> tuple[set[str], bool]:
-        """Ask the allocators of the zones with suitable engines, until one grants.
+    def _servers_by_allocator(
+        self, serving: Sequence[ServerEntry], now: float
+    ) -> dict[str, tuple[tuple[str, ...], bool]]:
+        """Return which zones' allocators to ask for which servers, in this order.
 
-        :return: The zones whose allocators cannot be reached, and whether any other
-            allocator has granted a slot or queued the request.
+        :return: By zone, the servers and whether the slots are those of brittle ones.
         """
         state = self._state
-        preferred = [
-            e
-            for e in serving
-            if e.server not in self.tried_servers
-            and not state.loads.get_or_create(e.incarnation).is_avoided(now)
-        ]
+        preferred = []
+        for entry in serving:
+            load = state.loads.get_or_create(entry.incarnation)
+            if now < load.avoid_until:
+                self._ask_again_at = min(self._ask_again_at, load.avoid_until)
+            if entry.server not in self.tried_servers and not load.is_avoided(now):
+                preferred.append(entry)
         # The allocator grants the first of several engines that are equally loaded.
-        candidates = sorted(
-            preferred or serving, key=lambda e: not state.pools.has_idle(e, now)
-        )
-        silent_zones = set()
-        ticket.wait_s = 0.0
+        candidates: Sequence[ServerEntry] = preferred or serving
+        if len(candidates) > 1:
+            candidates = sorted(
+                candidates, key=lambda e: not state.pools.has_idle(e, now)
+            )
         zones = server_choice.zones_by_load(
             candidates,
             self._running(candidates, now),
             state.settings.zone,
             self._relative_times(candidates, now),
         )
-        by_zone: dict[str, list[str]] = {}
-        brittle_zones: set[str] = set()
-        for zone in zones:
-            members = [e for e in candidates if e.zone == zone]
-            if all(self._is_brittle(e, now) for e in members):
+        members_of: dict[str, list[ServerEntry]] = {zone: [] for zone in zones}
+        for entry in candidates:
+            members_of[entry.zone].append(entry)
+        by_allocator: dict[str, tuple[tuple[str, ...], bool]] = {}
+        for zone, members in members_of.items():
+            are_brittle = all(self._is_brittle(e, now) for e in members)
+            if are_brittle:
                 zone = self._slots.allocating_zone(zone, now)
-                brittle_zones.add(zone)
             else:
                 zone = self._zone_to_ask(members[0], now)
-            by_zone.setdefault(zone, []).extend(e.server for e in members)
+            servers, has_brittle = by_allocator.get(zone, ((), False))
+            servers += tuple(entry.server for entry in members)
+            by_allocator[zone] = servers, has_brittle or are_brittle
+        return by_allocator
+
+    async def _ask_zones(
+        self, ticket: SlotTicket, zones: Iterable[str], now: float
+    ) -> tuple[set[str], bool]:
+        """Ask the allocators of zones for a slot until one grants it.
+
+        :return: The zones whose allocators cannot be reached, and whether any other
+            allocator has granted a slot or queued the request.
+        """
+        silent_zones = set()
+        ticket.wait_s = 0.0
         asked = 0
-        for zone, servers in by_zone.items():
+        for zone in zones:
+            servers, are_brittle = self._questions[zone]
             slot_request = SlotRequest(
-                state.settings.host,
+                self._state.settings.host,
                 ticket.number,
-                tuple(servers),
+                servers,
                 self.priority,
                 self._deadline - now,
                 max(0.0, self._arrived_s + self._route.goal_s - now),
                 self._request.organisation or "",
             )
-            outcome = await self._slots.ask(
-                ticket, zone, slot_request, zone in brittle_zones
-            )
+            outcome = await self._slots.ask(ticket, zone, slot_request, are_brittle)
             if outcome is SlotOutcome.UNAVAILABLE:
                 silent_zones.add(zone)
                 continue
@@ -510,45 +598,54 @@
         servers = (entry.incarnation for entry in entries)
         return self._state.speeds.relative_times(servers, now)
 
-    def _running(self, entries: list[ServerEntry], now: float) -> dict[str, float]:
+    def _running(self, entries: Sequence[ServerEntry], now: float) -> dict[str, float]:
         """Return the estimated number of requests at each server."""
         loads = self._state.loads
         return {
             e.server: loads.get_or_create(e.incarnation).running(now) for e in entries
         }
 
-    def _serving(self, now: float) -> list[ServerEntry]:
+    def _serving(self, now: float) -> Sequence[ServerEntry]:
         """Return the servers that can run the request, whether or not they are full."""
         fleet, request = self._state.fleet, self._request
-        ready = fleet.ready_servers(self.service)
-        if self.required_version is not None:
-            ready = [e for e in ready if e.version == self.required_version]
-        self.reason = "no_server"
-        serving = [
-            entry
-            for entry in ready
-            if not self.is_engine
-            or fleet.holds(entry, request.model, request.adapter, now)
-        ]
+        if self.is_engine:
+            serving = fleet.ready_holders(
+                self.service, request.model, request.adapter, now
+            )
+        else:
+            serving = fleet.ready_servers(self.service)
+        serving = self._of_required_version(serving)
         serving = self._without_leaving(serving, now)
         if self._silent_server:
             serving = [entry for entry in serving if self._may_take_over(entry, now)]
-        self.back_off_s = waiting.back_off_s(
-            (self._back_off_until(entry) for entry in serving), now
-        )
+        untils = [self._back_off_until(entry) for entry in serving]
+        self._back_off_ends_at = min((u for u in untils if u > now), default=math.inf)
+        self.back_off_s = waiting.back_off_s(untils, now)
         if self.back_off_s is not None:
             self.reason = "servers_back_off"
             return []
-        serving = [entry for entry in serving if self._back_off_until(entry) <= now]
+        if self._back_off_ends_at < math.inf:
+            serving = [
+                e for e, until in zip(serving, untils, strict=True) if until <= now
+            ]
         if serving:
             self.reason = "servers_full"
-        elif ready:
+        elif self._of_required_version(fleet.ready_servers(self.service)):
             self.reason = "model_not_loaded"
+        else:
+            self.reason = "no_server"
         return self._only_for_suspect(serving, now)
 
+    def _of_required_version(
+        self, servers: Sequence[ServerEntry]
+    ) -> Sequence[ServerEntry]:
+        if self.required_version is None:
+            return servers
+        return [entry for entry in servers if entry.version == self.required_version]
+
     def _only_for_suspect(
-        self, serving: list[ServerEntry], now: float
-    ) -> list[ServerEntry]:
+        self, serving: Sequence[ServerEntry], now: float
+    ) -> Sequence[ServerEntry]:
         """Return the engine to use if a part of the prompt may crash engines."""
         parts = self._request.shared_parts if self.is_engine else ()
         suspects = self._state.prompt_quarantine.suspects(parts)
@@ -597,15 +694,17 @@
         return self._state.loads.get_or_create(entry.incarnation).back_off_until
 
     def _without_leaving(
-        self, servers: list[ServerEntry], now: float
-    ) -> list[ServerEntry]:
+        self, servers: Sequence[ServerEntry], now: float
+    ) -> Sequence[ServerEntry]:
+        if not self._state.fleet.leaving():
+            return servers
         return server_choice.without_leaving(
             servers,
             lambda entry: self._state.fleet.leaving_s(entry, now),
             self._state.settings.bounds.server_drain_s,
         )
 
-    def _choose(self, serving: list[ServerEntry], now: float) -> ServerEntry | None:
+    def _choose(self, serving: Sequence[ServerEntry], now: float) -> ServerEntry | None:
         state = self._state
         untried = [e for e in serving if e.server not in self.tried_servers]
         candidates = []
--- a/sequoiapoint/node/store_watch.py
+++ b/sequoiapoint/node/store_watch.py
@@ -436,7 +436,6 @@
         if change.updated or change.deleted:
             self.on_advance()
             self._discard_stopped_processes()
-            self._state.wait_queue.notify()
             self._state.replan_requested.set()
         else:
             self.on_unchanged()
--- a/sequoiapoint/state/fleet.py
+++ b/sequoiapoint/state/fleet.py
@@ -16,12 +16,12 @@
 """
 
 import math
-from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence, Set
+from dataclasses import dataclass, field, replace
 
 from sequoiapoint.protocol.gateway import Incarnation, ServerEntry, ServerState
 
-Held = Mapping[str, frozenset[str]]
+Held = Mapping[str, Set[str]]
 
 
 @dataclass
@@ -79,11 +79,17 @@
 
     :ivar known_since: The first moment at which the list of entries was complete.
     :ivar complete_until: The last such moment that is known.
+    :ivar on_change: Called with a service and the names of models after a change of
+        the servers that can run requests for these models; with None in place of the
+        models if it concerns all requests for the service.
     """
 
     def __init__(self) -> None:
         self._entries: dict[str, ServerEntry] = {}
         self._by_service: dict[str, dict[str, ServerEntry]] = {}
+        self._ready: dict[str, list[ServerEntry]] = {}
+        self._holders: dict[tuple[str, str], dict[str, ServerEntry]] = {}
+        self.on_change: Callable[[str, Collection[str] | None], None] = _ignore_change
         self._contents: dict[Incarnation, EngineContents] = {}
         self._missing_since: dict[str, float] = {}
         self._leaving_since: dict[Incarnation, float] = {}
@@ -108,6 +114,7 @@
         known = self._entries.get(entry.server)
         if known is not None and known.started_ms > entry.started_ms:
             return False
+        held_before = self._remove_from_holders(known)
         if known is not None and known.started_ms < entry.started_ms:
             self._contents.pop(known.incarnation, None)
             self._note_former(known)
@@ -119,6 +126,14 @@
         if entry.models is not None:
             contents = self._contents.setdefault(entry.incarnation, EngineContents())
             contents.held = contents.listed(entry, now)
+        self._ready.pop(entry.service, None)
+        held = self._add_to_holders(entry)
+        if known is None or _is_changed(known, entry):
+            if known is not None and known.service != entry.service:
+                self.on_change(known.service, None)
+            self.on_change(entry.service, None)
+        elif held != held_before:
+            self.on_change(entry.service, _changed_models(held_before, held))
         return True
 
     def remove(self, server: str) -> None:
@@ -126,16 +141,42 @@
         entry = self._entries.pop(server, None)
         self._missing_since.pop(server, None)
         if entry is not None:
+            self._remove_from_holders(entry)
             self._contents.pop(entry.incarnation, None)
             self._note_former(entry)
             self._remove_from_service(entry)
+            self.on_change(entry.service, None)
 
     def _remove_from_service(self, entry: ServerEntry) -> None:
+        self._ready.pop(entry.service, None)
         servers = self._by_service[entry.service]
         del servers[entry.server]
         if not servers:
             del self._by_service[entry.service]
 
+    def _add_to_holders(self, entry: ServerEntry) -> Held:
+        """Add an engine to the index of those that hold a model; return its models."""
+        contents = self._contents.get(entry.incarnation)
+        if contents is None:
+            return {}
+        for model in contents.held:
+            holders = self._holders.setdefault((entry.service, model), {})
+            holders[entry.server] = entry
+        return contents.held
+
+    def _remove_from_holders(self, entry: ServerEntry | None) -> Held:
+        """Remove an engine from that index; return the models under which it was."""
+        contents = None if entry is None else self._contents.get(entry.incarnation)
+        if contents is None:
+            return {}
+        for model in contents.held:
+            key = (entry.service, model)
+            holders = self._holders[key]
+            del holders[entry.server]
+            if not holders:
+                del self._holders[key]
+        return contents.held
+
     def _note_former(self, entry: ServerEntry) -> None:
         """Remember until when a process was certainly the current one."""
         self._former_until[entry.incarnation] = self.complete_until
@@ -224,10 +265,48 @@
             self.remove(server)
         return removed
 
-    def ready_servers(self, service: str) -> list[ServerEntry]:
+    def ready_servers(self, service: str) -> Sequence[ServerEntry]:
         """Return the servers of a service that accept new requests."""
-        entries = self._service_entries(service)
-        return [e for e in entries if e.state is ServerState.READY]
+        ready = self._ready.get(service)
+        if ready is None:
+            entries = self._service_entries(service)
+            ready = [e for e in entries if e.state is ServerState.READY]
+            if entries:
+                self._ready[service] = ready
+        return ready
+
+    def ready_holders(
+        self, service: str, model: str, adapter: str, now: float
+    ) -> list[ServerEntry]:
+        """Return the engines for which ``holds`` is true and which accept requests."""
+        holders = self._holders.get((service, model))
+        if holders is None:
+            return []
+        pair, ready = (model, adapter), []
+        for entry in holders.values():
+            contents = self._contents[entry.incarnation]
+            if (
+                entry.state is ServerState.READY
+                and (not adapter or adapter in contents.held[model])
+                and contents.not_held_until.get(pair, 0.0) <= now
+            ):
+                ready.append(entry)
+        return ready
+
+    def held_again_at(
+        self, service: str, model: str, adapter: str, now: float
+    ) -> float:
+        """Return when the first report of a server that it lacks a model expires.
+
+        :return: The time in seconds; infinity if no such report is in force.
+        """
+        holders = self._holders.get((service, model), {}).values()
+        pair = (model, adapter)
+        untils = (
+            self._contents[entry.incarnation].not_held_until.get(pair, -math.inf)
+            for entry in holders
+        )
+        return min((until for until in untils if until > now), default=math.inf)
 
     def _service_entries(self, service: str) -> Collection[ServerEntry]:
         return self._by_service.get(service, {}).values()
@@ -278,7 +357,12 @@
         for pair in _pairs(new_held) - _pairs(contents.held):
             contents.not_held_until.pop(pair, None)
             contents.not_held_count.pop(pair, None)
-        contents.held = new_held
+        if has_changed:
+            held_before = self._remove_from_holders(entry)
+            contents.held = new_held
+            self._add_to_holders(entry)
+            changed = _changed_models(held_before, new_held)
+            self.on_change(entry.service, changed)
         return has_changed
 
     def note_not_held(
@@ -294,13 +378,33 @@
         contents.not_held_count[pair] = count + 1
         ttl_s = min(MAX_NOT_HELD_TTL_S, NOT_HELD_TTL_S * 2.0**count)
         contents.not_held_until[pair] = now + ttl_s
+        self.on_change(entry.service, {model})
 
     def note_served(self, entry: ServerEntry, model: str, adapter: str) -> None:
         """Record that a server has run a request for a model and adapter."""
         contents = self._contents.get(entry.incarnation)
         if contents is not None:
             contents.not_held_count.pop((model, adapter), None)
-            contents.not_held_until.pop((model, adapter), None)
+            if contents.not_held_until.pop((model, adapter), None) is not None:
+                self.on_change(entry.service, {model})
+
+
+def _ignore_change(service: str, models: Collection[str] | None) -> None:
+    """Do nothing; stands for ``on_change`` if nothing has to learn of changes."""
+
+
+def _is_changed(known: ServerEntry, entry: ServerEntry) -> bool:
+    """Tell whether an entry differs in more than what the server reports regularly."""
+    return known != replace(entry, models=known.models, report_count=known.report_count)
+
+
+def _changed_models(before: Held, after: Held) -> set[str]:
+    """Return the models that are held with other adapters, or held or not any more."""
+    return {
+        model
+        for model in before.keys() | after.keys()
+        if before.get(model) != after.get(model)
+    }
 
 
 def _pairs(held: Mapping[str, Iterable[str]]) -> set[tuple[str, str]]:
--- a/sequoiapoint/state/fleet_test.py
+++ b/sequoiapoint/state/fleet_test.py
@@ -1,3 +1,4 @@
+import random
 from dataclasses import replace
 
 import pytest
@@ -167,3 +168,85 @@
     assert fleet.holds(ENTRY, "oak", "", now)
     fleet.note_not_held(ENTRY, "oak", "", now)
     assert fleet.holds(ENTRY, "oak", "", now + 1.1 * NOT_HELD_TTL_S)
+
+
+def _play_changes(fleet, rng, now):
+    """Apply one random change of a server, as the store, leader or server tells it."""
+    entry = replace(
+        ENTRY,
+        server=f"s-{rng.randrange(4)}",
+        service=rng.choice(["lm", "lm", "other"]),
+        started_ms=rng.choice([100, 100, 200]),
+        state=rng.choice([ServerState.READY, ServerState.READY, ServerState.DRAINING]),
+        models=rng.choice([None, (), ENTRY.models, (HeldModel("elm", frozenset()),)]),
+    )
+    known = fleet.entries.get(entry.server, entry)
+    held = rng.choice([{}, {"oak": {"a1"}}, {"oak": set(), "elm": {"a2"}}])
+    rng.choice(
+        [
+            lambda: fleet.put(entry, now),
+            lambda: fleet.set_held(known.incarnation, held, now),
+            lambda: fleet.remove(entry.server),
+            lambda: fleet.note_not_held(known, "oak", "a1", now),
+            lambda: fleet.note_served(known, "oak", "a1"),
+        ]
+    )()
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_the_index_of_holders_agrees_with_a_query_to_every_engine(seed):
+    """Guards against requests that are sent to, or not sent to, an outdated engine.
+
+    Each change of a result is announced, as waiting requests are woken by nothing else.
+    """
+    rng, fleet, announced = random.Random(seed), Fleet(), []
+    fleet.on_change = lambda service, models: announced.append((service, models))
+    queries = [
+        (service, model, adapter)
+        for service in ("lm", "other")
+        for model, adapter in (("oak", ""), ("oak", "a1"), ("elm", ""), ("elm", "a2"))
+    ]
+    for step in range(400):
+        now = 0.05 * step
+        before = {q: fleet.ready_holders(*q, now) for q in queries}
+        announced.clear()
+        _play_changes(fleet, rng, now)
+        for query in queries:
+            service, model, adapter = query
+            ready = {
+                e.server: e
+                for e in fleet.entries.values()
+                if e.service == service and e.state is ServerState.READY
+            }
+            assert {e.server: e for e in fleet.ready_servers(service)} == ready
+            found = fleet.ready_holders(*query, now)
+            assert {e.server: e for e in found} == {
+                server: e
+                for server, e in ready.items()
+                if fleet.holds(e, model, adapter, now)
+            }
+            if {e.incarnation for e in found} != {e.incarnation for e in before[query]}:
+                assert any(
+                    name == service and (models is None or model in models)
+                    for name, models in announced
+                )
+
+
+def test_the_end_of_a_servers_report_that_it_lacks_a_model_is_known():
+    fleet = fleet_of(ENTRY)
+    assert fleet.held_again_at("lm", "oak", "a1", 10.0) == float("inf")
+    fleet.note_not_held(ENTRY, "oak", "a1", 10.0)
+    ends_at = fleet.held_again_at("lm", "oak", "a1", 10.0)
+    assert not fleet.ready_holders("lm", "oak", "a1", ends_at - 0.01)
+    assert fleet.ready_holders("lm", "oak", "a1", ends_at) == [ENTRY]
+
+
+def test_an_entry_that_changes_nothing_is_not_announced():
+    """Engines write entries all the time; each would wake all waiting requests."""
+    fleet, announced = fleet_of(ENTRY), []
+    fleet.on_change = lambda *change: announced.append(change)
+    fleet.put(replace(ENTRY, report_count=2))
+    fleet.set_held(ENTRY.incarnation, {"oak": {"a1"}})
+    assert announced == []
+    fleet.set_held(ENTRY.incarnation, {"oak": {"a1"}, "elm": set()})
+    assert announced == [("lm", {"elm"})]
