Write digests field by field, and omit their empty lists

The lists of a digest were written from dicts. They are now set field by field, lists without items are not written, and numbers are limited without calls of min and max. All builds read a list that is not written as an empty one.

--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -212,12 +212,27 @@
     return None if age_ms < 0 else age_ms / 1000
 
 
+def _new_items(message: Any, name: str, values: Sequence[Item]) -> Iterable[Any]:
+    """Return pairs of an item of a new list of structs and the value to set in it.
+
+    A list without items is not written, which readers take for an empty one.
+    """
+    return zip(message.init(name, len(values)), values, strict=True) if values else ()
+
+
 def _encode_members(message: Any, name: str, members: Sequence[Member]) -> None:
-    for item, member in zip(message.init(name, len(members)), members, strict=True):
+    for item, member in _new_items(message, name, members):
         item.host, item.zone = member.host, member.zone
         item.address, item.capacity = member.address, member.capacity
 
 
+def _encode_processes(
+    message: Any, name: str, processes: Sequence[Incarnation]
+) -> None:
+    for item, process in _new_items(message, name, processes):
+        item.server, item.startedMs = process
+
+
 @functools.lru_cache(MAX_KNOWN_MEMBERS)
 def _known_member(host: str, zone: str, address: str, capacity: int) -> Member:
     """Return a member whose address has been checked.
@@ -234,10 +249,12 @@
 
 
 def _encode_counts(message: Any, counts: Sequence[tuple[Incarnation, int]]) -> None:
-    items = message.init("counts", len(counts))
-    for item, ((server, started_ms), running) in zip(items, counts, strict=True):
-        item.server, item.startedMs = server, started_ms
-        item.running = _uint32(running)
+    server_field, started_field, running_field = _COUNT
+    for item, ((server, started_ms), running) in _new_items(message, "counts", counts):
+        put = item._set_by_field
+        put(server_field, server)
+        put(started_field, started_ms)
+        put(running_field, _uint32(running))
 
 
 def _decode_counts(counts: Iterable[Any]) -> tuple[tuple[Incarnation, int], ...]:
@@ -281,11 +298,9 @@
     message: Any,
     holdings: Sequence[tuple[Incarnation, Mapping[str, frozenset[str]]]],
 ) -> None:
-    items = message.init("holdings", len(holdings))
-    for item, ((server, started_ms), held) in zip(items, holdings, strict=True):
-        item.server, item.startedMs = server, started_ms
-        models = item.init("models", len(held))
-        for model, (name, adapters) in zip(models, held.items(), strict=True):
+    for item, (process, held) in _new_items(message, "holdings", holdings):
+        item.server, item.startedMs = process
+        for model, (name, adapters) in _new_items(item, "models", list(held.items())):
             model.model, model.adapters = name, sorted(adapters)
 
 
@@ -322,17 +337,24 @@
 
 
 def _uint32(number: int) -> int:
-    return max(0, min(MAX_UINT32, number))
+    return number if 0 <= number <= MAX_UINT32 else max(0, min(MAX_UINT32, number))
+
+
+def _encode_demands(message: Any, demands: Sequence[ModelDemand]) -> None:
+    for item, demand in _new_items(message, "demands", demands):
+        item.service, item.model = demand.service, demand.model
+        item.adapter = demand.adapter
+        item.inWork, item.waiting = _uint32(demand.running), _uint32(demand.waiting)
+        item.goalMs = _uint32(round(demand.goal_s * 1000))
+        item.priority = min(demand.priority, MAX_PRIORITY)
+        item.unservedMs = _uint32(round(demand.unserved_s * 1000))
 
 
-def _encode_limit(limit: ServerLimit) -> dict[str, Any]:
-    server, started_ms = limit.server
-    return {
-        "server": server,
-        "startedMs": started_ms,
-        "perS": NO_LIMIT_PER_S if limit.per_s is None else limit.per_s,
-        "ageMs": _uint32(round(1000 * limit.age_s)),
-    }
+def _encode_limits(message: Any, name: str, limits: Sequence[ServerLimit]) -> None:
+    for item, limit in _new_items(message, name, limits):
+        item.server, item.startedMs = limit.server
+        item.perS = NO_LIMIT_PER_S if limit.per_s is None else limit.per_s
+        item.ageMs = _uint32(round(1000 * limit.age_s))
 
 
 def checked_rate(per_s: float) -> float:
@@ -352,17 +374,20 @@
 
 
 def _cut(value: float) -> int:
-    return min(MAX_UINT16, max(0, round(value)))
+    if 0.0 <= value <= MAX_UINT16:
+        return round(value)
+    return MAX_UINT16 if value > 0.0 else 0
 
 
-def _encode_speed(process: int, sample: SpeedSample) -> dict[str, int]:
-    return {
-        "process": process,
-        "slownessPercent": _cut(100 * sample.slowness),
-        "ageCs": _cut(100 * sample.age_s),
-        "workPermille": _cut(1000 * sample.mean_work),
-        "samples": _cut(10 * sample.samples),
-    }
+def _encode_speeds(message: Any, speeds: Sequence[tuple[int, SpeedSample]]) -> None:
+    process_field, slowness_field, age_field, work_field, samples_field = _SPEED
+    for item, (process, sample) in _new_items(message, "speeds", speeds):
+        put = item._set_by_field
+        put(process_field, process)
+        put(slowness_field, _cut(100 * sample.slowness))
+        put(age_field, _cut(100 * sample.age_s))
+        put(work_field, _cut(1000 * sample.mean_work))
+        put(samples_field, _cut(10 * sample.samples))
 
 
 def _decode_speeds(speeds: Iterable[Any]) -> tuple[tuple[int, SpeedSample], ...]:
@@ -383,64 +408,38 @@
 
 def encode_digest(digest: Digest) -> bytes:
     """Encode a digest as a datagram."""
-    message = _SCHEMA.Digest.new_message(
-        host=digest.host,
-        zone=digest.zone,
-        address=digest.address,
-        startedMs=digest.started_ms,
-        isLeaving=digest.is_leaving,
-        configurationEnd=digest.configuration_end,
-        serverEnd=digest.server_end,
-        isStoreReachable=digest.is_store_reachable,
-        fence=digest.fence,
-        demands=[
-            {
-                "service": demand.service,
-                "model": demand.model,
-                "adapter": demand.adapter,
-                "inWork": _uint32(demand.running),
-                "waiting": _uint32(demand.waiting),
-                "goalMs": _uint32(round(demand.goal_s * 1000)),
-                "priority": min(demand.priority, MAX_PRIORITY),
-                "unservedMs": _uint32(round(demand.unserved_s * 1000)),
-            }
-            for demand in digest.demands
-        ],
-        suspicions=[
-            {"fingerprint": fingerprint, "deaths": sorted(deaths)}
-            for fingerprint, deaths in digest.suspicions
-        ],
-        scope=digest.scope.value,
-        hostCount=_uint32(digest.host_count),
-        isDemandReport=digest.is_demand_report,
-        isHeartbeat=digest.is_heartbeat,
-        capacity=digest.capacity,
-        leavingServers=[
-            {"server": server, "startedMs": started}
-            for server, started in digest.leaving_servers
-        ],
-        serverAgeMs=_encode_age(digest.server_age_s),
-        suspectParts=[
-            {"part": part, "crashes": sorted(crashes), "isCleared": is_cleared}
-            for part, crashes, is_cleared in digest.suspect_parts
-        ],
-        limits=[_encode_limit(limit) for limit in digest.limits],
-        liveZones=list(digest.live_zones),
-        brittle=[_encode_limit(limit) for limit in digest.brittle],
-        fallen=[
-            {"server": server, "startedMs": started}
-            for server, started in digest.fallen
-        ],
-        turnedAway=[
-            {
-                "server": server,
-                "startedMs": started,
-                "ageMs": _uint32(round(1000 * age_s)),
-            }
-            for (server, started), age_s in digest.turned_away
-        ],
-        speeds=[_encode_speed(process, sample) for process, sample in digest.speeds],
-    )
+    message = _SCHEMA.Digest.new_message()
+    message.host, message.zone = digest.host, digest.zone
+    message.address, message.capacity = digest.address, digest.capacity
+    message.startedMs, message.isLeaving = digest.started_ms, digest.is_leaving
+    message.configurationEnd = digest.configuration_end
+    message.serverEnd = digest.server_end
+    message.serverAgeMs = _encode_age(digest.server_age_s)
+    message.isStoreReachable = digest.is_store_reachable
+    message.fence = digest.fence
+    message.scope, message.hostCount = digest.scope.value, _uint32(digest.host_count)
+    message.isDemandReport = digest.is_demand_report
+    message.isHeartbeat = digest.is_heartbeat
+    _encode_demands(message, digest.demands)
+    for item, (fingerprint, deaths) in _new_items(
+        message, "suspicions", digest.suspicions
+    ):
+        item.fingerprint, item.deaths = fingerprint, sorted(deaths)
+    _encode_processes(message, "leavingServers", digest.leaving_servers)
+    for item, (part, crashes, is_cleared) in _new_items(
+        message, "suspectParts", digest.suspect_parts
+    ):
+        item.part, item.crashes = part, sorted(crashes)
+        item.isCleared = is_cleared
+    _encode_limits(message, "limits", digest.limits)
+    if digest.live_zones:
+        message.liveZones = list(digest.live_zones)
+    _encode_limits(message, "brittle", digest.brittle)
+    _encode_processes(message, "fallen", digest.fallen)
+    for item, (process, age_s) in _new_items(message, "turnedAway", digest.turned_away):
+        item.server, item.startedMs = process
+        item.ageMs = _uint32(round(1000 * age_s))
+    _encode_speeds(message, digest.speeds)
     _encode_counts(message, digest.counts)
     _encode_holdings(message, digest.holdings)
     _encode_members(message, "members", digest.members)
