--- a/sequoiapoint/transport/decision_log.py
+++ b/sequoiapoint/transport/decision_log.py
@@ -18,6 +18,7 @@
 from sequoiapoint.transport.clock import monotonic_s
 from sequoiapoint.transport.logs import format_record
 
+LOGGER_NAME = "sequoiapoint"
 MAX_QUEUED_LINES = 2_000
 """The maximum queue length; such a queue holds about half a megabyte."""
 FLUSH_TIMEOUT_S = 1.0
@@ -69,7 +70,7 @@
     ) -> None:
         self._lines: queue.SimpleQueue[str | None] = queue.SimpleQueue()
         self._handler = _QueueHandler(self._lines, level)
-        self._logger = logbook.Logger("sequoiapoint")
+        self._is_enabled = self._handler.level <= logbook.INFO
         self._lines_per_s = lines_per_s
         self._common = common
         self._write = write
@@ -107,7 +108,11 @@
         :param fields: The inputs of the decision, with their age or version, the step
             and the peer.
         """
-        limit = self._limits.setdefault((name, outcome), _RateLimit())
+        if not self._is_enabled:
+            return
+        limit = self._limits.get((name, outcome))
+        if limit is None:
+            limit = self._limits[name, outcome] = _RateLimit()
         second = int(monotonic_s())
         if limit.second != second:
             limit.second, limit.remaining = second, self._lines_per_s
@@ -115,12 +120,26 @@
             limit.skipped += 1
             return
         limit.remaining -= 1.0
-        if outcome:
-            fields = {"outcome": outcome, **fields}
         if limit.skipped:
             fields["left_out"] = limit.skipped
             limit.skipped = 0
-        self._logger.info(name, fields=fields | self._common)
+        decision = {"outcome": outcome} if outcome else {}
+        self._emit(name, {**decision, **fields, **self._common})
+
+    def _emit(self, name: str, fields: dict[str, object]) -> None:
+        """Pass a record to the handler.
+
+        A ``Logger`` looks for the handlers of the context first, which takes a third of
+        the time of a line.
+        """
+        record = logbook.LogRecord(
+            LOGGER_NAME, logbook.INFO, name, kwargs={"fields": fields}
+        )
+        record.heavy_init()
+        try:
+            self._handler.handle(record)
+        finally:
+            record.close()
 
     def _write_lines(self) -> None:
         while True:
--- a/sequoiapoint/transport/decision_log_test.py
+++ b/sequoiapoint/transport/decision_log_test.py
@@ -27,6 +27,16 @@
         assert pair in line
 
 
+def test_the_order_of_the_fields_and_their_quotes_stay_the_same():
+    """Guards operators' scripts, which read the lines."""
+    odd = {"empty": "", "text": 'a="b\\"\nc', "level": 3, "none": None}
+    lines = log_lines(lambda log: [log.event("e", "o", n=1), log.event("e2", **odd)])
+    first, second = (line.partition(" ") for line in lines)
+    assert first[2] == "level=info event=e outcome=o n=1 host=h\n"
+    quoted = r'empty="" text="a=\"b\\\"\nc" none=None host=h'
+    assert second[2] == f"level=3 event=e2 {quoted}\n"
+
+
 def test_lines_above_the_rate_limit_of_an_event_and_outcome_are_skipped():
     """Guards against a flood of lines in an outage.
 
