Serve the connections that are new as a drain closes the listener

Cause: connections that the kernel had accepted and the process had not were reset as the listener closed, and so were accepted ones whose first request had not arrived.

--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -175,6 +175,8 @@
                 continue
             if not self._caller_server.is_closed:
                 self._caller_server.stop_accepting()
+                # Connections accepted at the last moment are counted from now on.
+                continue
             if not self._busy_count:
                 break
         release_task.cancel()
--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -7,8 +7,9 @@
 
 import asyncio
 import http
+import socket
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 
 import httptools
@@ -141,6 +142,10 @@
 
     def __init__(self, server: "AsyncHttpServer") -> None:
         self._server = server
+        # Whether no byte has arrived yet, and whether one is awaited although the
+        # server accepts no new requests.
+        self._is_new = True
+        self._is_expectant = False
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         # Received requests, each with whether to keep the connection open afterwards.
@@ -172,6 +177,7 @@
         return (
             self._active is None
             and not self._is_reading
+            and not self._is_expectant
             and not self._ignores_input
             and not self._has_unsent
         )
@@ -204,9 +210,13 @@
     def stop(self) -> None:
         """Close the connection unless a request is being received or processed.
 
-        A request that has arrived but is not read yet is answered.
+        A request that has arrived but is not read yet is answered, and so is the first
+        one on a new connection, as its caller cannot know that the server stops.
         """
-        if self.is_idle:
+        age_s = monotonic_s() - self._last_progress_s
+        if self.is_idle and self._is_new and age_s < CLOSE_DELAY_S:
+            self._expect_request()
+        elif self.is_idle:
             if self._transport is None or not has_unread(self._transport):
                 self.abort()
         elif self._active is None and not self._is_reading and not self._ignores_input:
@@ -272,18 +282,32 @@
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Register the connection."""
+        """Register the connection.
+
+        One that was accepted as the listener closed may carry a request already.
+        """
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         set_liveness_options(transport.get_extra_info("socket"), CALLER_TIMEOUT_MS)
         self._server.connections.add(self)
         self._server.has_connections.set()
         if self._server.is_closed:
-            transport.abort()
+            self._expect_request()
+
+    def _expect_request(self) -> None:
+        """Wait ``CLOSE_DELAY_S`` for the first byte of a request."""
+        self._is_expectant = True
+        asyncio.get_running_loop().call_later(CLOSE_DELAY_S, self._stop_expecting)
+
+    def _stop_expecting(self) -> None:
+        if self._is_expectant:
+            self._is_new = self._is_expectant = False
+            self.stop()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the handler of a caller that has disconnected."""
         self._transport = None
+        self._is_expectant = False
         self._server.connections.discard(self)
         self._queue.clear()
         if self._task is not None and not self._task.done():
@@ -308,6 +332,7 @@
         if self._ignores_input:
             return
         self._last_progress_s = monotonic_s()
+        self._is_new = self._is_expectant = False
         if not self._is_reading:
             self._is_reading = True
             self._is_head_complete = False
@@ -479,6 +504,9 @@
         self.is_closed = False
         self.idle_closed = 0
         self._listener: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
+        # Connections that were accepted as the listener closed.
+        self._accepting: set[asyncio.Task] = set()
         self._timeout_task: asyncio.Task | None = None
 
     async def start(self, address: str) -> None:
@@ -487,9 +515,12 @@
         :raises OSError: If the server cannot listen on the address.
         """
         host, _, port = address.rpartition(":")
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._socket = socket.create_server((host, int(port)), family=family)
+        self._socket.setblocking(False)
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            lambda: ServerConnection(self), host, int(port), backlog=BACKLOG
+            lambda: ServerConnection(self), sock=self._socket, backlog=BACKLOG
         )
         self._timeout_task = loop.create_task(self._check_timeouts())
 
@@ -503,16 +534,50 @@
 
     @property
     def busy_count(self) -> int:
-        """Return the number of connections with a request or unsent bytes."""
-        return sum(not connection.is_idle for connection in self.connections)
+        """Return the number of connections with a request or unsent bytes.
+
+        Those that still expect their first request count as well.
+        """
+        busy = sum(not connection.is_idle for connection in self.connections)
+        return busy + len(self._accepting)
 
     def stop_accepting(self) -> None:
-        """Accept no new requests; those in progress are completed."""
+        """Accept no new requests; those in progress are completed.
+
+        The kernel resets connections that still wait to be accepted as the listener
+        closes, so they are accepted before.
+        """
+        waiting = [] if self.is_closed else list(self._accept_waiting())
         self.is_closed = True
         if self._listener is not None:
             self._listener.close()
         for connection in list(self.connections):
             connection.stop()
+        loop = asyncio.get_running_loop()
+        for sock in waiting:
+            task = loop.create_task(
+                loop.connect_accepted_socket(lambda: ServerConnection(self), sock)
+            )
+            self._accepting.add(task)
+            task.add_done_callback(self._note_accepted)
+
+    def _accept_waiting(self) -> Iterator[socket.socket]:
+        """Accept the connections that wait in the kernel's queue."""
+        while self._socket is not None:
+            try:
+                sock, _ = self._socket.accept()
+            except ConnectionAbortedError:
+                continue
+            except OSError:
+                return
+            sock.setblocking(False)
+            yield sock
+
+    def _note_accepted(self, task: asyncio.Task) -> None:
+        """Forget a connection that is served now, or that has failed already."""
+        self._accepting.discard(task)
+        if not task.cancelled():
+            task.exception()
 
     async def stop(self) -> None:
         """Stop listening and abort the remaining connections."""
--- a/sequoiapoint/transport/drain_under_load_test.py
+++ b/sequoiapoint/transport/drain_under_load_test.py
@@ -60,6 +60,44 @@
     assert data.endswith(b"ok")
 
 
+@pytest.mark.parametrize("sent_before", [len(VALID_REQUEST), 9, 0])
+@pytest.mark.parametrize("sent_after", [True, False])
+@pytest.mark.parametrize("is_accepted", [False, True])
+def test_a_connection_that_is_new_as_the_listener_closes_is_served(
+    sent_before, sent_after, is_accepted
+):
+    """It was reset, also if only the kernel had accepted it, and not the process."""
+
+    async def scenario():
+        async with RecordingServer() as recorder:
+            server = recorder.server
+            sock = socket.create_connection(("127.0.0.1", recorder.port))
+            if is_accepted:
+                await asyncio.sleep(0.05)
+            sock.sendall(VALID_REQUEST[:sent_before])
+            server.is_draining = True
+            server.stop_accepting()
+            assert server.busy_count == 1
+            sock.setblocking(False)
+            reader, writer = await asyncio.open_connection(sock=sock)
+            await asyncio.sleep(0.05)
+            if sent_after:
+                writer.write(VALID_REQUEST[sent_before:])
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                try:
+                    data = await reader.read()
+                except ConnectionError:
+                    data = b""
+            return data
+
+    data = run(scenario())
+    if sent_after or sent_before == len(VALID_REQUEST):
+        assert data.startswith(b"HTTP/1.1 200 ")
+        assert data.endswith(b"ok")
+    else:
+        assert data.startswith(b"HTTP/1.1 408 ") if sent_before else data == b""
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_every_request_taken_before_or_during_a_drain_gets_its_whole_response(seed):
     rng = random.Random(seed)
