Load copies of models ahead of demand that rises

Cause: a model got further copies once its requests exceeded what its copies should run, and these came after first copies of rarely used models.

Change: the demand of a model is projected by three seconds from the difference of two smoothed numbers, at most to three times the present one. Noise of a fifth shows no rise. The projection counts for the number of copies and for the gain of another one, and only once demand has settled.

--- a/sequoiapoint/coordination/demand_history.py
+++ b/sequoiapoint/coordination/demand_history.py
@@ -17,6 +17,13 @@
 
 SMOOTHING_S = 1.0
 """Time constant of the smoothing, and so the time in which a shift of demand shows."""
+TREND_SMOOTHING_S = 3.0
+"""Time constant of a second smoothing.  Of demand that rises steadily, the difference
+of both smoothed numbers is the increase in the difference of their time constants."""
+MIN_GROWTH_SHARE = 0.25
+"""Difference of both, as a share of the slower one, that is attributed to chance."""
+MIN_GROWTH_REQUESTS = 1.0
+"""The same as a number of requests."""
 UNPLACED_AFTER_S = 0.5
 """Time for which requests have to wait for a model or adapter that no engine holds
 before it is reported; most adapters load within milliseconds."""
@@ -58,6 +65,7 @@
         self._started_at = started_at
         self._updated_at = 0.0
         self._running: dict[tuple[str, str], float] = {}
+        self._trend: dict[tuple[str, str], float] = {}
         self._waiting: Counter[tuple[str, str]] = Counter()
         self._last_requested_at: dict[tuple[str, str], float] = {}
         self._active: dict[str, tuple[float, float]] = {}
@@ -71,7 +79,9 @@
 
     def update(self, total: Iterable[ModelDemand], now: float) -> None:
         """Update the history with the demand summed over all hosts."""
-        weight = 1.0 - math.exp(-(now - self._updated_at) / SMOOTHING_S)
+        elapsed_s = now - self._updated_at
+        weight = 1.0 - math.exp(-elapsed_s / SMOOTHING_S)
+        trend_weight = 1.0 - math.exp(-elapsed_s / TREND_SMOOTHING_S)
         self._updated_at = now
         running_totals: Counter[tuple[str, str]] = Counter()
         self._waiting.clear()
@@ -98,6 +108,23 @@
         for key in self._running.keys() | running_totals.keys():
             smoothed = self._running.get(key, 0.0)
             self._running[key] = smoothed + weight * (running_totals[key] - smoothed)
+            trend = self._trend.get(key, 0.0)
+            self._trend[key] = trend + trend_weight * (running_totals[key] - trend)
+
+    def growth_per_s(self, service: str, model: str) -> float:
+        """Return by how many requests a second the demand for a model rises.
+
+        Answers demand that moves to another model within seconds, less than it takes to
+        load its further copies.
+
+        :return: 0 if it does not rise by more than chance.
+        """
+        key = (service, model)
+        trend = self._trend.get(key, 0.0)
+        rise = self._running.get(key, 0.0) - trend
+        if rise < MIN_GROWTH_SHARE * trend + MIN_GROWTH_REQUESTS:
+            return 0.0
+        return rise / (TREND_SMOOTHING_S - SMOOTHING_S)
 
     def _note_active(self, service: str, now: float) -> None:
         """Record since when and until when a service has had requests."""
@@ -188,6 +215,7 @@
 
         :param least_urgent: Priority of the service's least urgent requests.
         """
+        is_settled = self.is_settled(service, now)
         adapters = Counter(
             model
             for (name, model, _), at in self._adapter_last_requested_at.items()
@@ -202,6 +230,7 @@
                 self._min_goals.get((service, model)),
                 self._min_priorities.get((service, model), 0) == least_urgent,
                 self._unserved_models.elapsed_s((service, model), now),
+                self.growth_per_s(service, model) if is_settled else 0.0,
             )
             for model in models
         }
--- a/sequoiapoint/coordination/demand_history_test.py
+++ b/sequoiapoint/coordination/demand_history_test.py
@@ -96,3 +96,25 @@
     for at in requests_at:
         history.update([waits("oak")], at)
     assert history.is_settled("lm", now) is is_settled
+
+
+@pytest.mark.parametrize(
+    ("running_at", "least", "most"),
+    [
+        # Demand that moves to a model: from 0 to 40 requests within four seconds.
+        (lambda at: max(0.0, min(40.0, 10.0 * (at - 20.0))), 4.0, 10.0),
+        (lambda at: 20.0 + 4.0 * (int(2 * at) % 2), 0.0, 0.0),
+        (lambda at: max(0.0, 40.0 - 10.0 * (at - 20.0)), 0.0, 0.0),
+    ],
+    ids=["rising", "steady", "falling"],
+)
+def test_a_rise_of_demand_shows_while_it_lasts(running_at, least, most):
+    # Copies of a model were loaded from the time on that requests waited for it, 2.5 s
+    # after its two copies were three quarters full; a load takes four seconds.
+    history = DemandHistory(0.0)
+    for step in range(47):
+        at = 0.5 * step
+        running = round(running_at(at))
+        history.update([ModelDemand("lm", "oak", "", running, 0, 0.3, 0)], at)
+    growth = history.demand_by_model("lm", ["oak"], 0, 23.0)["oak"].growth_per_s
+    assert least <= growth <= most
--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -39,6 +39,11 @@
 the engine's memory or disk."""
 MAX_EVICTING_SHARE = 0.2
 """Share of the engines that may evict models for further copies at the same time."""
+GROWTH_LEAD_S = 3.0
+"""Time for which a rise of demand is projected: until a further copy has taken the
+place of another one and is loaded."""
+MAX_GROWTH_FACTOR = 3.0
+"""Largest ratio of the projected requests to the present ones."""
 RECENT_REQUEST_S = 8.0
 """Time after its last request for which a model counts as recently requested."""
 MIN_IDLE_S = 3.0
@@ -101,6 +106,7 @@
         requests to the service.
     :param unserved_s: Time since which its requests have waited while none of them was
         sent to a server, in seconds.
+    :param growth_per_s: By how many requests a second the demand rises.
     """
 
     running: float
@@ -110,6 +116,7 @@
     goal_s: float | None = 0.0
     is_least_urgent: bool = False
     unserved_s: float = 0.0
+    growth_per_s: float = 0.0
 
     @property
     def is_overdue(self) -> bool:
@@ -126,6 +133,14 @@
         """Return the number of requests, running and waiting."""
         return self.running + self.waiting
 
+    @property
+    def expected_requests(self) -> float:
+        """Return the number of requests by the time that a further copy can serve."""
+        return min(
+            MAX_GROWTH_FACTOR * self.requests,
+            self.requests + GROWTH_LEAD_S * self.growth_per_s,
+        )
+
 
 class EvictionReason(enum.IntEnum):
     """Why a copy may be evicted for another model, the most preferred reason first."""
@@ -323,7 +338,7 @@
         """Return how many copies a model should have."""
         demand = self._demand_of(name)
         by_load = math.ceil(
-            demand.requests / (self._scale_out_utilisation * self._spec.slots)
+            demand.expected_requests / (self._scale_out_utilisation * self._spec.slots)
         )
         adapter_slots = max(1.0, ADAPTER_SLOTS_SHARE * self._spec.adapter_slots)
         by_adapters = math.ceil(demand.requested_adapter_count / adapter_slots)
@@ -377,7 +392,7 @@
                 * (1.0 + demand.unserved_s / UNSERVED_DOUBLING_S)
             )
         capacity = copies * self._scale_out_utilisation * self._spec.slots
-        gain = max(0.0, demand.requests - capacity) / (1.0 + copies)
+        gain = max(0.0, demand.expected_requests - capacity) / (1.0 + copies)
         if self._has_shortage(name):
             gain = max(gain, SHORTAGE_WEIGHT * self._spec.slots)
         return gain
--- a/sequoiapoint/coordination/model_placement_test.py
+++ b/sequoiapoint/coordination/model_placement_test.py
@@ -444,3 +444,15 @@
     assert [(o.action, o.model in evicted) for o in orders] == [
         (OrderAction.EVICT, True)
     ]
+
+
+@pytest.mark.parametrize(
+    ("growth_per_s", "copies"), [(0.0, 0), (1.0, 1), (5.0, 4), (100.0, 4)]
+)
+def test_copies_are_loaded_ahead_of_demand_that_rises(growth_per_s, copies):
+    spec = replace(SPEC, slots=12)
+    engines = [engine(str(n), "m0") for n in range(2)]
+    engines += [engine(str(n), "m1") for n in range(2, 40)]
+    demand = {"m0": DemandStats(8.0, 0, 0.0, goal_s=0.3, growth_per_s=growth_per_s)}
+    orders = model_placement.plan_models(engines, spec, demand, 20)
+    assert sum(order.model == "m0" for order in orders) == copies
