Probe other servers when one fails and no other is in use

Cause: a host takes itself for cut off if several servers fail. One that gets requests only for a model that one engine holds tries no other server, and refused after four connections although other hosts could have run the requests. Change: after a failure to connect without data from any server for 0.5 s, up to three other servers are probed, at most twice a second; those that fail as well are evidence.

--- a/sequoiapoint/node/reachability_monitor.py
+++ b/sequoiapoint/node/reachability_monitor.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.protocol.errors import Failure
@@ -32,6 +33,7 @@
     def __init__(self, state: GatewayState) -> None:
         self._state = state
         self._probe_requested = asyncio.Event()
+        self._probed_at = -math.inf
 
     async def run(self) -> None:
         """Watch until the process stops."""
@@ -55,7 +57,9 @@
         servers = {e.incarnation for e in state.fleet.ready_servers(name)}
         was_suspected = service.is_suspected
         change = service.update(servers, now)
-        if service.is_suspected and not was_suspected:
+        is_due = now - self._probed_at >= PROBE_INTERVAL_S
+        is_unclear = is_due and service.is_unclear(servers, now)
+        if is_unclear or (service.is_suspected and not was_suspected):
             self._probe_requested.set()
         if change is None:
             return
@@ -100,10 +104,12 @@
             except TimeoutError:
                 pass
             self._probe_requested.clear()
+            self._probed_at = monotonic_s()
             self._discard_stopped_processes()
             services = self._state.reachability.services()
             for name, service in services.items():
                 if not (service.is_cut_off or service.is_suspected):
+                    await self._probe_others(name, service)
                     continue
                 if not await self._probe_some(name, service):
                     service.note_probes_failed()
@@ -114,6 +120,26 @@
         entries = self._state.fleet.entries.values()
         self._state.reachability.retain({entry.incarnation for entry in entries})
 
+    async def _probe_others(self, name: str, service: ServiceReachability) -> None:
+        """Probe servers beside the one that has failed, if no other one is in use.
+
+        Those that fail as well are evidence that this host is cut off.
+        """
+        entries, now = self._state.fleet.ready_servers(name), monotonic_s()
+        servers = {entry.incarnation for entry in entries}
+        if not service.is_unclear(servers, now):
+            return
+        failed = service.failures(servers, now)
+        others = [entry for entry in entries if entry.incarnation not in failed]
+        chosen = self._state.rng.sample(others, min(PROBED_SERVERS, len(others)))
+        probes = (self._probe(name, service, entry) for entry in chosen)
+        have_responded = await asyncio.gather(*probes)
+        if any(have_responded):
+            return
+        for entry in chosen:
+            service.note_connect_failure(entry.incarnation, monotonic_s())
+        self.check(name)
+
     async def _probe_some(self, name: str, service: ServiceReachability) -> bool:
         """Probe several servers of a service.
 
--- a/sequoiapoint/node/reachability_monitor_test.py
+++ b/sequoiapoint/node/reachability_monitor_test.py
@@ -25,9 +25,13 @@
 
 
 def monitor_of(monkeypatch, servers, crashed):
-    """Return a monitor whose probes fail at the crashed servers, and its state."""
+    """Return a monitor whose probes fail at the crashed servers, and its state.
+
+    The state counts the probes.
+    """
 
     async def call(pool, address, request, timeout_s):
+        state.probes += 1
         if int(address.split(".")[3].partition(":")[0]) in crashed:
             return Failure(FailureKind.NOT_SENT, "refused", "connect", address)
         return SimpleNamespace(status=200, headers=[], body=b"")
@@ -35,6 +39,7 @@
     monkeypatch.setattr(reachability_monitor, "call", call)
     entries = [entry(number) for number in range(servers)]
     state = SimpleNamespace(
+        probes=0,
         reachability=Reachability(),
         fleet=SimpleNamespace(
             ready_servers=lambda name: entries,
@@ -85,3 +90,40 @@
 
     asyncio.run(run())
     assert all(reached) is reaches_engines
+
+
+@pytest.mark.parametrize(
+    ("servers", "crashed", "has_data", "is_cut_off"),
+    [
+        (45, range(45), False, True),
+        (2, range(2), False, True),
+        # The engine alone has crashed, and others respond.
+        (45, range(1), False, False),
+        # Other servers send data, so no probe is needed.
+        (45, range(45), True, False),
+    ],
+)
+def test_a_host_that_uses_one_engine_alone_notices_a_cut(
+    monkeypatch, servers, crashed, has_data, is_cut_off
+):
+    """Guards against a host that refuses requests for a model that one engine holds.
+
+    No other server was tried, and one that fails does not show that the host is cut
+    off.  Callers try that engine every 50 ms.
+    """
+    monitor, state = monitor_of(monkeypatch, servers, set(crashed))
+    service = state.reachability.service(SERVICE)
+
+    async def run():
+        probes = asyncio.ensure_future(probe_for(monitor, 0.7))
+        for _ in range(9):
+            service.note_connect_failure(("s-0", 1), monotonic_s())
+            if has_data:
+                service.note_received(("s-1", 1), -9.0, monotonic_s())
+            await asyncio.sleep(0.05)
+        is_known = service.is_cut_off
+        await probes
+        return is_known
+
+    assert asyncio.run(run()) is is_cut_off
+    assert state.probes <= (0 if has_data else 9)
--- a/sequoiapoint/state/reachability.py
+++ b/sequoiapoint/state/reachability.py
@@ -128,12 +128,31 @@
         evidence.connect_failures += 1
         evidence.failed_at = now
 
-    def _failures(self, evidence: _Evidence, now: float) -> int:
-        count = int(evidence.silent_s(self.data_at, now) / SILENCE_TIMEOUT_S)
+    def _connect_failures(self, evidence: _Evidence, now: float) -> int:
         has_failed = evidence.failed_at > self._connected_at
         if has_failed and now - evidence.failed_at < FAILURE_TTL_S:
-            count += evidence.connect_failures
-        return count
+            return evidence.connect_failures
+        return 0
+
+    def _failures(self, evidence: _Evidence, now: float) -> int:
+        count = int(evidence.silent_s(self.data_at, now) / SILENCE_TIMEOUT_S)
+        return count + self._connect_failures(evidence, now)
+
+    def is_unclear(self, servers: Collection[Incarnation], now: float) -> bool:
+        """Tell whether other servers must be probed to tell a crash from a cut.
+
+        A server has failed, and no other one is in use: a model may be held by one
+        engine alone.
+
+        :param servers: The processes that accept requests.
+        """
+        if self.is_cut_off or now - self.data_at < CONFIRM_DATA_AGE_S:
+            return False
+        return any(
+            self._connect_failures(evidence, now)
+            for server, evidence in self._evidence.items()
+            if server in servers
+        )
 
     def has_failures(self, now: float) -> bool:
         """Tell whether a failure of any process is not refuted by later data."""
