Determine relays again only when a host has changed

Each digest made a host forget its zone's relays, list all live hosts for the leader, rank the members that the aggregator lists, and record each of them as changed. The relays are now forgotten when a host is new, changed, draining or heard again, the leader is sought among hosts with a fencing token, and equal lists of members are not ranked again. Hosts that expire are noticed up to 50 ms later, as while no digest arrives.

--- a/sequoiapoint/node/placement_exchange.py
+++ b/sequoiapoint/node/placement_exchange.py
@@ -224,9 +224,9 @@
         self._sender.send(report, members)
 
     def _apply_holdings(self, digest: Digest, now: float) -> None:
-        leader = self._peers.leader(now)
         if not digest.holdings or self.fence:
             return
+        leader = self._peers.leader(now)
         if leader is None or leader.host != digest.host:
             return
         changes = [
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -89,6 +89,10 @@
     capacity: int = 0
 
 
+_known_member = functools.lru_cache(MAX_KNOWN_MEMBERS)(Member)
+"""Digests list the same members twice a second; equal ones become one object."""
+
+
 @dataclass(frozen=True)
 class ServerLimit:
     """What a server process has said of its limit.
@@ -195,7 +199,7 @@
     @property
     def sender(self) -> Member:
         """Return the host that sent the digest."""
-        return Member(self.host, self.zone, self.address, self.capacity)
+        return _known_member(self.host, self.zone, self.address, self.capacity)
 
 
 def _decode_each(
@@ -233,19 +237,9 @@
         item.server, item.startedMs = process
 
 
-@functools.lru_cache(MAX_KNOWN_MEMBERS)
-def _known_member(host: str, zone: str, address: str, capacity: int) -> Member:
-    """Return a member whose address has been checked.
-
-    Digests list the same members twice a second; equal ones become one object.
-
-    :raises ValueError: The address is not an IP address and a port.
-    """
-    return Member(host, zone, checked_address(address), capacity)
-
-
 def _decode_member(message: Any) -> Member:
-    return _known_member(*read_fields(message, _MEMBER))
+    host, zone, address, capacity = read_fields(message, _MEMBER)
+    return _known_member(host, zone, checked_address(address), capacity)
 
 
 def _encode_counts(message: Any, counts: Sequence[tuple[Incarnation, int]]) -> None:
--- a/sequoiapoint/state/peers.py
+++ b/sequoiapoint/state/peers.py
@@ -28,8 +28,8 @@
 """Number of hosts that receive the reports of their zone: the aggregator and its
 standby."""
 RELAYS_TTL_S = 0.05
-"""Time for which the relays of the own zone are not determined again while no digest
-arrives.  Each host checks its role many times a second."""
+"""Time for which the relays of the own zone are not determined again while no host is
+new, changed, draining or heard again.  Each host checks its role for every digest."""
 REPORT_TTL_S = 1.6
 """Maximum age of a report that counts in the totals: three digest intervals."""
 
@@ -75,6 +75,13 @@
     return (-member.capacity, _hash(member.host))
 
 
+def _is_live(peer: Peer, now: float) -> bool:
+    """Tell whether a host counts as live, also before its first digest."""
+    return now - peer.last_heard_at < LIVENESS_TIMEOUT_S and not (
+        peer.digest and peer.digest.is_leaving
+    )
+
+
 def ranked(members: Iterable[Member]) -> list[Member]:
     """Return hosts in the order on which all hosts agree.
 
@@ -103,6 +110,7 @@
         self._other_leader: tuple[str, float] | None = None
         self._own_relays: tuple[float, tuple[Member, ...]] | None = None
         self._listed_members: list[str] = []
+        self._ranked_members: tuple[Member, ...] = ()
 
     # Updates from the store and from digests
 
@@ -111,8 +119,10 @@
 
         :param last_heard_at: The time at which the host is known to have been live.
         """
-        self._own_relays = None
         known = self._peers.get(member.host)
+        if known is not None and known.member == member:
+            return
+        self._own_relays = None
         if known is None or known.address != member.address:
             self._peers[member.host] = Peer(member, last_heard_at)
         else:
@@ -123,16 +133,18 @@
 
         :return: Whether the host, or its process, is new.
         """
-        self._own_relays = None
         known = self._peers.get(digest.host)
         if known and known.digest and known.digest.started_ms > digest.started_ms:
             return False
+        sender = digest.sender
+        if digest.is_leaving or not self._is_known_live(known, sender, now):
+            self._own_relays = None
         is_new = (
             known is None
             or known.digest is None
             or known.digest.started_ms != digest.started_ms
         )
-        peer = Peer(digest.sender, now, digest, now)
+        peer = Peer(sender, now, digest, now)
         if digest.scope is Scope.HOST:
             peer.report, peer.report_at = digest, now
         elif known is not None and not is_new:
@@ -162,6 +174,15 @@
             self._merge_cluster_totals(digest, now)
         return is_new
 
+    @staticmethod
+    def _is_known_live(known: Peer | None, member: Member, now: float) -> bool:
+        """Tell whether a host was live and is unchanged, so that relays stay."""
+        return (
+            known is not None
+            and (known.member is member or known.member == member)
+            and _is_live(known, now)
+        )
+
     def _record_leader(self, digest: Digest, was_leader: bool, now: float) -> None:
         """Record when another leader was last heard.
 
@@ -195,7 +216,8 @@
         else:
             self._aggregator_change = "first"
         self._cluster_totals = (now, digest)
-        if not was_heartbeat:
+        if not was_heartbeat and digest.members != self._ranked_members:
+            self._ranked_members = digest.members
             self._listed_members = [member.host for member in ranked(digest.members)]
         for member in digest.members:
             if member.host != self._own.host:
@@ -211,6 +233,11 @@
 
     def _merge_listed_member(self, member: Member, now: float) -> None:
         """Record that the zone's aggregator lists a host as live."""
+        peer = self._peers.get(member.host)
+        if self._is_known_live(peer, member, now):
+            peer.last_heard_at = now
+            return
+        self._own_relays = None
         self.add(member, now)
         peer = self._peers[member.host]
         peer.last_heard_at = now
@@ -243,7 +270,14 @@
 
     def leader(self, now: float) -> Peer | None:
         """Return the leader: the live host with the highest fencing token."""
-        leaders = [peer for peer in self.live(now) if peer.digest.fence > 0]
+        leaders = [
+            peer
+            for peer in self._peers.values()
+            if peer.digest is not None
+            and peer.digest.fence > 0
+            and not peer.digest.is_leaving
+            and now - peer.digest_at < LIVENESS_TIMEOUT_S
+        ]
         return max(leaders, key=lambda peer: peer.digest.fence, default=None)
 
     def other_leader_heard_at(self) -> float:
@@ -273,9 +307,7 @@
         members = [
             peer.member
             for peer in self._peers.values()
-            if peer.zone == zone
-            and now - peer.last_heard_at < LIVENESS_TIMEOUT_S
-            and not (peer.digest and peer.digest.is_leaving)
+            if peer.member.zone == zone and _is_live(peer, now)
         ]
         return members + ([self._own] if zone == self._own.zone else [])
 
--- a/sequoiapoint/state/peers_test.py
+++ b/sequoiapoint/state/peers_test.py
@@ -1,6 +1,8 @@
+import hypothesis
+import hypothesis.strategies as st
 import pytest
 
-from sequoiapoint.protocol.digests import Digest, Member
+from sequoiapoint.protocol.digests import Digest, Member, Scope
 from sequoiapoint.state.peers import LIVENESS_TIMEOUT_S, PEER_RETENTION_S, Peers
 
 OWN = Member("own", "z", "10.0.0.9:1")
@@ -58,3 +60,35 @@
         peers.merge(digest(host, capacity=capacity), 0.0)
     assert {relay.host for relay in peers.own_relays(0.1)} == {"bb", "dddd"}
     assert peers.leader_candidates(1, 0.1) == [peers.own_relays(0.1)[1].host]
+
+
+HOSTS = st.sampled_from(["a", "bb"])
+STEP = st.tuples(
+    st.sampled_from(["digest", "leaving", "restart", "add", "listed"]),
+    HOSTS,
+    st.sampled_from([100, 900]),
+    st.sampled_from([0.0, LIVENESS_TIMEOUT_S]),
+)
+
+
+@hypothesis.given(st.lists(STEP, min_size=9, max_size=25))
+def test_relays_change_with_the_hosts_at_once(steps):
+    """Guards against relays that are kept although a host is new, changed or gone."""
+    peers, now = Peers(Member("own", "z", "10.0.0.9:1", 500)), 0.0
+    for number, (kind, host, capacity, pause_s) in enumerate(steps):
+        now += pause_s
+        peers.own_relays(now)
+        member = digest(host, capacity=capacity).sender
+        if kind == "add":
+            peers.add(member, now)
+        elif kind == "listed":
+            totals = {"scope": Scope.FLEET, "members": (member,), "capacity": 700}
+            peers.merge(digest("aggregator", **totals), now)
+        else:
+            started_ms = number if kind == "restart" else 0
+            is_leaving = kind == "leaving"
+            sent = digest(host, started_ms, capacity=capacity, is_leaving=is_leaving)
+            peers.merge(sent, now)
+        known = peers.own_relays(now)
+        peers._own_relays = None
+        assert known == peers.own_relays(now)
