Keep the numbers of server processes; fewer steps to merge speeds

A host computed the number of each server's process for all totals that it received, built an unused record for each speed, and copied samples with dataclasses.replace.

--- a/sequoiapoint/coordination/prompt_quarantine.py
+++ b/sequoiapoint/coordination/prompt_quarantine.py
@@ -16,6 +16,7 @@
 them.  The parts to reject are derived from these sets alone.
 """
 
+import functools
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
 
@@ -37,6 +38,8 @@
 """Number of cleared parts that are remembered, those last answered."""
 MAX_SUSPECTS = 512
 """Number of suspects that are remembered, those changed last."""
+MAX_KNOWN_PROCESSES = 4096
+"""Number of server processes whose numbers are kept; a site has at most 1,300."""
 
 
 @dataclass(frozen=True)
@@ -56,6 +59,7 @@
     changed_at: float = 0.0
 
 
+@functools.lru_cache(MAX_KNOWN_PROCESSES)
 def process_number(incarnation: Incarnation) -> int:
     """Return a number that stands for a server process, of 31 bits."""
     server, started_ms = incarnation
--- a/sequoiapoint/state/peers.py
+++ b/sequoiapoint/state/peers.py
@@ -560,6 +560,8 @@
 ) -> Mapping[int, SpeedSample]:
     """Return samples as they were received, with their age as of now."""
     return {
-        process: replace(sample, age_s=sample.age_s + age_s)
+        process: SpeedSample(
+            sample.slowness, sample.age_s + age_s, sample.mean_work, sample.samples
+        )
         for process, sample in samples
     }
--- a/sequoiapoint/state/server_speed.py
+++ b/sequoiapoint/state/server_speed.py
@@ -110,7 +110,10 @@
         :param slowness: How long work takes, as a multiple of the usual time.
         :param at: When the response arrived at a host, in seconds.
         """
-        self._speeds.setdefault(server, _Speed()).note_slowness(slowness, at)
+        speed = self._speeds.get(server)
+        if speed is None:
+            speed = self._speeds[server] = _Speed()
+        speed.note_slowness(slowness, at)
 
     def note_work(self, server: Incarnation, relative_time: float, now: float) -> None:
         """Record how long a request took, if the server states its slowness.
@@ -174,8 +177,8 @@
         for server, sample in samples.items():
             self.note_slowness(server, sample.slowness, now - sample.age_s)
             others = self._speeds[server].others
-            others.work, others.samples = 0.0, 0.0
-            others.add(sample.mean_work * sample.samples, sample.samples, now)
+            others.work = sample.mean_work * sample.samples
+            others.samples, others.at = sample.samples, max(others.at, now)
 
 
 def add_samples(
