--- a/sequoiapoint/coordination/server_choice.py
+++ b/sequoiapoint/coordination/server_choice.py
@@ -92,6 +92,28 @@
     )
 
 
+def draw_by_speed(
+    servers: Sequence[ServerEntry],
+    relative_times: Mapping[Incarnation, float],
+    random: Callable[[], float],
+) -> ServerEntry | None:
+    """Return a random server, a fast one more often; None if there is none.
+
+    Answers many hosts before a few plain servers whose allocator does not reply: by
+    counts that are too old all of them would choose the same server.
+
+    :param relative_times: How long work takes at each server, nothing if that is not
+        known.
+    :param random: Returns random numbers from 0 to 1.
+    """
+    if not servers:
+        return None
+    weights = (1.0 / relative_times.get(e.incarnation, 1.0) for e in servers)
+    cumulative = list(itertools.accumulate(weights))
+    index = bisect.bisect_right(cumulative, random() * cumulative[-1])
+    return servers[min(index, len(servers) - 1)]
+
+
 def without_leaving(
     servers: Sequence[ServerEntry],
     leaving_s: Callable[[ServerEntry], float | None],
--- a/sequoiapoint/coordination/server_choice_test.py
+++ b/sequoiapoint/coordination/server_choice_test.py
@@ -7,6 +7,7 @@
 from sequoiapoint.coordination.server_choice import (
     Candidate,
     choose,
+    draw_by_speed,
     only_for_suspect,
     without_leaving,
     zones_by_load,
@@ -219,3 +220,17 @@
     )
     assert set(chosen) == {entry.server for entry in servers}
     assert max(chosen.values()) < 2 * min(chosen.values())
+
+
+@pytest.mark.parametrize(
+    ("times", "share"), [({}, 0.5), ({"s-1": 1.0, "s-2": 3.0}, 0.75)]
+)
+def test_a_server_is_drawn_by_its_speed(times, share):
+    entries = [candidate("s-1").entry, candidate("s-2").entry]
+    relative_times = {e.incarnation: times[e.server] for e in entries if times}
+    draws = [
+        draw_by_speed(entries, relative_times, lambda n=n: n / 100).server
+        for n in range(100)
+    ]
+    assert draws.count("s-1") == pytest.approx(100 * share, abs=1)
+    assert draw_by_speed([], {}, lambda: 0.5) is None
--- a/sequoiapoint/coordination/waiting.py
+++ b/sequoiapoint/coordination/waiting.py
@@ -186,21 +186,6 @@
     return is_too_late(predicted_s, min(limit_s, remaining_s))
 
 
-def slots_without_allocator(slots: int, hosts: int, jitter: float) -> int:
-    """Return how many requests a host may run at a plain server without a grant.
-
-    Answers an allocator that does not reply, while many hosts before few slots choose
-    by counts that are too old: they send the servers several times what these can run.
-    Each host gets its share of the slots; rounded at random, the shares add up to the
-    slots.
-
-    :param slots: The number of requests that the server runs at a time.
-    :param hosts: Number of hosts that share the server.
-    :param jitter: A random number from 0 to 1, a new one for each choice.
-    """
-    return math.floor(slots / max(1, hosts) + jitter)
-
-
 def is_full(
     load: float, slots: int, is_engine: bool, relative_time: float | None = None
 ) -> bool:
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -522,23 +522,26 @@
             if self._zone_to_ask(e, now) in zones and not self._is_brittle(e, now)
         ]
         self._needs_capacity |= bool(remaining)
-        if not self.is_engine:
-            remaining = [e for e in remaining if self._has_share_left(e)]
-        return self._choose(remaining, now)
+        if self.is_engine or not self._slots.is_active:
+            return self._choose(remaining, now)
+        return self._draw(remaining, now)
+
+    def _draw(self, serving: Sequence[ServerEntry], now: float) -> ServerEntry | None:
+        """Draw a plain server while the allocator of the service does not reply."""
+        loads = self._state.loads
+        usable = [
+            e for e in serving if not loads.get_or_create(e.incarnation).is_avoided(now)
+        ]
+        untried = [e for e in usable if e.server not in self.tried_servers]
+        candidates = untried or usable or serving
+        times = self._relative_times(candidates, now)
+        return server_choice.draw_by_speed(candidates, times, self._state.rng.random)
 
     def _zones_to_choose_alone(self) -> Set[str]:
         return server_choice.zones_to_choose_alone(
             self._silent_zones, self._is_queued, self._state.settings.zone
         )
 
-    def _has_share_left(self, entry: ServerEntry) -> bool:
-        """Tell whether this host may use a plain server that no allocator grants."""
-        state = self._state
-        share = waiting.slots_without_allocator(
-            entry.slots, state.recent_max_host_count, state.rng.random()
-        )
-        return state.loads.get_or_create(entry.incarnation).local_running < share
-
     def _granted_server(self, ticket: SlotTicket) -> ServerEntry | None:
         if ticket.grant is None:
             return None
