--- a/sequoiapoint/protocol/origins.py
+++ b/sequoiapoint/protocol/origins.py
@@ -177,7 +177,7 @@
     )
     if len(keys) % KEY_BYTES:
         raise ValueError(f"keys of streams have {len(keys)} bytes")
-    streams = tuple(keys[i : i + KEY_BYTES] for i in range(0, len(keys), KEY_BYTES))
+    streams = tuple([keys[i : i + KEY_BYTES] for i in range(0, len(keys), KEY_BYTES)])
     if is_certain:
         return OriginGroup(version, streams)
     if not name:
--- a/sequoiapoint/protocol/packed.py
+++ b/sequoiapoint/protocol/packed.py
@@ -20,6 +20,8 @@
 _ALL_ZERO, _ALL_SET = 0x00, 0xFF
 _SET_WORD_BYTES = 1 + WORD_BYTES + 1
 """The size of a packed word without zero bytes, up to the length of the run."""
+_END = bytes(_SET_WORD_BYTES)
+"""Follows the sizes of packed words, so that the last one needs no check of its own."""
 _PLAIN_WORD_BYTES = bytes(
     0 if tag in (_ALL_ZERO, _ALL_SET) else 1 + tag.bit_count() for tag in range(256)
 )
@@ -37,9 +39,7 @@
     :raises ValueError: The data is not exactly one message.
     """
     _check(data, max_words)
-    return schema.from_bytes_packed(
-        data, traversal_limit_in_words=_READS_PER_WORD * max_words
-    )
+    return schema.from_bytes_packed(data, _READS_PER_WORD * max_words)
 
 
 def _check(data: bytes, max_words: int) -> None:
@@ -58,7 +58,7 @@
 
 def _count_words(data: bytes) -> int:
     """Return the number of words that the data stands for."""
-    sizes = data.translate(_PLAIN_WORD_BYTES) + bytes(_SET_WORD_BYTES)
+    sizes = data.translate(_PLAIN_WORD_BYTES) + _END
     end = len(data)
     position = words = 0
     while True:
@@ -68,15 +68,15 @@
         if position >= end:
             break
         words += 1
-        if data[position] == _ALL_ZERO:
-            words += data[position + 1]
-            position += 2
-        else:
+        if data[position]:
             position += _SET_WORD_BYTES
             if run := data[position - 1]:
                 # The next words follow as they are.
                 words += run
                 position += WORD_BYTES * run
+        else:
+            words += data[position + 1]
+            position += 2
     if position > end:
         raise ValueError("not a message: cut off")
     return words
