Further copies for many waiting requests precede first copies for one

Cause: the gain of a further copy was the excess of requests over the capacity, divided by the number of copies, until a whole batch waited for it.

Change: each request that waits for a further copy counts half as much as one that waits for a first copy, up to a batch; from half a batch on, such a copy may use the orders that are kept for overdue models.

--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -70,6 +70,12 @@
 UNSERVED_DOUBLING_S = 2.5
 """Time for which a model's requests have been waiting without a copy that doubles the
 gain of its first copy."""
+WAITING_WEIGHT = 4.0
+"""Weight of a request that waits for a further copy: half of one that waits for a first
+copy, as the copies that exist serve some of those that wait."""
+URGENT_BATCH_SHARE = 0.5
+"""Share of a batch that waits for further copies from which on these may use the orders
+that are kept for overdue models."""
 SHORTAGE_WEIGHT = 16.0
 """Weight of a request that waits for a further copy while a whole batch of requests
 waits: a copy serves such a batch, and those that follow it, within seconds."""
@@ -393,18 +399,25 @@
             )
         capacity = copies * self._scale_out_utilisation * self._spec.slots
         gain = max(0.0, demand.expected_requests - capacity) / (1.0 + copies)
+        gain = max(gain, WAITING_WEIGHT * self._waiting_for_further_copies(name))
         if self._has_shortage(name):
             gain = max(gain, SHORTAGE_WEIGHT * self._spec.slots)
         return gain
 
-    def _has_shortage(self, name: str) -> bool:
-        """Tell whether a whole batch of requests waits for further copies of a model.
+    def _waiting_for_further_copies(self, name: str) -> float:
+        """Return how many requests wait for further copies, at most a batch of them.
 
         Copies that are being loaded are taken to serve a batch each.
         """
+        if not self._copy_counts[name]:
+            return 0.0
         slots = self._spec.slots
         left = self._demand_of(name).waiting - slots * self._coming_counts[name]
-        return self._copy_counts[name] > 0 and left >= slots
+        return min(slots, max(0.0, left))
+
+    def _has_shortage(self, name: str) -> bool:
+        """Tell whether a whole batch of requests waits for further copies of a model."""
+        return self._waiting_for_further_copies(name) >= self._spec.slots
 
     def commit(self, name: str, order: PlannedOrder) -> None:
         """Account for an order that will be sent."""
@@ -444,7 +457,8 @@
             and self._demand_of(name).waiting > 0
         )
         orders_left = self._orders_left
-        if is_overdue or self._has_shortage(name):
+        waiting = self._waiting_for_further_copies(name)
+        if is_overdue or waiting >= URGENT_BATCH_SHARE * self._spec.slots:
             orders_left = self._overdue_orders_left
         best: tuple[bool, float, PlannedOrder] | None = None
         reasons = self._evictable_models(name)
--- a/sequoiapoint/coordination/model_placement_test.py
+++ b/sequoiapoint/coordination/model_placement_test.py
@@ -456,3 +456,19 @@
     demand = {"m0": DemandStats(8.0, 0, 0.0, goal_s=0.3, growth_per_s=growth_per_s)}
     orders = model_placement.plan_models(engines, spec, demand, 20)
     assert sum(order.model == "m0" for order in orders) == copies
+
+
+@pytest.mark.parametrize(
+    ("waiting", "first"), [(1, "m9"), (5, "m0"), (11, "m0"), (30, "m0")]
+)
+def test_a_further_copy_for_many_precedes_a_first_copy_for_one(waiting, first):
+    # Loads for models with one waiting request used up the orders that may be in
+    # progress, while 17 to 41 requests waited for a third copy for four seconds.
+    spec = replace(SPEC, slots=12)
+    engines = [engine("a", "m0"), engine("b", "m0"), engine("c", "m1")]
+    demand = {
+        "m0": DemandStats(14.0, waiting, 0.0, goal_s=0.3),
+        "m9": DemandStats(0.0, 1, 0.0, goal_s=0.3, unserved_s=1.0),
+    }
+    planner = model_placement._Planner(engines, spec, demand, 0.0, True, True)
+    assert planner.models_lacking_copies()[0] == first
