--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -416,7 +416,7 @@
         return min(slots, max(0.0, left))
 
     def _has_shortage(self, name: str) -> bool:
-        """Tell whether a whole batch of requests waits for further copies of a model."""
+        """Tell whether a whole batch of requests waits for further copies."""
         return self._waiting_for_further_copies(name) >= self._spec.slots
 
     def commit(self, name: str, order: PlannedOrder) -> None:
