Separate the reading parts of the selection of a server

Cause: an explanation of a decision must call the functions of the decision, which partly send messages or take slots, permits and credit. Change: the order of groups of servers, the zones to ask, the request for a slot and the capacity check are functions of their own, at the end of ServerSelector; the exchanges tell which allocator can be asked, what it denied and which wait is expected; the credit of an organisation is decided with a copy. Behaviour is unchanged.

--- a/sequoiapoint/coordination/slot_allocator.py
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -459,6 +459,23 @@
 
         return min(candidates, key=cost)
 
+    def expected_wait_s(self, request: SlotRequest, now: float) -> float | None:
+        """Return the wait that a request would have; it is neither granted nor queued.
+
+        :return: 0 if a slot is free, None if nothing has ended there so far.
+        """
+        engines = (self._by_server.get(server) for server in request.candidates)
+        if any(engine and engine.has_free_slot(now) for engine in engines):
+            return 0.0
+        queued = _Queued(
+            request,
+            now,
+            now + request.remaining_s,
+            now + request.goal_s,
+            self.queue_length,
+        )
+        return self._predicted_wait_s(queued, now) or None
+
 
 def plain_slots(slots: int) -> int:
     """Return how many requests to grant at a time to a server with a queue.
--- a/sequoiapoint/node/allowance_exchange.py
+++ b/sequoiapoint/node/allowance_exchange.py
@@ -7,9 +7,11 @@
 """
 
 import asyncio
+import copy
 import itertools
 from collections import Counter
 from collections.abc import Mapping
+from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from sequoiapoint.coordination.allowance_allocator import (
@@ -52,6 +54,24 @@
 """Bits of a message's number that count; those above tell processes apart."""
 
 
+@dataclass(frozen=True)
+class AllowanceForecast:
+    """What a request of an organisation would meet.
+
+    :param decision: None if the allocator would be asked.
+    :param held: Units that this host may charge without asking.
+    :param units_per_s: Units a second that were admitted here lately.
+    :param is_silent: Whether the allocator has not replied lately.
+    :param allocator: The allocator's host, "" if it is not known.
+    """
+
+    decision: Decision | None
+    held: float = 0.0
+    units_per_s: float = 0.0
+    is_silent: bool = False
+    allocator: str = ""
+
+
 class _Summary:
     """What was denied of one organisation since the last line in the log."""
 
@@ -377,3 +397,32 @@
                 last_wait_s=round(summary.wait_s, 2),
                 last_request=summary.request_id,
             )
+
+    # Read-only: what a request would meet
+
+    def forecast(
+        self, organisation: Organisation, charge: Charge, draw: float
+    ) -> AllowanceForecast:
+        """Return what ``admit`` would decide now; nothing is charged or asked.
+
+        :param draw: A random number from 0 to 1.
+        """
+        allowance = organisation.allowance
+        if allowance is None or allowance.rate_per_s <= 0.0:
+            return AllowanceForecast(GRANTED)
+        now = since_boot_s()
+        member = self._allocator_of(organisation.name, now)
+        allocator = "" if member is None else member.host
+        client = self._clients.get(organisation.name)
+        if client is None:
+            return AllowanceForecast(None, allocator=allocator)
+        # The decision charges the credit, so it is made with a copy.
+        credit = copy.deepcopy(client.credit)
+        credit.set_allowance(allowance)
+        return AllowanceForecast(
+            credit.decide(charge, now, draw),
+            client.credit.held(now),
+            client.credit.rate_per_s(now),
+            client.credit.is_silent,
+            allocator,
+        )
--- a/sequoiapoint/node/permit_exchange.py
+++ b/sequoiapoint/node/permit_exchange.py
@@ -94,9 +94,9 @@
         """
         now = monotonic_s()
         server = entry.incarnation
-        denied_s = self._denied_until.get(server, 0.0) - now
-        if not asks_anew and denied_s > 0.0:
-            return Denial(denied_s)
+        denial = self.known_denial(entry, now)
+        if not asks_anew and denial is not None:
+            return denial
         reply = await self._ask(entry, caller, max_wait_s, now)
         now = monotonic_s()
         if reply is None:
@@ -111,8 +111,8 @@
         self, entry: ServerEntry, caller: int, max_wait_s: float, now: float
     ) -> PermitReply | None:
         """Return the allocator's reply, None if it cannot be reached."""
-        member = self._allocator_of(entry.zone, now)
-        if member is None or now < self._unreachable_until.get(member.address, 0.0):
+        member = self.reachable_allocator(entry.zone, now)
+        if member is None:
             return None
         limits = self._state.limits
         request = PermitRequest(
@@ -232,3 +232,20 @@
             for server, until in self._denied_until.items()
             if server in limited
         }
+
+    # Read-only: what a request would meet.  Explanations call them too.
+
+    def known_denial(self, entry: ServerEntry, now: float) -> Denial | None:
+        """Return the denial of a server's permits that still holds, if any."""
+        denied_s = self._denied_until.get(entry.incarnation, 0.0) - now
+        return Denial(denied_s) if denied_s > 0.0 else None
+
+    def reachable_allocator(self, server_zone: str, now: float) -> Member | None:
+        """Return the allocator of the permits of a zone's servers.
+
+        :return: None if it is not known or has not replied lately.
+        """
+        member = self._allocator_of(server_zone, now)
+        if member is None or now < self._unreachable_until.get(member.address, 0.0):
+            return None
+        return member
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -263,25 +263,16 @@
         Servers with a limit come last, except for a request now and then that shows
         whether the limit still holds.
         """
-        serving = self._serving(now)
-        limited = [e for e in serving if self._has_limit(e)]
-        if not limited:
-            return await self._acquire_unlimited(ticket, serving, now)
-        others = [e for e in serving if not self._has_limit(e)]
-        if not others:
-            return await self._acquire_limited(limited, is_only_choice=True)
-        loads = self._state.loads
-        are_avoided = all(
-            loads.get_or_create(e.incarnation).is_avoided(now) for e in others
-        )
-        if are_avoided or self._is_limit_check_due(limited, now):
-            entry = await self._acquire_limited(limited, is_only_choice=False)
+        groups = self.groups(self._serving(now), now)
+        for servers, have_limit in groups:
+            if have_limit:
+                is_only_choice = len(groups) == 1
+                entry = await self._acquire_limited(servers, is_only_choice)
+            else:
+                entry = await self._acquire_unlimited(ticket, servers, monotonic_s())
             if entry is not None:
                 return entry
-        entry = await self._acquire_unlimited(ticket, others, monotonic_s())
-        if entry is None:
-            entry = await self._acquire_limited(limited, is_only_choice=False)
-        return entry
+        return None
 
     def _is_version_missing(self) -> bool:
         """Tell whether no server can go on with the stream that the request resumes.
@@ -325,17 +316,7 @@
         :param is_only_choice: Whether no other server can run the request; its caller
             is then told when to come back, and a permit is reserved for it.
         """
-        now = monotonic_s()
-        running = self._running(limited, now)
-        own_zone = self._state.settings.zone
-        limited = sorted(
-            limited,
-            key=lambda e: (
-                e.server in self.tried_servers,
-                e.zone != own_zone,
-                running[e.server],
-            ),
-        )[:MAX_LIMITED_ASKED]
+        limited = self.limited_to_ask(limited, monotonic_s())
         soonest, soonest_s = limited[0], math.inf
         if len(limited) > 1 or not is_only_choice:
             for entry in limited:
@@ -443,46 +424,12 @@
         :return: The zones whose allocators cannot be reached, and whether any other
             allocator has granted a slot or queued the request.
         """
-        state = self._state
-        preferred = [
-            e
-            for e in serving
-            if e.server not in self.tried_servers
-            and not state.loads.get_or_create(e.incarnation).is_avoided(now)
-        ]
-        # The allocator grants the first of several engines that are equally loaded.
-        candidates = sorted(
-            preferred or serving, key=lambda e: not state.pools.has_idle(e, now)
-        )
         silent_zones = set()
         ticket.wait_s = 0.0
-        zones = server_choice.zones_by_load(
-            candidates,
-            self._running(candidates, now),
-            state.settings.zone,
-            self._relative_times(candidates, now),
-        )
-        by_zone: dict[str, list[str]] = {}
-        brittle_zones: set[str] = set()
-        for zone in zones:
-            members = [e for e in candidates if e.zone == zone]
-            if all(self._is_brittle(e, now) for e in members):
-                zone = self._slots.allocating_zone(zone, now)
-                brittle_zones.add(zone)
-            else:
-                zone = self._zone_to_ask(members[0], now)
-            by_zone.setdefault(zone, []).extend(e.server for e in members)
+        by_zone, brittle_zones = self.zones_to_ask(serving, now)
         asked = 0
         for zone, servers in by_zone.items():
-            slot_request = SlotRequest(
-                state.settings.host,
-                ticket.number,
-                tuple(servers),
-                self.priority,
-                self._deadline - now,
-                max(0.0, self._arrived_s + self._route.goal_s - now),
-                self._request.organisation or "",
-            )
+            slot_request = self.slot_request(ticket.number, servers, now)
             outcome = await self._slots.ask(
                 ticket, zone, slot_request, zone in brittle_zones
             )
@@ -612,23 +559,18 @@
         times = self._relative_times(serving, now)
         for entry in untried or serving:
             time = times.get(entry.incarnation)
-            load = state.loads.get_or_create(entry.incarnation)
-            running = load.running(now)
-            if waiting.is_full(running, entry.slots, self.is_engine, time):
-                self.reason = "servers_full"
-                continue
-            if not self._has_connections_left(entry):
-                self.reason = "no_connection"
-                continue
-            pending_tokens = sum(load.pending_prompt_tokens.values())
-            if self.is_engine and not waiting.may_send_prompt(
-                pending_tokens, self.prompt_tokens, state.host_count
-            ):
-                self.reason = "engine_reads"
+            refusal = self.capacity_refusal(entry, time, now)
+            if refusal:
+                self.reason = refusal
                 continue
+            load = state.loads.get_or_create(entry.incarnation)
             candidates.append(
                 server_choice.Candidate(
-                    entry, running, load.failure_rate, load.is_avoided(now), time
+                    entry,
+                    load.running(now),
+                    load.failure_rate,
+                    load.is_avoided(now),
+                    time,
                 )
             )
         chosen = server_choice.choose(
@@ -644,6 +586,142 @@
         local_running = self._state.loads.get_or_create(entry.incarnation).local_running
         return local_running < max(1.0, share)
 
+    # The parts of the decision that only read.  Explanations call them too.
+
+    def serving(self, now: float) -> list[ServerEntry]:
+        """Return the servers that can run the request, whether or not they are full.
+
+        It sets ``reason`` and ``back_off_s``.
+        """
+        return self._serving(now)
+
+    def groups(
+        self, serving: list[ServerEntry], now: float
+    ) -> list[tuple[list[ServerEntry], bool]]:
+        """Return groups of servers in the order in which they are tried.
+
+        :return: The servers of each group, and whether they have a limit.
+        """
+        limited = [e for e in serving if self._has_limit(e)]
+        others = [e for e in serving if not self._has_limit(e)]
+        if not limited or not others:
+            return [(limited or others, bool(limited))]
+        loads = self._state.loads
+        are_avoided = all(
+            loads.get_or_create(e.incarnation).is_avoided(now) for e in others
+        )
+        is_limit_first = are_avoided or self._is_limit_check_due(limited, now)
+        first = [(limited, True)] if is_limit_first else []
+        return [*first, (others, False), (limited, True)]
+
+    def limited_to_ask(
+        self, limited: Sequence[ServerEntry], now: float
+    ) -> list[ServerEntry]:
+        """Return the servers with a limit for which to request permits, in order."""
+        running = self._running(list(limited), now)
+        own_zone = self._state.settings.zone
+        return sorted(
+            limited,
+            key=lambda e: (
+                e.server in self.tried_servers,
+                e.zone != own_zone,
+                running[e.server],
+            ),
+        )[:MAX_LIMITED_ASKED]
+
+    def zones_to_ask(
+        self, serving: Sequence[ServerEntry], now: float
+    ) -> tuple[Mapping[str, list[str]], set[str]]:
+        """Return the zones whose allocators are asked for a slot, in order.
+
+        :return: The servers to name to each zone's allocator, and the zones of which
+            all servers are brittle.
+        """
+        state = self._state
+        preferred = [
+            e
+            for e in serving
+            if e.server not in self.tried_servers
+            and not state.loads.get_or_create(e.incarnation).is_avoided(now)
+        ]
+        # The allocator grants the first of several engines that are equally loaded.
+        candidates = sorted(
+            preferred or serving, key=lambda e: not state.pools.has_idle(e, now)
+        )
+        zones = server_choice.zones_by_load(
+            candidates,
+            self._running(candidates, now),
+            state.settings.zone,
+            self._relative_times(candidates, now),
+        )
+        by_zone: dict[str, list[str]] = {}
+        brittle_zones: set[str] = set()
+        for zone in zones:
+            members = [e for e in candidates if e.zone == zone]
+            if all(self._is_brittle(e, now) for e in members):
+                zone = self._slots.allocating_zone(zone, now)
+                brittle_zones.add(zone)
+            else:
+                zone = self._zone_to_ask(members[0], now)
+            by_zone.setdefault(zone, []).extend(e.server for e in members)
+        return by_zone, brittle_zones
+
+    def slot_request(
+        self, number: int, servers: Sequence[str], now: float
+    ) -> SlotRequest:
+        """Return the request for a slot at one of several servers."""
+        return SlotRequest(
+            self._state.settings.host,
+            number,
+            tuple(servers),
+            self.priority,
+            self._deadline - now,
+            max(0.0, self._arrived_s + self._route.goal_s - now),
+            self._request.organisation or "",
+        )
+
+    def zone_to_ask(self, entry: ServerEntry, now: float) -> str:
+        """Return the zone whose allocator grants the slots of a server."""
+        return self._zone_to_ask(entry, now)
+
+    def choose_alone(
+        self, serving: list[ServerEntry], now: float
+    ) -> ServerEntry | None:
+        """Return the server that this host chooses without an allocator, if any."""
+        return self._choose(serving, now)
+
+    def capacity_refusal(
+        self, entry: ServerEntry, relative_time: float | None, now: float
+    ) -> str:
+        """Return why this host sends a server nothing more now, "" if it would."""
+        load = self._state.loads.get_or_create(entry.incarnation)
+        if waiting.is_full(
+            load.running(now), entry.slots, self.is_engine, relative_time
+        ):
+            return "servers_full"
+        if not self.has_connections_left(entry):
+            return "no_connection"
+        pending_tokens = sum(load.pending_prompt_tokens.values())
+        if self.is_engine and not waiting.may_send_prompt(
+            pending_tokens, self.prompt_tokens, self._state.host_count
+        ):
+            return "engine_reads"
+        return ""
+
+    def has_connections_left(self, entry: ServerEntry) -> bool:
+        """Tell whether this host uses less than its share of a server's connections."""
+        return self._has_connections_left(entry)
+
+    def is_brittle(self, entry: ServerEntry, now: float) -> bool:
+        """Tell whether a server gets nothing but what its allocator has granted."""
+        return self._is_brittle(entry, now)
+
+    def relative_times(
+        self, entries: Sequence[ServerEntry], now: float
+    ) -> Mapping[Incarnation, float]:
+        """Return how long work takes at each server, nothing if none states it."""
+        return self._relative_times(entries, now)
+
 
 def _choose_service(state: GatewayState, route: Route) -> str:
     """Choose a service at random, according to the weights of the route's targets."""
--- a/sequoiapoint/node/slot_exchange.py
+++ b/sequoiapoint/node/slot_exchange.py
@@ -203,8 +203,8 @@
             ``UNAVAILABLE`` if the allocator is not known or does not reply.
         """
         now = monotonic_s()
-        member = self._allocator_of(zone, now)
-        if member is None or now < self._unreachable_until.get(member.address, 0.0):
+        member = self.reachable_allocator(zone, now)
+        if member is None:
             return SlotOutcome.UNAVAILABLE
         ticket.asked[member.address] = member
         ticket.asked_at = now
@@ -439,3 +439,39 @@
     def _send_grants(self, grants: list[SlotReply]) -> None:
         for grant in grants:
             self._reply(grant, self._requesting_hosts[grant.host])
+
+    # Read-only: what a request would meet.  Explanations call them too.
+
+    def reachable_allocator(self, zone: str, now: float) -> Member | None:
+        """Return a zone's allocator, None if it is not known or has not replied."""
+        member = self._allocator_of(zone, now)
+        if member is None or now < self._unreachable_until.get(member.address, 0.0):
+            return None
+        return member
+
+    def expected_wait_s(
+        self, zone: str, request: SlotRequest, now: float
+    ) -> float | None:
+        """Return the expected wait of a request that is not sent, in seconds.
+
+        If this host is the zone's allocator, it is that of its queue.  Otherwise it is
+        what the allocator has last replied to a request that waits at this host.
+
+        :return: None if nothing is known.
+        """
+        member = self.reachable_allocator(zone, now)
+        if member is None:
+            return None
+        if member == self._own:
+            if not self._is_allocating:
+                return None
+            return self.allocator.expected_wait_s(request, now)
+        told = [
+            ticket
+            for ticket in self._tickets.values()
+            if ticket.wait_s and member.address in ticket.asked
+        ]
+        if not told:
+            return None
+        newest = max(told, key=lambda ticket: ticket.asked_at)
+        return max(0.0, newest.asked_at + newest.wait_s - now)
