--- a/sequoiapoint/node/explanation_test.py
+++ b/sequoiapoint/node/explanation_test.py
@@ -9,6 +9,7 @@
 import pytest
 
 from sequoiapoint.node.explanation import Explainer
+from sequoiapoint.node.gateway_host import GatewayHost
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.peer_exchange import PeerExchange
 from sequoiapoint.node.server_selector import ServerSelector
@@ -133,7 +134,8 @@
         replies = []
         responder = SimpleNamespace(send_response=lambda *reply: replies.append(reply))
         request = SimpleNamespace(target=f"/explain?{query}")
-        asyncio.run(Explainer(self.state, self.exchange).serve(request, responder))
+        host = SimpleNamespace(_state=self.state, _exchange=self.exchange)
+        asyncio.run(GatewayHost._serve_metrics(host, request, responder))
         ((status, _, body),) = replies
         return status, json.loads(body)
 
--- a/standins/plain_load.py
+++ b/standins/plain_load.py
@@ -58,13 +58,14 @@
     speed: float
     slows_when_filled: bool = False
     slowed_until: float = 0.0
+    slowed_factor: float = SLOWED
     running: int = 0
     queue: deque = field(default_factory=deque)
 
     def slowness(self, now: float) -> float:
         """Return what the server states."""
         is_filled = self.slows_when_filled and self.running >= SLOTS - 1
-        return (SLOWED if now < self.slowed_until else 1.0) * (
+        return (self.slowed_factor if now < self.slowed_until else 1.0) * (
             FILLED if is_filled else 1.0
         )
 
@@ -101,6 +102,7 @@
     :param burst: Factor on the rate for a second in every five.
     :param speeds: The usual times of the servers, relative to the fastest.
     :param slowed_share: Share of its time for which each server is slowed.
+    :param slowed_factor: How long work takes then, as a multiple of the usual time.
     """
 
     hosts: int = 74
@@ -109,6 +111,7 @@
     burst: float = 1.0
     speeds: tuple[float, ...] = (1.0, 1.6, 2.7)
     slowed_share: float = 0.15
+    slowed_factor: float = SLOWED
     slows_when_filled: bool = False
     duration_s: float = 55.0
 
@@ -137,6 +140,7 @@
                 ),
                 speed,
                 load.slows_when_filled,
+                slowed_factor=load.slowed_factor,
             )
             for n, speed in enumerate(load.speeds)
         ]
