--- a/sequoiapoint/cli/explain.py
+++ b/sequoiapoint/cli/explain.py
@@ -27,9 +27,8 @@
 HEADINGS = ("server", "zone", "reason", "load", "slots", "time", "notes")
 
 
-def add_parser(commands: argparse._SubParsersAction) -> None:
-    """Add the command and its arguments."""
-    parser = commands.add_parser("explain", help="tell what was decided and why")
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of the command."""
     parser.add_argument(
         "subject", nargs="?", help="a request id, a model, an adapter or a server"
     )
--- a/sequoiapoint/coordination/demand_history.py
+++ b/sequoiapoint/coordination/demand_history.py
@@ -17,9 +17,22 @@
 
 SMOOTHING_S = 1.0
 """Time constant of the smoothing, and so the time in which a shift of demand shows."""
+TREND_SMOOTHING_S = 3.0
+"""Time constant of a second smoothing.  Of demand that rises steadily, the difference
+of both smoothed numbers is the increase in the difference of their time constants."""
+MIN_GROWTH_SHARE = 0.25
+"""Difference of both, as a share of the slower one, that is attributed to chance."""
+MIN_GROWTH_REQUESTS = 1.0
+"""The same as a number of requests."""
 UNPLACED_AFTER_S = 0.5
 """Time for which requests have to wait for a model or adapter that no engine holds
 before it is reported; most adapters load within milliseconds."""
+SETTLING_S = 2.5
+"""Time from the first requests to a service until it is known which copies of models
+are surplus.  Before, models in high demand seem to need none: their first requests have
+not been reported yet, and fewer run at a time than later."""
+QUIET_S = 5.0
+"""Time without requests to a service after which its demand has to settle again."""
 ADAPTER_RECENT_S = 5.0
 """Time after its last request for which an adapter counts as recently requested."""
 
@@ -52,8 +65,10 @@
         self._started_at = started_at
         self._updated_at = 0.0
         self._running: dict[tuple[str, str], float] = {}
+        self._trend: dict[tuple[str, str], float] = {}
         self._waiting: Counter[tuple[str, str]] = Counter()
         self._last_requested_at: dict[tuple[str, str], float] = {}
+        self._active: dict[str, tuple[float, float]] = {}
         self._min_goals: dict[tuple[str, str], float] = {}
         self._min_priorities: dict[tuple[str, str], int] = {}
         self._adapter_last_requested_at: dict[tuple[str, str, str], float] = {}
@@ -64,7 +79,9 @@
 
     def update(self, total: Iterable[ModelDemand], now: float) -> None:
         """Update the history with the demand summed over all hosts."""
-        weight = 1.0 - math.exp(-(now - self._updated_at) / SMOOTHING_S)
+        elapsed_s = now - self._updated_at
+        weight = 1.0 - math.exp(-elapsed_s / SMOOTHING_S)
+        trend_weight = 1.0 - math.exp(-elapsed_s / TREND_SMOOTHING_S)
         self._updated_at = now
         running_totals: Counter[tuple[str, str]] = Counter()
         self._waiting.clear()
@@ -72,6 +89,7 @@
         self._pairs_waiting = {}
         for demand in total:
             key = (demand.service, demand.model)
+            self._note_active(demand.service, now)
             running_totals[key] += demand.running
             self._waiting[key] += demand.waiting
             self._last_requested_at[key] = now
@@ -90,6 +108,37 @@
         for key in self._running.keys() | running_totals.keys():
             smoothed = self._running.get(key, 0.0)
             self._running[key] = smoothed + weight * (running_totals[key] - smoothed)
+            trend = self._trend.get(key, 0.0)
+            self._trend[key] = trend + trend_weight * (running_totals[key] - trend)
+
+    def growth_per_s(self, service: str, model: str) -> float:
+        """Return by how many requests a second the demand for a model rises.
+
+        Answers demand that moves to another model within seconds, less than it takes to
+        load its further copies.
+
+        :return: 0 if it does not rise by more than chance.
+        """
+        key = (service, model)
+        trend = self._trend.get(key, 0.0)
+        rise = self._running.get(key, 0.0) - trend
+        if rise < MIN_GROWTH_SHARE * trend + MIN_GROWTH_REQUESTS:
+            return 0.0
+        return rise / (TREND_SMOOTHING_S - SMOOTHING_S)
+
+    def _note_active(self, service: str, now: float) -> None:
+        """Record since when and until when a service has had requests."""
+        since, until = self._active.get(service, (now, now))
+        self._active[service] = (now if now - until > QUIET_S else since, now)
+
+    def is_settled(self, service: str, now: float) -> bool:
+        """Tell whether requests have come for long enough to tell surplus copies.
+
+        Answers traffic that begins at full rate: for the first seconds, no model seems
+        to be in demand, and those with the most copies would lose them first.
+        """
+        since, until = self._active.get(service, (now, now))
+        return now - until <= QUIET_S and now - since >= SETTLING_S
 
     def _update_unserved(self, demand: ModelDemand, now: float) -> None:
         """Track since when requests have waited with none being served.
@@ -166,6 +215,7 @@
 
         :param least_urgent: Priority of the service's least urgent requests.
         """
+        is_settled = self.is_settled(service, now)
         adapters = Counter(
             model
             for (name, model, _), at in self._adapter_last_requested_at.items()
@@ -180,6 +230,7 @@
                 self._min_goals.get((service, model)),
                 self._min_priorities.get((service, model), 0) == least_urgent,
                 self._unserved_models.elapsed_s((service, model), now),
+                self.growth_per_s(service, model) if is_settled else 0.0,
             )
             for model in models
         }
--- a/sequoiapoint/coordination/demand_history_test.py
+++ b/sequoiapoint/coordination/demand_history_test.py
@@ -75,3 +75,46 @@
     history.update([ModelDemand("lm", "oak", "", 1, 0, 0.3, 0)], 109.0)
     history.update([replace(waits("oak"), unserved_s=9.0)], 110.0)
     assert unserved_s(history, 110.0) == 1.0
+
+
+@pytest.mark.parametrize(
+    ("requests_at", "now", "is_settled"),
+    [
+        ([], 20.0, False),
+        ([10.0], 10.5, False),
+        ([10.0, 11.0, 12.0], 12.4, False),
+        ([10.0, 11.0, 12.0], 12.6, True),
+        ([10.0, 12.0, 14.0, 20.0], 20.0, False),
+        ([10.0, 12.0, 14.0, 20.0, 22.5], 22.5, True),
+    ],
+)
+def test_demand_settles_some_time_after_the_first_requests(
+    requests_at, now, is_settled
+):
+    # Traffic that began at full rate made the busiest models lose copies within 0.2 s.
+    history = DemandHistory(0.0)
+    for at in requests_at:
+        history.update([waits("oak")], at)
+    assert history.is_settled("lm", now) is is_settled
+
+
+@pytest.mark.parametrize(
+    ("running_at", "least", "most"),
+    [
+        # Demand that moves to a model: from 0 to 40 requests within four seconds.
+        (lambda at: max(0.0, min(40.0, 10.0 * (at - 20.0))), 4.0, 10.0),
+        (lambda at: 20.0 + 4.0 * (int(2 * at) % 2), 0.0, 0.0),
+        (lambda at: max(0.0, 40.0 - 10.0 * (at - 20.0)), 0.0, 0.0),
+    ],
+    ids=["rising", "steady", "falling"],
+)
+def test_a_rise_of_demand_shows_while_it_lasts(running_at, least, most):
+    # Copies of a model were loaded from the time on that requests waited for it, 2.5 s
+    # after its two copies were three quarters full; a load takes four seconds.
+    history = DemandHistory(0.0)
+    for step in range(47):
+        at = 0.5 * step
+        running = round(running_at(at))
+        history.update([ModelDemand("lm", "oak", "", running, 0, 0.3, 0)], at)
+    growth = history.demand_by_model("lm", ["oak"], 0, 23.0)["oak"].growth_per_s
+    assert least <= growth <= most
--- a/sequoiapoint/node/explanation.py
+++ b/sequoiapoint/node/explanation.py
@@ -9,6 +9,7 @@
 import http
 import json
 import math
+from collections.abc import Sequence
 from dataclasses import asdict, dataclass, replace
 from typing import Any
 
@@ -264,12 +265,12 @@
             return NextStep(
                 "refuse", selector.reason, predicted_wait_s=selector.back_off_s
             )
-        if now > self._state.queue_deadline:
+        if now >= self._state.queue_deadline:
             return NextStep("refuse", selector.reason)
         limit_s = waiting.wait_limit_s(self._route, self._route.timeout_s)
         return NextStep("wait", selector.reason, wait_limit_s=limit_s)
 
-    def _ask_permit(self, servers: list[ServerEntry]) -> NextStep | None:
+    def _ask_permit(self, servers: Sequence[ServerEntry]) -> NextStep | None:
         """Return the step for servers with a limit, None if no permit can be had."""
         permits, now = self._exchange.permits, self._now
         is_only_choice = len(servers) == len(self._serving)
@@ -291,40 +292,38 @@
         wait_s = min(waits_s, default=None)
         return NextStep("refuse", "servers_limited", predicted_wait_s=wait_s)
 
-    def _choose(self, servers: list[ServerEntry]) -> NextStep | None:
+    def _choose(self, servers: Sequence[ServerEntry]) -> NextStep | None:
         """Return the step for servers without a limit, None if all are full."""
         selector, now = self._selector, self._now
         if self._exchange.slots.is_active:
             to_ask = servers
             if not selector.is_engine:
-                to_ask = [e for e in servers if selector.has_connections_left(e)]
+                to_ask = selector.with_connections_left(servers)
         else:
             free = [e for e in servers if not selector.is_brittle(e, now)]
-            entry = selector.choose_alone(free, now)
+            entry = selector.choose(free, now)
             if entry is not None:
                 return NextStep("send", server=entry.server)
-            to_ask = [
-                e
-                for e in servers
-                if selector.is_brittle(e, now) and selector.has_connections_left(e)
-            ]
+            to_ask = selector.with_connections_left(
+                [e for e in servers if selector.is_brittle(e, now)]
+            )
         return self._ask_slot(to_ask) if to_ask else None
 
-    def _ask_slot(self, servers: list[ServerEntry]) -> NextStep | None:
+    def _ask_slot(self, servers: Sequence[ServerEntry]) -> NextStep | None:
         """Return the step for servers whose slots are allocated.
 
         The host chooses by itself if no allocator can be asked.
         """
         selector, slots, now = self._selector, self._exchange.slots, self._now
-        by_zone, _ = selector.zones_to_ask(servers, now)
-        for zone, names in by_zone.items():
+        by_zone = selector.servers_by_allocator(servers, now)
+        for zone, (names, _) in by_zone.items():
             member = slots.reachable_allocator(zone, now)
             if member is None:
                 continue
             slot_request = selector.slot_request(0, names, now)
             return NextStep(
                 "ask_slot",
-                servers=tuple(names),
+                servers=names,
                 allocator=member.host,
                 allocator_zone=zone,
                 predicted_wait_s=slots.expected_wait_s(zone, slot_request, now),
@@ -333,12 +332,7 @@
         zones = server_choice.zones_to_choose_alone(
             by_zone.keys(), False, self._state.settings.zone
         )
-        remaining = [
-            e
-            for e in servers
-            if selector.zone_to_ask(e, now) in zones and not selector.is_brittle(e, now)
-        ]
-        entry = selector.choose_alone(remaining, now)
+        entry = selector.choose_alone(servers, zones, now)
         return None if entry is None else NextStep("send", server=entry.server)
 
     # Figures of the servers
--- a/sequoiapoint/node/explanation_test.py
+++ b/sequoiapoint/node/explanation_test.py
@@ -320,19 +320,22 @@
 
 
 @pytest.mark.parametrize(
-    ("is_silent", "wait_s", "step", "predicted_s"),
-    [(False, 0.0, "ask_slot", None), (False, 0.7, "ask_slot", 0.7),
-     (True, 0.7, "send", None)],
+    ("is_silent", "wait_s", "awaited", "step", "predicted_s"),
+    [(False, 0.0, "10.0.0.7:7", "ask_slot", None),
+     (False, 0.7, "10.0.0.7:7", "ask_slot", 0.7),
+     (False, 0.7, "10.0.0.8:7", "ask_slot", None),
+     (True, 0.7, "10.0.0.7:7", "send", None)],
 )  # fmt: skip
 def test_a_host_knows_what_the_allocator_told_its_waiting_requests(
-    monkeypatch, is_silent, wait_s, step, predicted_s
+    monkeypatch, is_silent, wait_s, awaited, step, predicted_s
 ):
+    """A ticket has the wait of the allocator asked last, not of all that it asked."""
     site = Site(allocates=True)
     slots, other = site.exchange.slots, Member("h-7", "z0", "10.0.0.7:7")
     monkeypatch.setattr(slots, "_allocator_of", lambda zone, now: other)
     with slots.ticket() as ticket:
         ticket.asked, ticket.wait_s = {other.address: other}, wait_s
-        ticket.asked_at = monotonic_s()
+        ticket.asked_at, ticket.awaited = monotonic_s(), awaited
         if is_silent:
             slots._unreachable_until[other.address] = monotonic_s() + 5.0
         decision = site.explain()["decision"]
--- a/sequoiapoint/node/placement_exchange.py
+++ b/sequoiapoint/node/placement_exchange.py
@@ -224,16 +224,13 @@
         self._sender.send(report, members)
 
     def _apply_holdings(self, digest: Digest, now: float) -> None:
-        leader = self._peers.leader(now)
         if not digest.holdings or self.fence:
             return
+        leader = self._peers.leader(now)
         if leader is None or leader.host != digest.host:
             return
-        changes = [
-            self._state.fleet.set_held(i, held, now) for i, held in digest.holdings
-        ]
-        if any(changes):
-            self._state.wait_queue.notify()
+        for incarnation, held in digest.holdings:
+            self._state.fleet.set_held(incarnation, held, now)
 
 
 def broadcast_kind(digest: Digest) -> Hashable:
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -75,6 +75,8 @@
 ANSWERED_EVENTS = 2
 """Events of a stream after which its engine counts as having answered.  An engine that
 crashes as it begins to write may have sent the first one."""
+LEFT_REASON = "left_before_sending"
+"""Reason if the server stopped accepting requests after it was selected."""
 BROKEN_REASONS = frozenset({ExchangeOutcome.CLOSED.value, ExchangeOutcome.RESET.value})
 """Failure reasons of a connection that broke."""
 MISDIRECTED_REASON = f"server_said_{int(http.HTTPStatus.MISDIRECTED_REQUEST)}"
@@ -146,6 +148,11 @@
             return None
         return gap_s / (self._event_count - 1) / self._max_event_gap_s
 
+    @property
+    def has_events(self) -> bool:
+        """Tell whether an event has arrived in this attempt."""
+        return self._event_count > 0
+
     def record_event(self, now: float) -> None:
         """Record an event of the stream."""
         self.is_late |= now - self._last_event_at > self._limit_s > 0
@@ -208,6 +215,11 @@
             budget_s = min(budget_s, request.budget_s)
         self._deadline = arrived_s + budget_s
         self._fingerprint = request_fingerprint(request)
+        under_way_s = 0.0
+        if not is_on_detour:
+            under_way_s = state.stated_times.note(
+                route.name, request.budget_s, arrived_s
+            )
         self._selector = ServerSelector(
             state,
             exchange,
@@ -216,6 +228,7 @@
             arrived_s,
             self._deadline,
             self._fingerprint,
+            under_way_s,
         )
         self._record = RequestRecord(state, request, route, arrived_s)
         self._splitter = EventSplitter(request.last_event_id)
@@ -294,7 +307,7 @@
             self._record.slowness if is_used else None,
             self._relative_time if is_used else None,
         )
-        self._state.wait_queue.notify()
+        self._state.wait_queue.notify_capacity(selector.service)
 
     async def _run(self) -> None:
         state = self._state
@@ -480,7 +493,7 @@
             return
         if self._origin is None:
             self._has_begun_elsewhere = True
-        self._record.record_event()
+        self._record.record_event(monotonic_s())
         if not responder.is_started:
             responder.start_stream(reply.status, list(reply.headers))
         responder.send(events)
@@ -592,8 +605,10 @@
                 entry, selector, connection
             )
         finally:
-            if outcome is not None:
+            if reason == LEFT_REASON:
                 connection.close()
+            elif outcome is not None:
+                pool.put_back(connection)
         if outcome is None:
             return connection
         self._log_attempt(entry, outcome.value, reason)
@@ -610,7 +625,7 @@
             return _AttemptOutcome.SERVER_LEFT, "process_uncertain"
         now = monotonic_s()
         if not selector.may_send_to(entry, now):
-            return _AttemptOutcome.SERVER_LEFT, "left_before_sending"
+            return _AttemptOutcome.SERVER_LEFT, LEFT_REASON
         if not selector.is_permitted(entry, now):
             return _AttemptOutcome.NOT_PERMITTED, "no_permit_before_sending"
         if self._rejected_part() is not None:
@@ -806,29 +821,30 @@
         pace: "_StreamPace",
     ) -> tuple[_AttemptOutcome, str]:
         responder, splitter = self._responder, self._splitter
-        reachability = self._reachability
-        load = self._state.loads.get_or_create(entry.incarnation)
+        record, reachability = self._record, self._reachability
+        server, connected_at = entry.incarnation, connection.opened_at
+        load = self._state.loads.get_or_create(server)
         received = asyncio.Event()
         answered_count = splitter.count + ANSWERED_EVENTS
 
         def forward_events(data: bytes) -> None:
             received.set()
-            load.note_received(monotonic_s())
-            reachability.note_received(
-                entry.incarnation, connection.opened_at, monotonic_s()
-            )
+            now = monotonic_s()
+            load.note_received(now)
+            reachability.note_received(server, connected_at, now)
             events = splitter.feed(data)
             if splitter.is_too_large:
                 connection.close()
             if not events:
                 return
-            if self._origin is None and self._route.is_resumable:
-                self._note_first_event(entry, connection)
-            if load.note_first_event(self._attempt_number):
-                self._state.wait_queue.notify()
-            self._record.record_event()
-            pace.record_event(monotonic_s())
-            if splitter.count >= answered_count:
+            if not pace.has_events:
+                if self._origin is None and self._route.is_resumable:
+                    self._note_first_event(entry, connection)
+                if load.note_first_event(self._attempt_number):
+                    self._state.wait_queue.notify_capacity(self._selector.service)
+            record.record_event(now)
+            pace.record_event(now)
+            if not self._are_parts_cleared and splitter.count >= answered_count:
                 self._clear_parts()
             if not responder.is_started:
                 responder.start_stream(head.status, list(head.headers))
@@ -1281,6 +1297,7 @@
         """
         load = self._state.loads.get_or_create(entry.incarnation)
         load.note_back_off(now + seconds)
+        self._state.wait_queue.notify_servers(entry.service, None)
         self._state.metrics.event("server_backs_off")
         self._state.log.event(
             "server_backs_off",
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -14,6 +14,7 @@
     STREAM_IDLE_TIMEOUT_S,
     RequestForwarder,
 )
+from sequoiapoint.node.server_selector import ServerSelector
 from sequoiapoint.platform.callers import PlatformCallerCodec
 from sequoiapoint.platform.servers import PlatformServerCodec
 from sequoiapoint.protocol.api_keys import key_digest, key_label
@@ -59,7 +60,9 @@
     :ivar responses: Responses still to be given, by server: status and headers.
     :ivar flow_control: The functions that pause and resume the source of a stream.
     :ivar forwarder: That of the last request.
-    :ivar on_connect: Called with the server before a connection to it is returned.
+    :ivar on_connect: Called with the server before a connection to it is opened.
+    :ivar unused: Connections that were returned, as none was sent on, by server.
+    :ivar opened: The number of connections that were opened.
     """
 
     def __init__(self, monkeypatch, *servers):
@@ -69,6 +72,7 @@
         self.streamed, self.is_endless, self.exchange = [], False, None
         self.flow_control = None
         self.route = ROUTE
+        self.unused, self.opened = {}, 0
         self.origins = _Origins()
         self.detours = Detours()
         self.forwarder_options = {}
@@ -111,6 +115,7 @@
                 acquire=lambda t: self._connect(entry),
                 refuses_connections=lambda t: self._refuses_connections(entry),
                 accepts_connections=lambda t: _result(not self.is_cut_off),
+                put_back=self.unused.setdefault(entry.server, []).append,
             ),
         )
 
@@ -118,6 +123,9 @@
         self.logged.append((name, outcome, fields))
 
     async def _connect(self, entry):
+        if self.unused.get(entry.server):
+            return self.unused[entry.server].pop()
+        self.opened += 1
         self.on_connect(entry.server)
         exchanges = []
 
@@ -781,6 +789,34 @@
     assert (status, site.sent) == (503, [])
 
 
+CERTAIN_AFTER_S = 0.05
+
+
+def test_a_stream_goes_on_at_a_limited_server_though_its_first_permit_expires(
+    monkeypatch,
+):
+    """Guards against rounds with a new connection each, none of which becomes certain.
+
+    A connection is certain some time after it was opened, which is longer than a permit
+    is valid.
+    """
+    site = versions_site(monkeypatch, s_1="v1")
+    site.responses["s-1"] = [(200, [SIGNED], b"id: 8\ndata: x\n\n")]
+    site.origins.recorded["known"] = StreamOrigin("v1", ("s-9", 1), 0.0)
+    site.state.limits.note(LimitNotice(("s-1", 1), 9.0, monotonic_s()))
+    site.permits = lambda entry, max_wait_s: Permit(
+        entry.incarnation, monotonic_s() + 0.8 * CERTAIN_AFTER_S
+    )
+
+    async def is_certain(server, connected_at):
+        await asyncio.sleep(connected_at + CERTAIN_AFTER_S - monotonic_s())
+        return True
+
+    site.origins.is_certain = is_certain
+    status, _ = asyncio.run(site.request(last_event_id="7", resumes="known"))
+    assert (status, site.sent, site.opened) == (200, ["s-1"], 1)
+
+
 @pytest.mark.parametrize(("is_cut_off", "status"), [(True, 200), (False, 403)])
 def test_what_ran_as_its_host_was_cut_off_from_all_servers_is_not_rejected(
     monkeypatch, is_cut_off, status
@@ -927,6 +963,198 @@
     assert (monotonic_s() - started_at < 0.05) == (wait_s > 1.0)
 
 
+@pytest.mark.parametrize(("budget_s", "left_s"), [(1.0, 0.5), (0.7, 0.2), (0.4, 0.0)])
+def test_the_latency_goal_counts_from_the_first_attempt_of_a_caller(
+    monkeypatch, budget_s, left_s
+):
+    """Guards against callers that come back and precede requests that are not late."""
+    site = Site(monkeypatch, ENTRY)
+    site.route = replace(ROUTE, goal_s=0.5)
+    site.responses = {"s-1": [load(b"0,0,8")] * 11}
+    goals = []
+
+    async def grant(ticket, zone, request, are_brittle=False):
+        goals.append(request.goal_s)
+        ticket.grant = SlotReply("h", 0, SlotOutcome.GRANTED, ENTRY.incarnation)
+        return SlotOutcome.GRANTED
+
+    site.allocate = grant
+    for budget in [1.0] * 10 + [budget_s]:
+        assert asyncio.run(site.request(budget_s=budget))[0] == 200
+    assert goals[-1] == pytest.approx(left_s, abs=0.05)
+
+
+def holding_site(monkeypatch, *servers):
+    """Return a site whose engines hold "oak"."""
+    site = Site(monkeypatch, *servers)
+    spec = EngineSpec(8, 100.0, 2, 1.0, {"oak": None})
+    site.state.configuration.services["web"] = ServiceSpec("web", 100, spec)
+    for entry in servers:
+        site.state.fleet.set_held(entry.incarnation, {"oak": set()})
+    return site
+
+
+def _back_off(state, server):
+    state.loads.get_or_create((server, 1)).note_back_off(monotonic_s() + 0.15)
+
+
+@pytest.mark.parametrize(
+    ("prepare", "change", "asked_at"),
+    [
+        (lambda state: None, lambda state: None, [0.0, 0.5]),
+        (
+            lambda state: None,
+            lambda state: state.fleet.set_held(("s-2", 1), {"oak": set()}),
+            [0.0, 0.25, 0.75],
+        ),
+        (
+            lambda state: None,
+            lambda state: state.fleet.set_held(("s-2", 1), {"elm": set()}),
+            [0.0, 0.5],
+        ),
+        (
+            lambda state: _back_off(state, "s-3"),
+            lambda state: None,
+            [0.0, 0.15, 0.65],
+        ),
+        (
+            lambda state: state.fleet.note_not_held(
+                replace(ENTRY, server="s-3"), "oak", "", monotonic_s()
+            ),
+            lambda state: None,
+            [0.0, 0.3, 0.8],
+        ),
+    ],
+    ids=["nothing", "holder", "other_model", "back_off", "not_held"],
+)
+def test_a_queued_request_asks_again_only_if_servers_have_changed(
+    monkeypatch, prepare, change, asked_at
+):
+    """Each waiting request looked at all engines every 0.1 s and at each response."""
+    servers = [replace(ENTRY, server=f"s-{n}") for n in (1, 2, 3)]
+    site = holding_site(monkeypatch, *servers)
+    site.state.fleet.set_held(("s-2", 1), {})
+    site.route = replace(ROUTE, goal_s=0.9)
+    selections, times = [], []
+    serving = ServerSelector.serving
+
+    def select(selector, now):
+        selections.append(now)
+        return serving(selector, now)
+
+    monkeypatch.setattr(ServerSelector, "serving", select)
+
+    async def queue(ticket, zone, request, are_brittle=False):
+        times.append(monotonic_s())
+        return SlotOutcome.QUEUED
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        prepare(site.state)
+        loop.call_later(0.25, change, site.state)
+        for n in range(50):
+            loop.call_later(0.02 * n, site.state.wait_queue.notify_capacity, "web")
+        await site.request(budget_s=1.0, model="oak")
+
+    site.allocate = queue
+    started_at = monotonic_s()
+    asyncio.run(run())
+    assert [at - started_at for at in times] == pytest.approx(asked_at, abs=0.1)
+    assert len(selections) <= len(asked_at) + 2
+
+
+def test_a_request_learns_of_a_model_that_was_loaded_while_it_asked(monkeypatch):
+    """Guards against a change that is missed as the request does not wait yet."""
+    servers = [replace(ENTRY, server=f"s-{n}") for n in (1, 2)]
+    site = holding_site(monkeypatch, *servers)
+    site.state.fleet.set_held(("s-2", 1), {})
+    site.responses = {"s-2": [(200, [SIGNED])]}
+
+    async def allocate(ticket, zone, request, are_brittle=False):
+        if "s-2" in request.candidates:
+            ticket.grant = SlotReply("h", 0, SlotOutcome.GRANTED, ("s-2", 1))
+            return SlotOutcome.GRANTED
+        site.state.fleet.set_held(("s-2", 1), {"oak": set()})
+        return SlotOutcome.QUEUED
+
+    site.allocate = allocate
+    started_at = monotonic_s()
+    assert asyncio.run(site.request(model="oak"))[0] == 200
+    assert monotonic_s() - started_at < 0.2
+
+
+@pytest.mark.parametrize(
+    ("waits_s", "goal_s", "expected_s"),
+    [
+        ({"z": 3.0, "far": 2.5}, 0.1, 2.5),
+        ({"z": 3.0, "far": 0.15}, 0.1, None),
+        ({"z": 3.0, "far": 0.0}, 0.1, None),
+        ({"z": 3.0, "far": None}, 0.1, 3.0),
+        ({"z": None, "far": 3.0}, 0.1, None),
+        ({"z": 3.0, "far": 2.5}, 2.0, None),
+    ],
+    ids=["all", "one_short", "one_unknown", "far_silent", "near_silent", "may_load"],
+)
+def test_a_request_is_rejected_at_once_if_all_queues_for_engines_are_too_long(
+    monkeypatch, waits_s, goal_s, expected_s
+):
+    """Urgent requests waited for 1.2 s in vain and came back after a random time.
+
+    The caller is told the prediction, although it exceeds its remaining time.  The
+    rejected request counts as waiting, so that the model gets another copy.
+    """
+    near, far = ENTRY, replace(ENTRY, server="s-2", zone="far")
+    site = holding_site(monkeypatch, near, far)
+    site.route = replace(ROUTE, goal_s=goal_s, is_stream=True)
+    for entry in (near, far):
+        site.state.loads.get_or_create(entry.incarnation).local_running = 99
+
+    async def queue(ticket, zone, request, are_brittle=False):
+        if waits_s[zone] is None:
+            return SlotOutcome.UNAVAILABLE
+        ticket.wait_s = waits_s[zone]
+        return SlotOutcome.QUEUED
+
+    async def run():
+        answer = await site.request(budget_s=0.5, model="oak")
+        return answer, dict(site.state.demand.waiting())
+
+    site.allocate = queue
+    started_at = monotonic_s()
+    (status, headers), demand = asyncio.run(run())
+    reasons = [o for name, o, _ in site.logged if name == "request_refused"]
+    assert (status, site.sent) == (503, [])
+    assert (reasons == ["queue_too_long"]) is (expected_s is not None)
+    assert (monotonic_s() - started_at < 0.1) is (expected_s is not None)
+    if expected_s is not None:
+        assert expected_s - 0.1 <= headers[b"retry-after"] <= 1.25 * expected_s
+        assert demand == {("web", "oak", ""): 1}
+
+
+@pytest.mark.parametrize(("hosts", "least", "most"), [(4, 2, 2), (800, 0, 2)])
+def test_a_host_uses_its_share_of_plain_servers_while_the_allocator_is_silent(
+    monkeypatch, hosts, least, most
+):
+    """Plain servers rejected 1,707 of 8,881 attempts, as all hosts chose by counts."""
+    site = Site(monkeypatch, ENTRY)
+    site.route = replace(ROUTE, goal_s=0.05)
+    site.state.recent_max_host_count = hosts
+    site.state.configuration.services["web"] = ServiceSpec("web", 9000)
+    site.is_endless = True
+    site.responses = {"s-1": [(200, [SIGNED])] * 20}
+
+    async def allocate(ticket, zone, request, are_brittle=False):
+        return SlotOutcome.UNAVAILABLE
+
+    async def run():
+        requests = [site.request(budget_s=0.1) for _ in range(20)]
+        await asyncio.gather(*requests)
+
+    site.allocate = allocate
+    asyncio.run(run())
+    assert least <= len(site.sent) <= most
+
+
 def test_a_granted_slot_is_released_with_what_the_server_stated(monkeypatch):
     site = Site(monkeypatch, ENTRY)
     site.responses = {"s-1": [load(b"1,0,8,250"), load(b"1,3,8,250"), load(b"1,0,8")]}
@@ -1029,7 +1257,7 @@
             if turned_away and not is_known_later:
                 site.state.note_turned_away(server.incarnation, now, now)
         monkeypatch.setattr(
-            "sequoiapoint.node.server_selector.ServerSelector._is_brittle",
+            "sequoiapoint.node.server_selector.ServerSelector.is_brittle",
             lambda self, entry, now: False,
         )
         for server in servers[:3]:
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -3,7 +3,7 @@
 import asyncio
 import copy
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence, Set
 from typing import Self
 
 from sequoiapoint.coordination import server_choice, waiting
@@ -57,15 +57,25 @@
 UNRESERVED_SPREAD = 0.5
 """Share by which the time is extended at random for callers without a reserved permit,
 so that they do not come back together."""
-MAX_WAIT_INTERVAL_S = 0.1
-"""Maximum time between two selections for a waiting request.  The end of a server's
-back-off period wakes no request."""
+CAPACITY_CHECK_INTERVAL_S = 0.1
+"""Maximum time between two selections by the host itself: its estimates of load fade
+with time, and the other hosts' counts arrive without a notification."""
+MAX_WAIT_INTERVAL_S = 0.5
+"""Maximum time between two selections for any waiting request, in case a notification
+is missed."""
+MIN_WAIT_INTERVAL_S = 0.002
+"""Minimum time between them; the event loop's timers may be a millisecond early."""
 
 
 class ServerSelector:
     """Selects the server for each attempt of one request.
 
+    Public methods that are no coroutines, except ``release``, change nothing but the
+    selector.  Explanations call them too, with a selector of their own.
+
+    :param under_way_s: Time since the first attempt of its caller, see ``StatedTimes``.
     :ivar service: The service that runs the request.
+    :ivar is_engine: Whether the service's servers are model engines.
     :ivar priority: The urgency of the request; 0 is the most urgent.
     :ivar demand_key: Service, model and adapter under which the demand is counted.
     :ivar required_version: The software version at which a stream must go on, None if
@@ -90,16 +100,23 @@
         arrived_s: float,
         deadline: float,
         fingerprint: int,
+        under_way_s: float = 0.0,
     ) -> None:
         self._state = state
         self._permits = exchange.permits
         self._permit: Permit | None = None
         self._fingerprint = fingerprint
-        self._arrived_s = arrived_s
+        self._goal_at = arrived_s - under_way_s + route.goal_s
+        self._is_return = under_way_s > 0.0
         self._slots = exchange.slots
         self._ticket: SlotTicket | None = None
         self._asked_servers: set[Incarnation] = set()
-        self._asked_at = 0.0
+        self._ask_again_at = 0.0
+        self._questions: dict[str, tuple[tuple[str, ...], bool]] = {}
+        self._silent_zones: Set[str] = set()
+        self._is_queued = False
+        self._needs_capacity = False
+        self._back_off_ends_at = math.inf
         self._silent_server = ""
         self._request = request
         self._route = route
@@ -107,13 +124,14 @@
         self.service = _choose_service(state, route)
         self.priority = state.configuration.priority(route, request.organisation)
         self._spec = state.configuration.services.get(self.service)
+        self.is_engine = self._spec is not None and self._spec.engine is not None
         self.demand_key = (self.service, request.model, request.adapter)
         self.required_version: str | None = None
         self.connect_failures = 0
         self.tried_servers: set[str] = set()
         self.reason = ""
         self.back_off_s: float | None = None
-        self._slot_expected_at = -math.inf
+        self._predictions: dict[str, tuple[float, float]] = {}
         self.leaves_if_cut_off = True
         self.waited_s = 0.0
 
@@ -127,18 +145,16 @@
         selector.tried_servers = self.tried_servers | {server}
         return selector
 
-    @property
-    def is_engine(self) -> bool:
-        """Tell whether the service's servers are model engines."""
-        return self._spec is not None and self._spec.engine is not None
-
     @property
     def predicted_wait_s(self) -> float:
-        """Return the expected time until a plain server has a slot, in seconds.
+        """Return the expected time until a server has a slot, in seconds.
 
-        It is 0 if no allocator has predicted it.
+        It is 0 if an allocator that has queued the request has not predicted it lately,
+        or if this host chooses servers without an allocator.
         """
-        return max(0.0, self._slot_expected_at - monotonic_s())
+        if self._silent_zones and self._zones_to_choose_alone():
+            return 0.0
+        return waiting.predicted_wait_s(self._predictions.values(), monotonic_s())
 
     @property
     def prompt_tokens(self) -> int:
@@ -160,7 +176,8 @@
             limit on its wait has passed, too many connections have failed, a part of
             its prompt is rejected, or the host is cut off from the servers.
         """
-        self._asked_servers = set()
+        self._asked_servers, self._silent_zones = set(), set()
+        self._is_queued, self._predictions = False, {}
         with self._slots.ticket() as ticket:
             entry = await self._select(ticket)
             is_granted = (
@@ -180,7 +197,7 @@
         """
         self._silent_server = server
         try:
-            has_choice = bool(self._serving(monotonic_s()))
+            has_choice = bool(self.serving(monotonic_s()))
             return await self.select() if has_choice else None
         finally:
             self._silent_server = ""
@@ -212,8 +229,11 @@
     async def _select(self, ticket: SlotTicket) -> ServerEntry | None:
         state = self._state
         started_at = monotonic_s()
-        limit_s = waiting.wait_limit_s(self._route, (self._deadline - monotonic_s()))
+        limit_s = waiting.wait_limit_s(
+            self._route, self._deadline - started_at, self._is_return
+        )
         is_waiting = False
+        give_up_at = math.inf
         try:
             while True:
                 now = monotonic_s()
@@ -226,6 +246,11 @@
                     return None
                 if state.prompt_quarantine.rejected_part(self._request.shared_parts):
                     return None
+                has_ended = now >= give_up_at and not self._needs_capacity
+                if has_ended and ticket.grant is None:
+                    # Nothing has changed since the last selection.
+                    return None
+                changes_seen = state.wait_queue.change_count
                 entry = await self._acquire(ticket, now)
                 if entry is not None:
                     return entry
@@ -234,47 +259,119 @@
                 if self._is_version_missing():
                     self.reason = "version_not_served"
                     return None
-                if now - started_at > limit_s or now > state.queue_deadline:
+                give_up_at = min(started_at + limit_s, state.queue_deadline)
+                if now >= give_up_at:
                     return None
-                expected_s = self._slot_expected_at - now
-                if waiting.is_too_late(expected_s, self._deadline - now):
+                if self._is_queue_too_long(started_at + limit_s):
                     self.reason = QUEUE_TOO_LONG_REASON
+                    if self.is_engine and not (is_waiting or self._silent_server):
+                        self._count_as_waiting(self.predicted_wait_s)
                     return None
                 if not is_waiting:
                     is_waiting = True
                     if self.is_engine:
                         state.demand.adjust(self.demand_key, now, waiting=1)
                         state.replan_requested.set()
+                has_missed_change = changes_seen != state.wait_queue.change_count
+                now = monotonic_s()
+                select_again_at = min(
+                    self._select_again_at(now, has_missed_change),
+                    give_up_at,
+                    self._deadline - MIN_ATTEMPT_TIME_S,
+                )
                 await state.wait_queue.wait(
                     self.priority,
-                    self._arrived_s + self._route.goal_s,
+                    self._goal_at,
                     self._deadline,
-                    MAX_WAIT_INTERVAL_S,
+                    max(MIN_WAIT_INTERVAL_S, select_again_at - now),
                     ticket.number,
                     self._request.organisation or "",
+                    service=self.service,
+                    model=self._request.model if self.is_engine else "",
+                    needs_capacity=self._needs_capacity,
                 )
         finally:
             self.waited_s += monotonic_s() - started_at
             if is_waiting and self.is_engine:
                 state.demand.adjust(self.demand_key, monotonic_s(), waiting=-1)
 
+    def _is_queue_too_long(self, limit_at: float) -> bool:
+        """Tell whether the predicted wait is longer than the request may wait.
+
+        A stream that goes on waits for an engine all the same, as its caller cannot be
+        told to come back.
+
+        :param limit_at: The end of the time that it may wait, in seconds.
+        """
+        predicted_s, now = self.predicted_wait_s, monotonic_s()
+        remaining_s = self._deadline - now
+        if not self.is_engine:
+            return waiting.is_too_late(predicted_s, remaining_s)
+        if self.required_version is not None:
+            return False
+        return waiting.is_engine_queue_too_long(
+            predicted_s, limit_at - now, remaining_s, self._route
+        )
+
+    def _select_again_at(self, now: float, has_missed_change: bool) -> float:
+        """Return when to select again for a request that nothing wakes before.
+
+        :param has_missed_change: Whether servers have changed since the last selection
+            began, for which the request was not woken as it did not wait yet.
+        """
+        if self._needs_capacity or has_missed_change:
+            return now + CAPACITY_CHECK_INTERVAL_S
+        times = [now + MAX_WAIT_INTERVAL_S, self._back_off_ends_at]
+        if self._asked_servers:
+            times.append(self._ask_again_at)
+        if self.is_engine:
+            fleet, request = self._state.fleet, self._request
+            held_again_at = fleet.held_again_at(
+                self.service, request.model, request.adapter, now
+            )
+            times.append(held_again_at)
+        return min(times)
+
     async def _acquire(self, ticket: SlotTicket, now: float) -> ServerEntry | None:
         """Return a server that can take the request now, None if there is none.
 
         Servers with a limit come last, except for a request now and then that shows
         whether the limit still holds.
         """
-        groups = self.groups(self._serving(now), now)
+        groups = self.groups(self.serving(now), now)
+        self._needs_capacity = any(have_limit for _, have_limit in groups)
         for servers, have_limit in groups:
             if have_limit:
                 is_only_choice = len(groups) == 1
                 entry = await self._acquire_limited(servers, is_only_choice)
             else:
-                entry = await self._acquire_unlimited(ticket, servers, monotonic_s())
+                entry = await self._acquire_unlimited(ticket, servers, now)
             if entry is not None:
                 return entry
+            now = monotonic_s()
         return None
 
+    def groups(
+        self, serving: Sequence[ServerEntry], now: float
+    ) -> list[tuple[Sequence[ServerEntry], bool]]:
+        """Return groups of servers in the order in which they are tried.
+
+        :return: The servers of each group, and whether they have a limit.
+        """
+        limited = [e for e in serving if self._has_limit(e)]
+        if not limited:
+            return [(serving, False)]
+        others = [e for e in serving if not self._has_limit(e)]
+        if not others:
+            return [(limited, True)]
+        loads = self._state.loads
+        are_avoided = all(
+            loads.get_or_create(e.incarnation).is_avoided(now) for e in others
+        )
+        is_limit_first = are_avoided or self._is_limit_check_due(limited, now)
+        first = [(limited, True)] if is_limit_first else []
+        return [*first, (others, False), (limited, True)]
+
     def _is_version_missing(self) -> bool:
         """Tell whether no server can go on with the stream that the request resumes.
 
@@ -289,7 +386,7 @@
             for e in fleet.ready_servers(self.service)
         )
 
-    def _is_brittle(self, entry: ServerEntry, now: float) -> bool:
+    def is_brittle(self, entry: ServerEntry, now: float) -> bool:
         """Tell whether a server gets nothing but what its allocator has granted.
 
         One with a limit gets nothing but what has a permit, which is less.
@@ -345,11 +442,26 @@
             self._count_as_waiting(self.back_off_s)
         return None
 
+    def limited_to_ask(
+        self, limited: Sequence[ServerEntry], now: float
+    ) -> list[ServerEntry]:
+        """Return the servers with a limit for which to request permits, in order."""
+        running = self._running(limited, now)
+        own_zone = self._state.settings.zone
+        return sorted(
+            limited,
+            key=lambda e: (
+                e.server in self.tried_servers,
+                e.zone != own_zone,
+                running[e.server],
+            ),
+        )[:MAX_LIMITED_ASKED]
+
     def _count_as_waiting(self, seconds: float) -> None:
         """Count a rejected request as waiting for a while.
 
-        Otherwise no further copy would be loaded of a model that only an engine with a
-        limit holds.
+        Otherwise no further copy would be loaded of a model whose only engine has a
+        limit, or a queue that is too long.
         """
         demand, key = self._state.demand, self.demand_key
         demand.adjust(key, monotonic_s(), waiting=1)
@@ -360,50 +472,91 @@
         )
 
     async def _acquire_unlimited(
-        self, ticket: SlotTicket, serving: list[ServerEntry], now: float
+        self, ticket: SlotTicket, serving: Sequence[ServerEntry], now: float
     ) -> ServerEntry | None:
         """Return one of the servers without a limit that can take the request now."""
         if not self._slots.is_active:
-            free = [e for e in serving if not self._is_brittle(e, now)]
-            entry = self._choose(free, now)
+            free = [e for e in serving if not self.is_brittle(e, now)]
+            self._needs_capacity |= bool(free)
+            entry = self.choose(free, now)
             if entry is not None or len(free) == len(serving):
                 return entry
-            serving = [
-                e
-                for e in serving
-                if self._is_brittle(e, now) and self._has_connections_left(e)
-            ]
+            serving = self.with_connections_left(
+                [e for e in serving if self.is_brittle(e, now)]
+            )
         elif not self.is_engine:
-            serving = [e for e in serving if self._has_connections_left(e)]
+            serving = self.with_connections_left(serving)
             if not serving:
                 self.reason = "no_connection"
-        if ticket.grant is None and serving and self._is_ask_due(serving, now):
-            silent_zones, is_queued = await self._ask_zones(ticket, serving, now)
-            if ticket.grant is None and silent_zones:
-                self._asked_servers = set()
-                zones = server_choice.zones_to_choose_alone(
-                    silent_zones, is_queued, self._state.settings.zone
-                )
-                remaining = [
-                    e
-                    for e in serving
-                    if self._zone_to_ask(e, now) in zones
-                    and not self._is_brittle(e, now)
-                ]
-                return self._choose(remaining, monotonic_s())
+        if not serving:
+            self._asked_servers, self._silent_zones = set(), set()
+            self._predictions = {}
+        elif ticket.grant is None:
+            await self._ask_if_due(ticket, serving, now)
+            if ticket.grant is None and self._silent_zones:
+                zones = self._zones_to_choose_alone()
+                return self.choose_alone(serving, zones, monotonic_s())
         return self._granted_server(ticket)
 
-    def _is_ask_due(self, serving: list[ServerEntry], now: float) -> bool:
-        """Tell whether to ask for a slot (again).
+    def with_connections_left(
+        self, serving: Sequence[ServerEntry]
+    ) -> list[ServerEntry]:
+        """Return the servers to which this host may open another connection."""
+        remaining = [e for e in serving if self.has_connections_left(e)]
+        self._needs_capacity |= len(remaining) < len(serving)
+        return remaining
+
+    async def _ask_if_due(
+        self, ticket: SlotTicket, serving: Sequence[ServerEntry], now: float
+    ) -> None:
+        """Ask for a slot, unless this was done and nothing has changed.
 
         Queued requests are woken by a grant.  They ask again only if there are other
-        engines to run them, and now and then because messages may be lost.
+        engines to run them, and now and then because messages may be lost.  Allocators
+        that could not be reached are asked at each selection; the exchange sends them
+        nothing for a while.
         """
         servers = {entry.incarnation for entry in serving}
-        if servers == self._asked_servers and now - self._asked_at < REPEAT_INTERVAL_S:
-            return False
-        self._asked_servers, self._asked_at = servers, now
-        return True
+        if servers != self._asked_servers or now >= self._ask_again_at:
+            self._asked_servers = servers
+            self._ask_again_at = now + REPEAT_INTERVAL_S
+            self._questions = self.servers_by_allocator(serving, now)
+            self._predictions = {}
+            self._silent_zones, self._is_queued = await self._ask_zones(
+                ticket, self._questions, now
+            )
+        elif self._silent_zones:
+            self._silent_zones, is_queued = await self._ask_zones(
+                ticket, self._silent_zones, now
+            )
+            self._is_queued |= is_queued
+
+    def choose_alone(
+        self, serving: Sequence[ServerEntry], zones: Set[str], now: float
+    ) -> ServerEntry | None:
+        """Choose a server of the zones whose allocators cannot be reached."""
+        remaining = [
+            e
+            for e in serving
+            if self._zone_to_ask(e, now) in zones and not self.is_brittle(e, now)
+        ]
+        self._needs_capacity |= bool(remaining)
+        if not self.is_engine:
+            remaining = [e for e in remaining if self._has_share_left(e)]
+        return self.choose(remaining, now)
+
+    def _zones_to_choose_alone(self) -> Set[str]:
+        return server_choice.zones_to_choose_alone(
+            self._silent_zones, self._is_queued, self._state.settings.zone
+        )
+
+    def _has_share_left(self, entry: ServerEntry) -> bool:
+        """Tell whether this host may use a plain server that no allocator grants."""
+        state = self._state
+        share = waiting.slots_without_allocator(
+            entry.slots, state.recent_max_host_count, state.rng.random()
+        )
+        return state.loads.get_or_create(entry.incarnation).local_running < share
 
     def _granted_server(self, ticket: SlotTicket) -> ServerEntry | None:
         if ticket.grant is None:
@@ -417,86 +570,152 @@
         self._slots.release(ticket, SlotQuality.UNUSED)
         return None
 
+    def servers_by_allocator(
+        self, serving: Sequence[ServerEntry], now: float
+    ) -> dict[str, tuple[tuple[str, ...], bool]]:
+        """Return which zones' allocators to ask for which servers, in this order.
+
+        A waiting request asks again when the first avoided server may be used.
+
+        :return: By zone, the servers and whether the slots are those of brittle ones.
+        """
+        state = self._state
+        preferred = []
+        for entry in serving:
+            load = state.loads.get_or_create(entry.incarnation)
+            if now < load.avoid_until:
+                self._ask_again_at = min(self._ask_again_at, load.avoid_until)
+            if entry.server not in self.tried_servers and not load.is_avoided(now):
+                preferred.append(entry)
+        # The allocator grants the first of several engines that are equally loaded.
+        candidates: Sequence[ServerEntry] = preferred or serving
+        if len(candidates) > 1:
+            candidates = sorted(
+                candidates, key=lambda e: not state.pools.has_idle(e, now)
+            )
+        zones = server_choice.zones_by_load(
+            candidates,
+            self._running(candidates, now),
+            state.settings.zone,
+            self.relative_times(candidates, now),
+        )
+        members_of: dict[str, list[ServerEntry]] = {zone: [] for zone in zones}
+        for entry in candidates:
+            members_of[entry.zone].append(entry)
+        by_allocator: dict[str, tuple[tuple[str, ...], bool]] = {}
+        for zone, members in members_of.items():
+            are_brittle = all(self.is_brittle(e, now) for e in members)
+            if are_brittle:
+                zone = self._slots.allocating_zone(zone, now)
+            else:
+                zone = self._zone_to_ask(members[0], now)
+            servers, has_brittle = by_allocator.get(zone, ((), False))
+            servers += tuple(entry.server for entry in members)
+            by_allocator[zone] = servers, has_brittle or are_brittle
+        return by_allocator
+
     async def _ask_zones(
-        self, ticket: SlotTicket, serving: list[ServerEntry], now: float
+        self, ticket: SlotTicket, zones: Iterable[str], now: float
     ) -> tuple[set[str], bool]:
-        """Ask the allocators of the zones with suitable engines, until one grants.
+        """Ask the allocators of zones for a slot until one grants it.
 
         :return: The zones whose allocators cannot be reached, and whether any other
             allocator has granted a slot or queued the request.
         """
         silent_zones = set()
-        ticket.wait_s = 0.0
-        by_zone, brittle_zones = self.zones_to_ask(serving, now)
         asked = 0
-        for zone, servers in by_zone.items():
+        for zone in zones:
+            servers, are_brittle = self._questions[zone]
+            ticket.wait_s = 0.0
             slot_request = self.slot_request(ticket.number, servers, now)
-            outcome = await self._slots.ask(
-                ticket, zone, slot_request, zone in brittle_zones
-            )
+            outcome = await self._slots.ask(ticket, zone, slot_request, are_brittle)
             if outcome is SlotOutcome.UNAVAILABLE:
                 silent_zones.add(zone)
                 continue
+            self._predictions[zone] = (ticket.wait_s, monotonic_s())
             asked += 1
             if ticket.grant is not None or asked >= MAX_ZONES_ASKED:
                 break
-        if not self.is_engine:
-            known = ticket.grant is None and ticket.wait_s
-            self._slot_expected_at = now + ticket.wait_s if known else -math.inf
         return silent_zones, asked > 0
 
+    def slot_request(
+        self, number: int, servers: tuple[str, ...], now: float
+    ) -> SlotRequest:
+        """Return the request for a slot at one of several servers."""
+        return SlotRequest(
+            self._state.settings.host,
+            number,
+            servers,
+            self.priority,
+            self._deadline - now,
+            max(0.0, self._goal_at - now),
+            self._request.organisation or "",
+        )
+
     def _zone_to_ask(self, entry: ServerEntry, now: float) -> str:
         """Return the zone whose allocator grants the slots of a server."""
         if self.is_engine or not self._slots.is_active:
             return entry.zone
         return self._slots.plain_zone(entry.service, now)
 
-    def _relative_times(
+    def relative_times(
         self, entries: Sequence[ServerEntry], now: float
     ) -> Mapping[Incarnation, float]:
         """Return how long work takes at each server, nothing if none states it."""
         servers = (entry.incarnation for entry in entries)
         return self._state.speeds.relative_times(servers, now)
 
-    def _running(self, entries: list[ServerEntry], now: float) -> dict[str, float]:
+    def _running(self, entries: Sequence[ServerEntry], now: float) -> dict[str, float]:
         """Return the estimated number of requests at each server."""
         loads = self._state.loads
         return {
             e.server: loads.get_or_create(e.incarnation).running(now) for e in entries
         }
 
-    def _serving(self, now: float) -> list[ServerEntry]:
-        """Return the servers that can run the request, whether or not they are full."""
+    def serving(self, now: float) -> Sequence[ServerEntry]:
+        """Return the servers that can run the request, whether or not they are full.
+
+        It sets ``reason`` and ``back_off_s``.
+        """
         fleet, request = self._state.fleet, self._request
-        ready = fleet.ready_servers(self.service)
-        if self.required_version is not None:
-            ready = [e for e in ready if e.version == self.required_version]
-        self.reason = "no_server"
-        serving = [
-            entry
-            for entry in ready
-            if not self.is_engine
-            or fleet.holds(entry, request.model, request.adapter, now)
-        ]
+        if self.is_engine:
+            serving = fleet.ready_holders(
+                self.service, request.model, request.adapter, now
+            )
+        else:
+            serving = fleet.ready_servers(self.service)
+        serving = self._of_required_version(serving)
         serving = self._without_leaving(serving, now)
         if self._silent_server:
             serving = [entry for entry in serving if self._may_take_over(entry, now)]
-        self.back_off_s = waiting.back_off_s(
-            (self._back_off_until(entry) for entry in serving), now
-        )
+        untils = [self._back_off_until(entry) for entry in serving]
+        self._back_off_ends_at = min((u for u in untils if u > now), default=math.inf)
+        self.back_off_s = waiting.back_off_s(untils, now)
         if self.back_off_s is not None:
             self.reason = "servers_back_off"
             return []
-        serving = [entry for entry in serving if self._back_off_until(entry) <= now]
+        if self._back_off_ends_at < math.inf:
+            serving = [
+                e for e, until in zip(serving, untils, strict=True) if until <= now
+            ]
         if serving:
             self.reason = "servers_full"
-        elif ready:
+        elif self._of_required_version(fleet.ready_servers(self.service)):
             self.reason = "model_not_loaded"
+        else:
+            self.reason = "no_server"
         return self._only_for_suspect(serving, now)
 
+    def _of_required_version(
+        self, servers: Sequence[ServerEntry]
+    ) -> Sequence[ServerEntry]:
+        if self.required_version is None:
+            return servers
+        return [entry for entry in servers if entry.version == self.required_version]
+
     def _only_for_suspect(
-        self, serving: list[ServerEntry], now: float
-    ) -> list[ServerEntry]:
+        self, serving: Sequence[ServerEntry], now: float
+    ) -> Sequence[ServerEntry]:
         """Return the engine to use if a part of the prompt may crash engines."""
         parts = self._request.shared_parts if self.is_engine else ()
         suspects = self._state.prompt_quarantine.suspects(parts)
@@ -528,7 +747,7 @@
 
     def is_permitted(self, entry: ServerEntry, now: float) -> bool:
         """Tell whether the request may be sent as far as limits and slots go."""
-        if self._is_brittle(entry, now) and (
+        if self.is_brittle(entry, now) and (
             self._ticket is None or not self._ticket.may_use(entry.incarnation, now)
         ):
             return False
@@ -545,19 +764,25 @@
         return self._state.loads.get_or_create(entry.incarnation).back_off_until
 
     def _without_leaving(
-        self, servers: list[ServerEntry], now: float
-    ) -> list[ServerEntry]:
+        self, servers: Sequence[ServerEntry], now: float
+    ) -> Sequence[ServerEntry]:
+        if not self._state.fleet.leaving():
+            return servers
         return server_choice.without_leaving(
             servers,
             lambda entry: self._state.fleet.leaving_s(entry, now),
             self._state.settings.bounds.server_drain_s,
         )
 
-    def _choose(self, serving: list[ServerEntry], now: float) -> ServerEntry | None:
+    def choose(self, serving: Sequence[ServerEntry], now: float) -> ServerEntry | None:
+        """Return the server that this host chooses by itself, None if all are full.
+
+        It sets ``reason`` if one is full.
+        """
         state = self._state
         untried = [e for e in serving if e.server not in self.tried_servers]
         candidates = []
-        times = self._relative_times(serving, now)
+        times = self.relative_times(serving, now)
         for entry in untried or serving:
             time = times.get(entry.incarnation)
             load = state.loads.get_or_create(entry.incarnation)
@@ -576,120 +801,6 @@
         )
         return chosen.entry if chosen else None
 
-    def _has_connections_left(self, entry: ServerEntry) -> bool:
-        """Tell whether this host uses less than its share of a server's connections."""
-        if self._spec is None:
-            return True
-        share = self._spec.max_connections / self._state.recent_max_host_count
-        local_running = self._state.loads.get_or_create(entry.incarnation).local_running
-        return local_running < max(1.0, share)
-
-    # The parts of the decision that only read.  Explanations call them too.
-
-    def serving(self, now: float) -> list[ServerEntry]:
-        """Return the servers that can run the request, whether or not they are full.
-
-        It sets ``reason`` and ``back_off_s``.
-        """
-        return self._serving(now)
-
-    def groups(
-        self, serving: list[ServerEntry], now: float
-    ) -> list[tuple[list[ServerEntry], bool]]:
-        """Return groups of servers in the order in which they are tried.
-
-        :return: The servers of each group, and whether they have a limit.
-        """
-        limited = [e for e in serving if self._has_limit(e)]
-        if not limited:
-            return [(serving, False)]
-        others = [e for e in serving if not self._has_limit(e)]
-        if not others:
-            return [(limited, True)]
-        loads = self._state.loads
-        are_avoided = all(
-            loads.get_or_create(e.incarnation).is_avoided(now) for e in others
-        )
-        is_limit_first = are_avoided or self._is_limit_check_due(limited, now)
-        first = [(limited, True)] if is_limit_first else []
-        return [*first, (others, False), (limited, True)]
-
-    def limited_to_ask(
-        self, limited: Sequence[ServerEntry], now: float
-    ) -> list[ServerEntry]:
-        """Return the servers with a limit for which to request permits, in order."""
-        running = self._running(list(limited), now)
-        own_zone = self._state.settings.zone
-        return sorted(
-            limited,
-            key=lambda e: (
-                e.server in self.tried_servers,
-                e.zone != own_zone,
-                running[e.server],
-            ),
-        )[:MAX_LIMITED_ASKED]
-
-    def zones_to_ask(
-        self, serving: Sequence[ServerEntry], now: float
-    ) -> tuple[Mapping[str, list[str]], set[str]]:
-        """Return the zones whose allocators are asked for a slot, in order.
-
-        :return: The servers to name to each zone's allocator, and the zones of which
-            all servers are brittle.
-        """
-        state = self._state
-        preferred = [
-            e
-            for e in serving
-            if e.server not in self.tried_servers
-            and not state.loads.get_or_create(e.incarnation).is_avoided(now)
-        ]
-        # The allocator grants the first of several engines that are equally loaded.
-        candidates = sorted(
-            preferred or serving, key=lambda e: not state.pools.has_idle(e, now)
-        )
-        zones = server_choice.zones_by_load(
-            candidates,
-            self._running(candidates, now),
-            state.settings.zone,
-            self._relative_times(candidates, now),
-        )
-        by_zone: dict[str, list[str]] = {}
-        brittle_zones: set[str] = set()
-        for zone in zones:
-            members = [e for e in candidates if e.zone == zone]
-            if all(self._is_brittle(e, now) for e in members):
-                zone = self._slots.allocating_zone(zone, now)
-                brittle_zones.add(zone)
-            else:
-                zone = self._zone_to_ask(members[0], now)
-            by_zone.setdefault(zone, []).extend(e.server for e in members)
-        return by_zone, brittle_zones
-
-    def slot_request(
-        self, number: int, servers: Sequence[str], now: float
-    ) -> SlotRequest:
-        """Return the request for a slot at one of several servers."""
-        return SlotRequest(
-            self._state.settings.host,
-            number,
-            tuple(servers),
-            self.priority,
-            self._deadline - now,
-            max(0.0, self._arrived_s + self._route.goal_s - now),
-            self._request.organisation or "",
-        )
-
-    def zone_to_ask(self, entry: ServerEntry, now: float) -> str:
-        """Return the zone whose allocator grants the slots of a server."""
-        return self._zone_to_ask(entry, now)
-
-    def choose_alone(
-        self, serving: list[ServerEntry], now: float
-    ) -> ServerEntry | None:
-        """Return the server that this host chooses without an allocator, if any."""
-        return self._choose(serving, now)
-
     def capacity_refusal(
         self,
         entry: ServerEntry,
@@ -705,7 +816,7 @@
         is_engine = self.is_engine
         if waiting.is_full(running, entry.slots, is_engine, relative_time):
             return "servers_full"
-        if not self._has_connections_left(entry):
+        if not self.has_connections_left(entry):
             return "no_connection"
         pending_tokens = sum(load.pending_prompt_tokens.values())
         if is_engine and not waiting.may_send_prompt(
@@ -716,17 +827,11 @@
 
     def has_connections_left(self, entry: ServerEntry) -> bool:
         """Tell whether this host uses less than its share of a server's connections."""
-        return self._has_connections_left(entry)
-
-    def is_brittle(self, entry: ServerEntry, now: float) -> bool:
-        """Tell whether a server gets nothing but what its allocator has granted."""
-        return self._is_brittle(entry, now)
-
-    def relative_times(
-        self, entries: Sequence[ServerEntry], now: float
-    ) -> Mapping[Incarnation, float]:
-        """Return how long work takes at each server, nothing if none states it."""
-        return self._relative_times(entries, now)
+        if self._spec is None:
+            return True
+        share = self._spec.max_connections / self._state.recent_max_host_count
+        local_running = self._state.loads.get_or_create(entry.incarnation).local_running
+        return local_running < max(1.0, share)
 
 
 def _choose_service(state: GatewayState, route: Route) -> str:
--- a/sequoiapoint/protocol/allowances.py
+++ b/sequoiapoint/protocol/allowances.py
@@ -15,8 +15,27 @@
 import capnp
 
 from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
+from sequoiapoint.protocol.readers import UnionFields, read_fields, struct_fields
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("allowances.capnp")))
+_MESSAGE = struct_fields(_SCHEMA.AllowanceMessage, "host", "number")
+_KINDS = UnionFields(
+    _SCHEMA.AllowanceMessage,
+    {
+        "request": (
+            "organisation",
+            "version",
+            "ratePerS",
+            "burst",
+            "charges",
+            "left",
+            "ahead",
+            "returned",
+        ),
+        "reply": ("outcome", "waitsMs", "credit", "denyMs", "waitMs", "due"),
+    },
+)
+_CHARGE = struct_fields(_SCHEMA.Charge, "cost", "caller", "maxWaitMs")
 PREFIX = b"\xfa"
 """First byte of a datagram with an allowance message, unlike that of any other kind."""
 MAX_WAIT_MS = 2**32 - 1
@@ -96,6 +115,7 @@
 
 
 AllowanceMessage = AllowanceRequest | AllowanceReply
+_OUTCOMES = {outcome.value: outcome for outcome in AllowanceOutcome}
 
 
 def caller_mark(caller: int) -> int:
@@ -107,41 +127,36 @@
 
 
 @singledispatch
-def _fields(message: object) -> dict[str, dict[str, Any]]:
-    """Return the fields of a message's group in the schema, by the group's name."""
+def _fill(message: object, encoded: Any) -> None:
+    """Set the fields of a message's group in the schema.
+
+    Setting them one by one takes a third of the time of a new message from a dict.
+    """
     raise TypeError(f"not an allowance message: {type(message).__name__}")
 
 
-@_fields.register
-def _(message: AllowanceRequest) -> dict[str, dict[str, Any]]:
-    charges = [
-        {"cost": c.cost, "caller": c.caller, "maxWaitMs": _encode_seconds(c.max_wait_s)}
-        for c in message.charges
-    ]
-    fields = {
-        "organisation": message.organisation,
-        "version": message.version,
-        "ratePerS": message.rate_per_s,
-        "burst": message.burst,
-        "charges": charges,
-        "left": message.left,
-        "ahead": message.ahead,
-        "returned": message.returned,
-    }
-    return {"request": fields}
-
-
-@_fields.register
-def _(message: AllowanceReply) -> dict[str, dict[str, Any]]:
-    fields = {
-        "outcome": message.outcome.value,
-        "waitsMs": [_encode_seconds(wait_s) for wait_s in message.waits_s],
-        "credit": message.credit,
-        "denyMs": _encode_seconds(message.deny_s),
-        "waitMs": _encode_seconds(message.wait_s),
-        "due": list(message.due),
-    }
-    return {"reply": fields}
+@_fill.register
+def _(message: AllowanceRequest, encoded: Any) -> None:
+    group = encoded.init("request")
+    group.organisation, group.version = message.organisation, message.version
+    group.ratePerS, group.burst = message.rate_per_s, message.burst
+    charges = group.init("charges", len(message.charges))
+    for item, charge in zip(charges, message.charges, strict=True):
+        item.cost, item.caller = charge.cost, charge.caller
+        item.maxWaitMs = _encode_seconds(charge.max_wait_s)
+    group.left, group.ahead = message.left, message.ahead
+    group.returned = message.returned
+
+
+@_fill.register
+def _(message: AllowanceReply, encoded: Any) -> None:
+    group = encoded.init("reply")
+    group.outcome = message.outcome.value
+    group.waitsMs = [_encode_seconds(wait_s) for wait_s in message.waits_s]
+    group.credit = message.credit
+    group.denyMs = _encode_seconds(message.deny_s)
+    group.waitMs = _encode_seconds(message.wait_s)
+    group.due = list(message.due)
 
 
 def _encode_seconds(seconds: float) -> int:
@@ -151,9 +166,9 @@
 
 def encode_allowance_message(message: AllowanceMessage) -> bytes:
     """Encode a message as a datagram."""
-    encoded = _SCHEMA.AllowanceMessage.new_message(
-        number=message.number, host=message.host, **_fields(message)
-    )
+    encoded = _SCHEMA.AllowanceMessage.new_message()
+    encoded.number, encoded.host = message.number, message.host
+    _fill(message, encoded)
     return PREFIX + encoded.to_bytes_packed()
 
 
@@ -166,6 +181,11 @@
         raise ValueError("not an allowance message: units out of range")
 
 
+def _decode_charge(message: Any) -> Charge:
+    cost, caller, max_wait_ms = read_fields(message, _CHARGE)
+    return Charge(cost, caller, max_wait_ms / 1000)
+
+
 def decode_allowance_message(data: bytes) -> AllowanceMessage:
     """Decode a datagram that begins with ``PREFIX``.
 
@@ -173,38 +193,37 @@
     """
     try:
         message = read_packed(_SCHEMA.AllowanceMessage, data[len(PREFIX) :])
-        host, number = message.host, message.number
-        if message.which() == "request":
-            group = message.request
-            _require_units(
-                (group.ratePerS, group.burst, group.left, group.ahead, group.returned)
-            )
-            _require_units(charge.cost for charge in group.charges)
+        host, number = read_fields(message, _MESSAGE)
+        kind, values = _KINDS.read(message)
+        if kind == "request":
+            organisation, version, rate_per_s, burst, encoded, *credits = values
+            left, ahead, returned = credits
+            charges = tuple(_decode_charge(charge) for charge in encoded)
+            _require_units((rate_per_s, burst, left, ahead, returned))
+            _require_units(charge.cost for charge in charges)
             return AllowanceRequest(
                 host,
                 number,
-                group.organisation,
-                group.version,
-                group.ratePerS,
-                group.burst,
-                tuple(
-                    Charge(c.cost, c.caller, c.maxWaitMs / 1000) for c in group.charges
-                ),
-                group.left,
-                group.ahead,
-                group.returned,
+                organisation,
+                version,
+                rate_per_s,
+                burst,
+                charges,
+                left,
+                ahead,
+                returned,
             )
-        group = message.reply
-        _require_units((group.credit,))
+        outcome, waits_ms, credit, deny_ms, wait_ms, due = values
+        _require_units((credit,))
         return AllowanceReply(
             host,
             number,
-            AllowanceOutcome(str(group.outcome)),
-            tuple(wait_ms / 1000 for wait_ms in group.waitsMs),
-            group.credit,
-            group.denyMs / 1000,
-            group.waitMs / 1000,
-            tuple(group.due),
+            _OUTCOMES[str(outcome)],
+            tuple(each_ms / 1000 for each_ms in waits_ms),
+            credit,
+            deny_ms / 1000,
+            wait_ms / 1000,
+            tuple(due),
         )
     except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not an allowance message: {error}") from error
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -4,33 +4,39 @@
 import functools
 import ipaddress
 import zlib
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import capnp
 
 from sequoiapoint.protocol.gateway import Incarnation, ModelDemand, StoreRecord
 from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
+from sequoiapoint.protocol.readers import read_fields, struct_fields
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(Path(__file__).with_name("digest.capnp")))
 
 
-def _fields(struct: str, *names: str) -> list[Any]:
-    """Return fields of a struct, by which its readers are read fastest.
-
-    A look-up by name takes three times as long, and digests have hundreds of values.
-    """
-    fields = getattr(_SCHEMA, struct).schema.fields
-    return [fields[name] for name in names]
-
-
-_COUNT = _fields("Count", "server", "startedMs", "running")
-_MEMBER = _fields("Member", "host", "zone", "address", "capacity")
-_HOLDING = _fields("Holding", "server", "startedMs", "models")
-_HELD_MODEL = _fields("HeldModel", "model", "adapters")
+_COUNT = struct_fields(_SCHEMA.Count, "server", "startedMs", "running")
+_PROCESS = struct_fields(_SCHEMA.Process, "server", "startedMs")
+_DEMAND = struct_fields(
+    _SCHEMA.Demand,
+    *("service", "model", "adapter", "inWork", "waiting"),
+    *("goalMs", "priority", "unservedMs"),
+)
+_MEMBER = struct_fields(_SCHEMA.Member, "host", "zone", "address", "capacity")
+_HOLDING = struct_fields(_SCHEMA.Holding, "server", "startedMs", "models")
+_HELD_MODEL = struct_fields(_SCHEMA.HeldModel, "model", "adapters")
+_SUSPICION = struct_fields(_SCHEMA.Suspicion, "fingerprint", "deaths")
+_SUSPECT_PART = struct_fields(_SCHEMA.SuspectPart, "part", "crashes", "isCleared")
+_LIMIT = struct_fields(_SCHEMA.Limit, "server", "startedMs", "perS", "ageMs")
+_SERVER_AGE = struct_fields(_SCHEMA.ServerAge, "server", "startedMs", "ageMs")
+_SPEED = struct_fields(
+    _SCHEMA.Speed, "process", "slownessPercent", "ageCs", "workPermille", "samples"
+)
+_DIGEST = dict(_SCHEMA.Digest.schema.fields)
 
 NO_LIMIT_PER_S = -1.0
 """Stands for a server that names no limit."""
@@ -39,6 +45,8 @@
 MAX_UINT16 = 65_535
 MAX_PRIORITY = 255
 """The least urgent priority that a digest can carry."""
+MAX_KNOWN_MEMBERS = 4_096
+"""Number of members of digests that are kept; far more than hosts are intended."""
 MAX_KNOWN_ADDRESSES = 4_096
 """Number of addresses of hosts that are checked once."""
 MAX_PER_S = 1e9
@@ -53,6 +61,9 @@
 """Level of the fastest compression, which reduces a configuration to a fifth."""
 
 
+Item = TypeVar("Item")
+
+
 class Scope(enum.Enum):
     """The set of hosts whose requests a digest counts."""
 
@@ -62,6 +73,9 @@
     NONE = "none"
 
 
+_SCOPES = {scope.value: scope for scope in Scope}
+
+
 @dataclass(frozen=True)
 class Member:
     """A gateway host and its address for digests and calls from other hosts.
@@ -75,6 +89,10 @@
     capacity: int = 0
 
 
+_known_member = functools.lru_cache(MAX_KNOWN_MEMBERS)(Member)
+"""Digests list the same members twice a second; equal ones become one object."""
+
+
 @dataclass(frozen=True)
 class ServerLimit:
     """What a server process has said of its limit.
@@ -181,7 +199,13 @@
     @property
     def sender(self) -> Member:
         """Return the host that sent the digest."""
-        return Member(self.host, self.zone, self.address, self.capacity)
+        return _known_member(self.host, self.zone, self.address, self.capacity)
+
+
+def _decode_each(
+    decode: Callable[[Any], Item], messages: Sequence[Any]
+) -> tuple[Item, ...]:
+    return tuple(map(decode, messages)) if len(messages) else ()
 
 
 def _encode_age(age_s: float | None) -> int:
@@ -192,49 +216,90 @@
     return None if age_ms < 0 else age_ms / 1000
 
 
+def _new_items(message: Any, name: str, values: Sequence[Item]) -> Iterable[Any]:
+    """Return pairs of an item of a new list of structs and the value to set in it.
+
+    A list without items is not written, which readers take for an empty one.
+    """
+    return zip(message.init(name, len(values)), values, strict=True) if values else ()
+
+
 def _encode_members(message: Any, name: str, members: Sequence[Member]) -> None:
-    for item, member in zip(message.init(name, len(members)), members, strict=True):
+    for item, member in _new_items(message, name, members):
         item.host, item.zone = member.host, member.zone
         item.address, item.capacity = member.address, member.capacity
 
 
-def _decode_members(members: Iterable[Any]) -> tuple[Member, ...]:
-    host, zone, address, capacity = _MEMBER
-    return tuple(
-        Member(get(host), get(zone), checked_address(get(address)), get(capacity))
-        for get in (member._get_by_field for member in members)
-    )
+def _encode_processes(
+    message: Any, name: str, processes: Sequence[Incarnation]
+) -> None:
+    for item, process in _new_items(message, name, processes):
+        item.server, item.startedMs = process
+
+
+def _decode_member(message: Any) -> Member:
+    host, zone, address, capacity = read_fields(message, _MEMBER)
+    return _known_member(host, zone, checked_address(address), capacity)
 
 
 def _encode_counts(message: Any, counts: Sequence[tuple[Incarnation, int]]) -> None:
-    items = message.init("counts", len(counts))
-    for item, ((server, started_ms), running) in zip(items, counts, strict=True):
-        item.server, item.startedMs = server, started_ms
-        item.running = _uint32(running)
+    server_field, started_field, running_field = _COUNT
+    for item, ((server, started_ms), running) in _new_items(message, "counts", counts):
+        put = item._set_by_field
+        put(server_field, server)
+        put(started_field, started_ms)
+        put(running_field, _uint32(running))
 
 
-def _decode_counts(message: Any) -> tuple[tuple[Incarnation, int], ...]:
+def _decode_counts(counts: Iterable[Any]) -> tuple[tuple[Incarnation, int], ...]:
     server, started_ms, running = _COUNT
     return tuple(
         ((get(server), get(started_ms)), get(running))
-        for get in (count._get_by_field for count in message.counts)
+        for get in (count._get_by_field for count in counts)
+    )
+
+
+def _decode_process(message: Any) -> Incarnation:
+    server, started_ms = read_fields(message, _PROCESS)
+    return server, started_ms
+
+
+def _decode_demand(message: Any) -> ModelDemand:
+    *names, running, waiting, goal_ms, priority, unserved_ms = read_fields(
+        message, _DEMAND
     )
+    return ModelDemand(
+        *names, running, waiting, goal_ms / 1000, priority, unserved_ms / 1000
+    )
+
+
+def _decode_suspicion(message: Any) -> tuple[str, frozenset[str]]:
+    fingerprint, deaths = read_fields(message, _SUSPICION)
+    return fingerprint, frozenset(deaths)
+
+
+def _decode_suspect_part(message: Any) -> tuple[str, frozenset[int], bool]:
+    part, crashes, is_cleared = read_fields(message, _SUSPECT_PART)
+    return part, frozenset(crashes), is_cleared
+
+
+def _decode_server_age(message: Any) -> tuple[Incarnation, float]:
+    server, started_ms, age_ms = read_fields(message, _SERVER_AGE)
+    return (server, started_ms), age_ms / 1000
 
 
 def _encode_holdings(
     message: Any,
     holdings: Sequence[tuple[Incarnation, Mapping[str, frozenset[str]]]],
 ) -> None:
-    items = message.init("holdings", len(holdings))
-    for item, ((server, started_ms), held) in zip(items, holdings, strict=True):
-        item.server, item.startedMs = server, started_ms
-        models = item.init("models", len(held))
-        for model, (name, adapters) in zip(models, held.items(), strict=True):
+    for item, (process, held) in _new_items(message, "holdings", holdings):
+        item.server, item.startedMs = process
+        for model, (name, adapters) in _new_items(item, "models", list(held.items())):
             model.model, model.adapters = name, sorted(adapters)
 
 
 def _decode_holdings(
-    message: Any,
+    holdings: Iterable[Any],
 ) -> tuple[tuple[Incarnation, dict[str, frozenset[str]]], ...]:
     server, started_ms, models = _HOLDING
     name, adapters = _HELD_MODEL
@@ -246,7 +311,7 @@
                 for get_model in (model._get_by_field for model in get(models))
             },
         )
-        for get in (holding._get_by_field for holding in message.holdings)
+        for get in (holding._get_by_field for holding in holdings)
     )
 
 
@@ -266,17 +331,24 @@
 
 
 def _uint32(number: int) -> int:
-    return max(0, min(MAX_UINT32, number))
+    return number if 0 <= number <= MAX_UINT32 else max(0, min(MAX_UINT32, number))
+
+
+def _encode_demands(message: Any, demands: Sequence[ModelDemand]) -> None:
+    for item, demand in _new_items(message, "demands", demands):
+        item.service, item.model = demand.service, demand.model
+        item.adapter = demand.adapter
+        item.inWork, item.waiting = _uint32(demand.running), _uint32(demand.waiting)
+        item.goalMs = _uint32(round(demand.goal_s * 1000))
+        item.priority = min(demand.priority, MAX_PRIORITY)
+        item.unservedMs = _uint32(round(demand.unserved_s * 1000))
 
 
-def _encode_limit(limit: ServerLimit) -> dict[str, Any]:
-    server, started_ms = limit.server
-    return {
-        "server": server,
-        "startedMs": started_ms,
-        "perS": NO_LIMIT_PER_S if limit.per_s is None else limit.per_s,
-        "ageMs": _uint32(round(1000 * limit.age_s)),
-    }
+def _encode_limits(message: Any, name: str, limits: Sequence[ServerLimit]) -> None:
+    for item, limit in _new_items(message, name, limits):
+        item.server, item.startedMs = limit.server
+        item.perS = NO_LIMIT_PER_S if limit.per_s is None else limit.per_s
+        item.ageMs = _uint32(round(1000 * limit.age_s))
 
 
 def checked_rate(per_s: float) -> float:
@@ -290,93 +362,78 @@
 
 
 def _decode_limit(message: Any) -> ServerLimit:
-    per_s = None if message.perS < 0 else checked_rate(message.perS)
-    return ServerLimit((message.server, message.startedMs), per_s, message.ageMs / 1000)
+    server, started_ms, per_s, age_ms = read_fields(message, _LIMIT)
+    limit = None if per_s < 0 else checked_rate(per_s)
+    return ServerLimit((server, started_ms), limit, age_ms / 1000)
 
 
 def _cut(value: float) -> int:
-    return min(MAX_UINT16, max(0, round(value)))
+    if 0.0 <= value <= MAX_UINT16:
+        return round(value)
+    return MAX_UINT16 if value > 0.0 else 0
 
 
-def _encode_speed(process: int, sample: SpeedSample) -> dict[str, int]:
-    return {
-        "process": process,
-        "slownessPercent": _cut(100 * sample.slowness),
-        "ageCs": _cut(100 * sample.age_s),
-        "workPermille": _cut(1000 * sample.mean_work),
-        "samples": _cut(10 * sample.samples),
-    }
+def _encode_speeds(message: Any, speeds: Sequence[tuple[int, SpeedSample]]) -> None:
+    process_field, slowness_field, age_field, work_field, samples_field = _SPEED
+    for item, (process, sample) in _new_items(message, "speeds", speeds):
+        put = item._set_by_field
+        put(process_field, process)
+        put(slowness_field, _cut(100 * sample.slowness))
+        put(age_field, _cut(100 * sample.age_s))
+        put(work_field, _cut(1000 * sample.mean_work))
+        put(samples_field, _cut(10 * sample.samples))
 
 
-def _decode_speed(message: Any) -> tuple[int, SpeedSample]:
-    return message.process, SpeedSample(
-        message.slownessPercent / 100,
-        message.ageCs / 100,
-        message.workPermille / 1000,
-        message.samples / 10,
+def _decode_speeds(speeds: Iterable[Any]) -> tuple[tuple[int, SpeedSample], ...]:
+    process, slowness_percent, age_cs, work_permille, samples = _SPEED
+    return tuple(
+        (
+            get(process),
+            SpeedSample(
+                get(slowness_percent) / 100,
+                get(age_cs) / 100,
+                get(work_permille) / 1000,
+                get(samples) / 10,
+            ),
+        )
+        for get in (speed._get_by_field for speed in speeds)
     )
 
 
 def encode_digest(digest: Digest) -> bytes:
     """Encode a digest as a datagram."""
-    message = _SCHEMA.Digest.new_message(
-        host=digest.host,
-        zone=digest.zone,
-        address=digest.address,
-        startedMs=digest.started_ms,
-        isLeaving=digest.is_leaving,
-        configurationEnd=digest.configuration_end,
-        serverEnd=digest.server_end,
-        isStoreReachable=digest.is_store_reachable,
-        fence=digest.fence,
-        demands=[
-            {
-                "service": demand.service,
-                "model": demand.model,
-                "adapter": demand.adapter,
-                "inWork": _uint32(demand.running),
-                "waiting": _uint32(demand.waiting),
-                "goalMs": _uint32(round(demand.goal_s * 1000)),
-                "priority": min(demand.priority, MAX_PRIORITY),
-                "unservedMs": _uint32(round(demand.unserved_s * 1000)),
-            }
-            for demand in digest.demands
-        ],
-        suspicions=[
-            {"fingerprint": fingerprint, "deaths": sorted(deaths)}
-            for fingerprint, deaths in digest.suspicions
-        ],
-        scope=digest.scope.value,
-        hostCount=_uint32(digest.host_count),
-        isDemandReport=digest.is_demand_report,
-        isHeartbeat=digest.is_heartbeat,
-        capacity=digest.capacity,
-        leavingServers=[
-            {"server": server, "startedMs": started}
-            for server, started in digest.leaving_servers
-        ],
-        serverAgeMs=_encode_age(digest.server_age_s),
-        suspectParts=[
-            {"part": part, "crashes": sorted(crashes), "isCleared": is_cleared}
-            for part, crashes, is_cleared in digest.suspect_parts
-        ],
-        limits=[_encode_limit(limit) for limit in digest.limits],
-        liveZones=list(digest.live_zones),
-        brittle=[_encode_limit(limit) for limit in digest.brittle],
-        fallen=[
-            {"server": server, "startedMs": started}
-            for server, started in digest.fallen
-        ],
-        turnedAway=[
-            {
-                "server": server,
-                "startedMs": started,
-                "ageMs": _uint32(round(1000 * age_s)),
-            }
-            for (server, started), age_s in digest.turned_away
-        ],
-        speeds=[_encode_speed(process, sample) for process, sample in digest.speeds],
-    )
+    message = _SCHEMA.Digest.new_message()
+    message.host, message.zone = digest.host, digest.zone
+    message.address, message.capacity = digest.address, digest.capacity
+    message.startedMs, message.isLeaving = digest.started_ms, digest.is_leaving
+    message.configurationEnd = digest.configuration_end
+    message.serverEnd = digest.server_end
+    message.serverAgeMs = _encode_age(digest.server_age_s)
+    message.isStoreReachable = digest.is_store_reachable
+    message.fence = digest.fence
+    message.scope, message.hostCount = digest.scope.value, _uint32(digest.host_count)
+    message.isDemandReport = digest.is_demand_report
+    message.isHeartbeat = digest.is_heartbeat
+    _encode_demands(message, digest.demands)
+    for item, (fingerprint, deaths) in _new_items(
+        message, "suspicions", digest.suspicions
+    ):
+        item.fingerprint, item.deaths = fingerprint, sorted(deaths)
+    _encode_processes(message, "leavingServers", digest.leaving_servers)
+    for item, (part, crashes, is_cleared) in _new_items(
+        message, "suspectParts", digest.suspect_parts
+    ):
+        item.part, item.crashes = part, sorted(crashes)
+        item.isCleared = is_cleared
+    _encode_limits(message, "limits", digest.limits)
+    if digest.live_zones:
+        message.liveZones = list(digest.live_zones)
+    _encode_limits(message, "brittle", digest.brittle)
+    _encode_processes(message, "fallen", digest.fallen)
+    for item, (process, age_s) in _new_items(message, "turnedAway", digest.turned_away):
+        item.server, item.startedMs = process
+        item.ageMs = _uint32(round(1000 * age_s))
+    _encode_speeds(message, digest.speeds)
     _encode_counts(message, digest.counts)
     _encode_holdings(message, digest.holdings)
     _encode_members(message, "members", digest.members)
@@ -392,58 +449,42 @@
     """
     try:
         message = read_packed(_SCHEMA.Digest, data)
+        get, fields = message._get_by_field, _DIGEST
         return Digest(
-            host=message.host,
-            zone=message.zone,
-            address=checked_address(message.address),
-            started_ms=message.startedMs,
-            is_leaving=message.isLeaving,
-            configuration_end=message.configurationEnd,
-            server_end=message.serverEnd,
-            is_store_reachable=message.isStoreReachable,
-            fence=message.fence,
-            counts=_decode_counts(message),
-            demands=tuple(
-                ModelDemand(
-                    d.service,
-                    d.model,
-                    d.adapter,
-                    d.inWork,
-                    d.waiting,
-                    d.goalMs / 1000,
-                    d.priority,
-                    d.unservedMs / 1000,
-                )
-                for d in message.demands
-            ),
-            holdings=_decode_holdings(message),
-            suspicions=tuple(
-                (s.fingerprint, frozenset(s.deaths)) for s in message.suspicions
-            ),
-            scope=Scope(str(message.scope)),
-            host_count=message.hostCount,
-            members=_decode_members(message.members),
-            relays=_decode_members(message.relays),
-            contested=_decode_members(message.contested),
-            is_demand_report=message.isDemandReport,
-            is_heartbeat=message.isHeartbeat,
-            capacity=message.capacity,
-            leaving_servers=tuple(
-                (p.server, p.startedMs) for p in message.leavingServers
-            ),
-            server_age_s=_decode_age(message.serverAgeMs),
-            suspect_parts=tuple(
-                (s.part, frozenset(s.crashes), s.isCleared)
-                for s in message.suspectParts
+            host=get(fields["host"]),
+            zone=get(fields["zone"]),
+            address=checked_address(get(fields["address"])),
+            started_ms=get(fields["startedMs"]),
+            is_leaving=get(fields["isLeaving"]),
+            configuration_end=get(fields["configurationEnd"]),
+            server_end=get(fields["serverEnd"]),
+            is_store_reachable=get(fields["isStoreReachable"]),
+            fence=get(fields["fence"]),
+            counts=_decode_counts(get(fields["counts"])),
+            demands=_decode_each(_decode_demand, get(fields["demands"])),
+            holdings=_decode_holdings(get(fields["holdings"])),
+            suspicions=_decode_each(_decode_suspicion, get(fields["suspicions"])),
+            scope=_SCOPES[str(get(fields["scope"]))],
+            host_count=get(fields["hostCount"]),
+            members=_decode_each(_decode_member, get(fields["members"])),
+            relays=_decode_each(_decode_member, get(fields["relays"])),
+            contested=_decode_each(_decode_member, get(fields["contested"])),
+            is_demand_report=get(fields["isDemandReport"]),
+            is_heartbeat=get(fields["isHeartbeat"]),
+            capacity=get(fields["capacity"]),
+            leaving_servers=_decode_each(
+                _decode_process, get(fields["leavingServers"])
             ),
-            limits=tuple(_decode_limit(limit) for limit in message.limits),
-            live_zones=tuple(message.liveZones),
-            brittle=tuple(_decode_limit(limit) for limit in message.brittle),
-            fallen=tuple((p.server, p.startedMs) for p in message.fallen),
-            turned_away=tuple(
-                ((a.server, a.startedMs), a.ageMs / 1000) for a in message.turnedAway
+            server_age_s=_decode_age(get(fields["serverAgeMs"])),
+            suspect_parts=_decode_each(
+                _decode_suspect_part, get(fields["suspectParts"])
             ),
-            speeds=tuple(_decode_speed(s) for s in message.speeds),
+            limits=_decode_each(_decode_limit, get(fields["limits"])),
+            live_zones=tuple(get(fields["liveZones"])),
+            brittle=_decode_each(_decode_limit, get(fields["brittle"])),
+            fallen=_decode_each(_decode_process, get(fields["fallen"])),
+            turned_away=_decode_each(_decode_server_age, get(fields["turnedAway"])),
+            speeds=_decode_speeds(get(fields["speeds"])),
         )
     except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a digest: {error}") from error
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -154,10 +154,16 @@
     """One connection to a peer.
 
     :param on_release: Called when the connection is idle or closed.
+    :param idle_limit_s: Idle time after which it is not used again, until a response
+        states the peer's timeout.
     :ivar opened_at: When the connection was established, in seconds.
     """
 
-    def __init__(self, on_release: Callable[["ClientConnection"], None]) -> None:
+    def __init__(
+        self,
+        on_release: Callable[["ClientConnection"], None],
+        idle_limit_s: float = DEFAULT_IDLE_TIMEOUT_S,
+    ) -> None:
         self._on_release = on_release
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -175,7 +181,7 @@
         self._has_surplus_bytes = False
         self._may_reuse = True
         self._tolerates_silence = False
-        self._idle_limit_s = DEFAULT_IDLE_TIMEOUT_S
+        self.idle_limit_s = idle_limit_s
         self._idle_since = 0.0
         self.opened_at = 0.0
 
@@ -190,7 +196,7 @@
         One that has been idle for longer must also be known to lead to the peer still.
         """
         idle_s = now - self._idle_since
-        if not self.is_open or idle_s >= self._idle_limit_s:
+        if not self.is_open or idle_s >= self.idle_limit_s:
             return False
         return idle_s < MAX_IDLE_S or self._unheard_s() < MAX_IDLE_S
 
@@ -292,10 +298,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the data; close the connection if no request is pending."""
-        if self._exchange is None:
+        exchange = self._exchange
+        if exchange is None:
             self.close()
             return
-        if self._is_unlimited(len(data)):
+        # Bytes of a body, for example the events of a stream, are not limited here.
+        is_limited = self._is_in_head or not exchange.head.done()
+        if is_limited and self._is_unlimited(len(data)):
             self._end(ExchangeOutcome.MALFORMED)
             return
         try:
@@ -396,6 +405,9 @@
         exchange = self._exchange
         if exchange is None or self._is_discarding:
             return
+        if exchange.on_body is not None:
+            exchange.on_body(data)
+            return
         exchange.receive(data)
         if exchange.is_too_large:
             self._end(ExchangeOutcome.TOO_LARGE)
@@ -426,7 +438,7 @@
         if match is None:
             return
         timeout_s = float(match[1])
-        self._idle_limit_s = min(
+        self.idle_limit_s = min(
             MAX_KEPT_IDLE_S, max(timeout_s - IDLE_MARGIN_S, timeout_s / 2)
         )
 
@@ -501,6 +513,7 @@
         self._idle: deque[ClientConnection] = deque()
         self._open: set[ClientConnection] = set()
         self._connecting = 0
+        self._idle_limit_s = DEFAULT_IDLE_TIMEOUT_S
         self.opened = 0
 
     @property
@@ -527,7 +540,9 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self._release), self._host, self._port
+                    lambda: ClientConnection(self._release, self._idle_limit_s),
+                    self._host,
+                    self._port,
                 )
         except TimeoutError:
             return self._failure("connect_timeout")
@@ -564,8 +579,14 @@
     def _failure(self, reason: str, detail: str = "") -> Failure:
         return Failure(FailureKind.NOT_SENT, reason, "connect", self._address, detail)
 
+    def put_back(self, connection: ClientConnection) -> None:
+        """Keep an acquired connection for another request, as none was sent on it."""
+        self._release(connection)
+
     def _release(self, connection: ClientConnection) -> None:
         if connection.is_open:
+            # The peer is one process, so its next connections end after the same time.
+            self._idle_limit_s = connection.idle_limit_s
             self._idle.append(connection)
             return
         self._open.discard(connection)
