--- a/sequoiapoint/coordination/slot_allocator.py
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -332,6 +332,23 @@
             request.host, request.number, SlotOutcome.QUEUED, wait_s=wait_s
         )
 
+    def expected_wait_s(self, request: SlotRequest, now: float) -> float | None:
+        """Return the wait that a request would have; it is neither granted nor queued.
+
+        Queued requests count until ``expire`` drops them.
+
+        :return: 0 if a slot is free, None if nothing has ended there lately.
+        """
+        servers = request.candidates
+        engines = [e for server in servers if (e := self._by_server.get(server))]
+        if any(engine.has_free_slot(now) for engine in engines):
+            return 0.0
+        rates = self._end_rates(servers, now)
+        rate = sum(rates.values())
+        if not rate:
+            return None
+        return self._queue.ahead_of_new(request, self._parts(rates), now) / rate
+
     def _end_rates(self, servers: Iterable[str], now: float) -> dict[str, float]:
         """Return the rate at which the slots of each server become free, a second."""
         engines = self._by_server
--- a/sequoiapoint/coordination/slot_queue.py
+++ b/sequoiapoint/coordination/slot_queue.py
@@ -12,6 +12,7 @@
 import heapq
 import itertools
 import math
+import sys
 from bisect import bisect_left, insort
 from collections import defaultdict
 from collections.abc import Iterator, Mapping
@@ -77,6 +78,11 @@
     by_organisation: dict[str, _Entries] = field(default_factory=dict)
     expected: float = 0.0
 
+    def copy(self) -> "_Level":
+        """Return a level to which requests may be added."""
+        lists = self.by_organisation.items()
+        return _Level({name: entries.copy() for name, entries in lists}, self.expected)
+
 
 class SlotQueue:
     """The requests that wait for a slot.
@@ -189,6 +195,21 @@
             return 0.0
         return before + same * self._share_ahead(queued, busiest)
 
+    def ahead_of_new(
+        self, request: SlotRequest, parts: Mapping[str, float], now: float
+    ) -> float:
+        """Return what ``ahead`` would if a request were queued; it is not.
+
+        The cost grows with the number of requests that its servers can run.
+
+        :param parts: Those of ``Queued``.
+        """
+        view = SlotQueue(self._shares, self._ttl_s)
+        for server in parts:
+            for key, level in self._levels.get(server, {}).items():
+                view._levels[server][key] = level.copy()
+        return view.ahead(view.add(request, parts, now, order=sys.maxsize))
+
     def _share_ahead(self, queued: Queued, level: _Level) -> float:
         """Return the share of a level's requests up to one of them, included."""
         organisation, entry = queued.request.organisation, queued.entry
--- a/sequoiapoint/coordination/slot_queue_test.py
+++ b/sequoiapoint/coordination/slot_queue_test.py
@@ -1,5 +1,6 @@
 """Order of grants and predicted waits, against a model that examines every request."""
 
+import pickle
 import random
 from collections import Counter
 
@@ -243,3 +244,22 @@
     for position in range(1, 61):
         (grant,) = slots.release(released(grant, SlotQuality.UNUSED), 0.0)
         assert predicted[grant.number] == pytest.approx(position, abs=1.5)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_an_expected_wait_is_what_a_request_is_told_when_it_is_queued(seed):
+    """Guards against an explanation that has its own rules or changes the queue."""
+    rng, slots = random.Random(seed), busy(*SERVERS[1:])
+    slots.set_weights(WEIGHTS)
+    for number in range(80):
+        slots._shares.note_served(rng.choice("abc"))
+        request = asked(
+            *(number, rng.randrange(2), rng.choice((0.0, 9.0)), rng.choice("abc")),
+            *(tuple(rng.sample(SERVERS, rng.randint(1, 4))), rng.choice((3, 5, 9))),
+        )
+        before = pickle.dumps(vars(slots))
+        expected_s = slots.expected_wait_s(request, 0.0)
+        assert pickle.dumps(vars(slots)) == before
+        reply = slots.request(request, 0.0)
+        assert reply.outcome is SlotOutcome.QUEUED
+        assert reply.wait_s == pytest.approx(expected_s or 0.0)
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -1037,13 +1037,13 @@
     site.state.fleet.set_held(("s-2", 1), {})
     site.route = replace(ROUTE, goal_s=0.9)
     selections, times = [], []
-    serving = ServerSelector._serving
+    serving = ServerSelector.serving
 
     def select(selector, now):
         selections.append(now)
         return serving(selector, now)
 
-    monkeypatch.setattr(ServerSelector, "_serving", select)
+    monkeypatch.setattr(ServerSelector, "serving", select)
 
     async def queue(ticket, zone, request, are_brittle=False):
         times.append(monotonic_s())
@@ -1255,7 +1255,7 @@
             if turned_away and not is_known_later:
                 site.state.note_turned_away(server.incarnation, now, now)
         monkeypatch.setattr(
-            "sequoiapoint.node.server_selector.ServerSelector._is_brittle",
+            "sequoiapoint.node.server_selector.ServerSelector.is_brittle",
             lambda self, entry, now: False,
         )
         for server in servers[:3]:
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -18,6 +18,7 @@
     ServerEntry,
 )
 from sequoiapoint.protocol.slots import SlotOutcome, SlotQuality, SlotRequest
+from sequoiapoint.state.server_load import ServerLoad
 from sequoiapoint.transport.clock import monotonic_s
 
 MIN_ATTEMPT_TIME_S = 0.02
@@ -69,8 +70,12 @@
 class ServerSelector:
     """Selects the server for each attempt of one request.
 
+    Public methods that are no coroutines, except ``release``, change nothing but the
+    selector.  Explanations call them too, with a selector of their own.
+
     :param under_way_s: Time since the first attempt of its caller, see ``StatedTimes``.
     :ivar service: The service that runs the request.
+    :ivar is_engine: Whether the service's servers are model engines.
     :ivar priority: The urgency of the request; 0 is the most urgent.
     :ivar demand_key: Service, model and adapter under which the demand is counted.
     :ivar required_version: The software version at which a stream must go on, None if
@@ -119,6 +124,7 @@
         self.service = _choose_service(state, route)
         self.priority = state.configuration.priority(route, request.organisation)
         self._spec = state.configuration.services.get(self.service)
+        self.is_engine = self._spec is not None and self._spec.engine is not None
         self.demand_key = (self.service, request.model, request.adapter)
         self.required_version: str | None = None
         self.connect_failures = 0
@@ -139,11 +145,6 @@
         selector.tried_servers = self.tried_servers | {server}
         return selector
 
-    @property
-    def is_engine(self) -> bool:
-        """Tell whether the service's servers are model engines."""
-        return self._spec is not None and self._spec.engine is not None
-
     @property
     def predicted_wait_s(self) -> float:
         """Return the expected time until a server has a slot, in seconds.
@@ -196,7 +197,7 @@
         """
         self._silent_server = server
         try:
-            has_choice = bool(self._serving(monotonic_s()))
+            has_choice = bool(self.serving(monotonic_s()))
             return await self.select() if has_choice else None
         finally:
             self._silent_server = ""
@@ -337,26 +338,39 @@
         Servers with a limit come last, except for a request now and then that shows
         whether the limit still holds.
         """
-        serving = self._serving(now)
+        groups = self.groups(self.serving(now), now)
+        self._needs_capacity = any(have_limit for _, have_limit in groups)
+        for servers, have_limit in groups:
+            if have_limit:
+                is_only_choice = len(groups) == 1
+                entry = await self._acquire_limited(servers, is_only_choice)
+            else:
+                entry = await self._acquire_unlimited(ticket, servers, now)
+            if entry is not None:
+                return entry
+            now = monotonic_s()
+        return None
+
+    def groups(
+        self, serving: Sequence[ServerEntry], now: float
+    ) -> list[tuple[Sequence[ServerEntry], bool]]:
+        """Return groups of servers in the order in which they are tried.
+
+        :return: The servers of each group, and whether they have a limit.
+        """
         limited = [e for e in serving if self._has_limit(e)]
-        self._needs_capacity = bool(limited)
         if not limited:
-            return await self._acquire_unlimited(ticket, serving, now)
+            return [(serving, False)]
         others = [e for e in serving if not self._has_limit(e)]
         if not others:
-            return await self._acquire_limited(limited, is_only_choice=True)
+            return [(limited, True)]
         loads = self._state.loads
         are_avoided = all(
             loads.get_or_create(e.incarnation).is_avoided(now) for e in others
         )
-        if are_avoided or self._is_limit_check_due(limited, now):
-            entry = await self._acquire_limited(limited, is_only_choice=False)
-            if entry is not None:
-                return entry
-        entry = await self._acquire_unlimited(ticket, others, monotonic_s())
-        if entry is None:
-            entry = await self._acquire_limited(limited, is_only_choice=False)
-        return entry
+        is_limit_first = are_avoided or self._is_limit_check_due(limited, now)
+        first = [(limited, True)] if is_limit_first else []
+        return [*first, (others, False), (limited, True)]
 
     def _is_version_missing(self) -> bool:
         """Tell whether no server can go on with the stream that the request resumes.
@@ -372,7 +386,7 @@
             for e in fleet.ready_servers(self.service)
         )
 
-    def _is_brittle(self, entry: ServerEntry, now: float) -> bool:
+    def is_brittle(self, entry: ServerEntry, now: float) -> bool:
         """Tell whether a server gets nothing but what its allocator has granted.
 
         One with a limit gets nothing but what has a permit, which is less.
@@ -400,17 +414,7 @@
         :param is_only_choice: Whether no other server can run the request; its caller
             is then told when to come back, and a permit is reserved for it.
         """
-        now = monotonic_s()
-        running = self._running(limited, now)
-        own_zone = self._state.settings.zone
-        limited = sorted(
-            limited,
-            key=lambda e: (
-                e.server in self.tried_servers,
-                e.zone != own_zone,
-                running[e.server],
-            ),
-        )[:MAX_LIMITED_ASKED]
+        limited = self.limited_to_ask(limited, monotonic_s())
         soonest, soonest_s = limited[0], math.inf
         if len(limited) > 1 or not is_only_choice:
             for entry in limited:
@@ -438,6 +442,21 @@
             self._count_as_waiting(self.back_off_s)
         return None
 
+    def limited_to_ask(
+        self, limited: Sequence[ServerEntry], now: float
+    ) -> list[ServerEntry]:
+        """Return the servers with a limit for which to request permits, in order."""
+        running = self._running(limited, now)
+        own_zone = self._state.settings.zone
+        return sorted(
+            limited,
+            key=lambda e: (
+                e.server in self.tried_servers,
+                e.zone != own_zone,
+                running[e.server],
+            ),
+        )[:MAX_LIMITED_ASKED]
+
     def _count_as_waiting(self, seconds: float) -> None:
         """Count a rejected request as waiting for a while.
 
@@ -457,16 +476,16 @@
     ) -> ServerEntry | None:
         """Return one of the servers without a limit that can take the request now."""
         if not self._slots.is_active:
-            free = [e for e in serving if not self._is_brittle(e, now)]
+            free = [e for e in serving if not self.is_brittle(e, now)]
             self._needs_capacity |= bool(free)
-            entry = self._choose(free, now)
+            entry = self.choose(free, now)
             if entry is not None or len(free) == len(serving):
                 return entry
-            serving = self._with_connections_left(
-                [e for e in serving if self._is_brittle(e, now)]
+            serving = self.with_connections_left(
+                [e for e in serving if self.is_brittle(e, now)]
             )
         elif not self.is_engine:
-            serving = self._with_connections_left(serving)
+            serving = self.with_connections_left(serving)
             if not serving:
                 self.reason = "no_connection"
         if not serving:
@@ -475,14 +494,15 @@
         elif ticket.grant is None:
             await self._ask_if_due(ticket, serving, now)
             if ticket.grant is None and self._silent_zones:
-                return self._choose_alone(serving, monotonic_s())
+                zones = self._zones_to_choose_alone()
+                return self.choose_alone(serving, zones, monotonic_s())
         return self._granted_server(ticket)
 
-    def _with_connections_left(
+    def with_connections_left(
         self, serving: Sequence[ServerEntry]
     ) -> list[ServerEntry]:
         """Return the servers to which this host may open another connection."""
-        remaining = [e for e in serving if self._has_connections_left(e)]
+        remaining = [e for e in serving if self.has_connections_left(e)]
         self._needs_capacity |= len(remaining) < len(serving)
         return remaining
 
@@ -500,7 +520,7 @@
         if servers != self._asked_servers or now >= self._ask_again_at:
             self._asked_servers = servers
             self._ask_again_at = now + REPEAT_INTERVAL_S
-            self._questions = self._servers_by_allocator(serving, now)
+            self._questions = self.servers_by_allocator(serving, now)
             self._predictions = {}
             self._silent_zones, self._is_queued = await self._ask_zones(
                 ticket, self._questions, now
@@ -511,19 +531,18 @@
             )
             self._is_queued |= is_queued
 
-    def _choose_alone(
-        self, serving: Sequence[ServerEntry], now: float
+    def choose_alone(
+        self, serving: Sequence[ServerEntry], zones: Set[str], now: float
     ) -> ServerEntry | None:
         """Choose a server of the zones whose allocators cannot be reached."""
-        zones = self._zones_to_choose_alone()
         remaining = [
             e
             for e in serving
-            if self._zone_to_ask(e, now) in zones and not self._is_brittle(e, now)
+            if self._zone_to_ask(e, now) in zones and not self.is_brittle(e, now)
         ]
         self._needs_capacity |= bool(remaining)
         if self.is_engine or not self._slots.is_active:
-            return self._choose(remaining, now)
+            return self.choose(remaining, now)
         return self._draw(remaining, now)
 
     def _draw(self, serving: Sequence[ServerEntry], now: float) -> ServerEntry | None:
@@ -534,7 +553,7 @@
         ]
         untried = [e for e in usable if e.server not in self.tried_servers]
         candidates = untried or usable or serving
-        times = self._relative_times(candidates, now)
+        times = self.relative_times(candidates, now)
         return server_choice.draw_by_speed(candidates, times, self._state.rng.random)
 
     def _zones_to_choose_alone(self) -> Set[str]:
@@ -554,11 +573,13 @@
         self._slots.release(ticket, SlotQuality.UNUSED)
         return None
 
-    def _servers_by_allocator(
+    def servers_by_allocator(
         self, serving: Sequence[ServerEntry], now: float
     ) -> dict[str, tuple[tuple[str, ...], bool]]:
         """Return which zones' allocators to ask for which servers, in this order.
 
+        A waiting request asks again when the first avoided server may be used.
+
         :return: By zone, the servers and whether the slots are those of brittle ones.
         """
         state = self._state
@@ -579,14 +600,14 @@
             candidates,
             self._running(candidates, now),
             state.settings.zone,
-            self._relative_times(candidates, now),
+            self.relative_times(candidates, now),
         )
         members_of: dict[str, list[ServerEntry]] = {zone: [] for zone in zones}
         for entry in candidates:
             members_of[entry.zone].append(entry)
         by_allocator: dict[str, tuple[tuple[str, ...], bool]] = {}
         for zone, members in members_of.items():
-            are_brittle = all(self._is_brittle(e, now) for e in members)
+            are_brittle = all(self.is_brittle(e, now) for e in members)
             if are_brittle:
                 zone = self._slots.allocating_zone(zone, now)
             else:
@@ -609,15 +630,7 @@
         for zone in zones:
             servers, are_brittle = self._questions[zone]
             ticket.wait_s = 0.0
-            slot_request = SlotRequest(
-                self._state.settings.host,
-                ticket.number,
-                servers,
-                self.priority,
-                self._deadline - now,
-                max(0.0, self._goal_at - now),
-                self._request.organisation or "",
-            )
+            slot_request = self.slot_request(ticket.number, servers, now)
             outcome = await self._slots.ask(ticket, zone, slot_request, are_brittle)
             if outcome is SlotOutcome.UNAVAILABLE:
                 silent_zones.add(zone)
@@ -628,13 +641,27 @@
                 break
         return silent_zones, asked > 0
 
+    def slot_request(
+        self, number: int, servers: tuple[str, ...], now: float
+    ) -> SlotRequest:
+        """Return the request for a slot at one of several servers."""
+        return SlotRequest(
+            self._state.settings.host,
+            number,
+            servers,
+            self.priority,
+            self._deadline - now,
+            max(0.0, self._goal_at - now),
+            self._request.organisation or "",
+        )
+
     def _zone_to_ask(self, entry: ServerEntry, now: float) -> str:
         """Return the zone whose allocator grants the slots of a server."""
         if self.is_engine or not self._slots.is_active:
             return entry.zone
         return self._slots.plain_zone(entry.service, now)
 
-    def _relative_times(
+    def relative_times(
         self, entries: Sequence[ServerEntry], now: float
     ) -> Mapping[Incarnation, float]:
         """Return how long work takes at each server, nothing if none states it."""
@@ -648,8 +675,11 @@
             e.server: loads.get_or_create(e.incarnation).running(now) for e in entries
         }
 
-    def _serving(self, now: float) -> Sequence[ServerEntry]:
-        """Return the servers that can run the request, whether or not they are full."""
+    def serving(self, now: float) -> Sequence[ServerEntry]:
+        """Return the servers that can run the request, whether or not they are full.
+
+        It sets ``reason`` and ``back_off_s``.
+        """
         fleet, request = self._state.fleet, self._request
         if self.is_engine:
             serving = fleet.ready_holders(
@@ -720,7 +750,7 @@
 
     def is_permitted(self, entry: ServerEntry, now: float) -> bool:
         """Tell whether the request may be sent as far as limits and slots go."""
-        if self._is_brittle(entry, now) and (
+        if self.is_brittle(entry, now) and (
             self._ticket is None or not self._ticket.may_use(entry.incarnation, now)
         ):
             return False
@@ -747,26 +777,22 @@
             self._state.settings.bounds.server_drain_s,
         )
 
-    def _choose(self, serving: Sequence[ServerEntry], now: float) -> ServerEntry | None:
+    def choose(self, serving: Sequence[ServerEntry], now: float) -> ServerEntry | None:
+        """Return the server that this host chooses by itself, None if all are full.
+
+        It sets ``reason`` if one is full.
+        """
         state = self._state
         untried = [e for e in serving if e.server not in self.tried_servers]
         candidates = []
-        times = self._relative_times(serving, now)
+        times = self.relative_times(serving, now)
         for entry in untried or serving:
             time = times.get(entry.incarnation)
             load = state.loads.get_or_create(entry.incarnation)
             running = load.running(now)
-            if waiting.is_full(running, entry.slots, self.is_engine, time):
-                self.reason = "servers_full"
-                continue
-            if not self._has_connections_left(entry):
-                self.reason = "no_connection"
-                continue
-            pending_tokens = sum(load.pending_prompt_tokens.values())
-            if self.is_engine and not waiting.may_send_prompt(
-                pending_tokens, self.prompt_tokens, state.host_count
-            ):
-                self.reason = "engine_reads"
+            refusal = self.capacity_refusal(entry, load, running, time)
+            if refusal:
+                self.reason = refusal
                 continue
             candidates.append(
                 server_choice.Candidate(
@@ -778,7 +804,31 @@
         )
         return chosen.entry if chosen else None
 
-    def _has_connections_left(self, entry: ServerEntry) -> bool:
+    def capacity_refusal(
+        self,
+        entry: ServerEntry,
+        load: ServerLoad,
+        running: float,
+        relative_time: float | None,
+    ) -> str:
+        """Return why this host sends a server nothing more now, "" if it would.
+
+        :param running: Estimated number of requests there.
+        :param relative_time: How long work takes there, None if it is not known.
+        """
+        is_engine = self.is_engine
+        if waiting.is_full(running, entry.slots, is_engine, relative_time):
+            return "servers_full"
+        if not self.has_connections_left(entry):
+            return "no_connection"
+        pending_tokens = sum(load.pending_prompt_tokens.values())
+        if is_engine and not waiting.may_send_prompt(
+            pending_tokens, self.prompt_tokens, self._state.host_count
+        ):
+            return "engine_reads"
+        return ""
+
+    def has_connections_left(self, entry: ServerEntry) -> bool:
         """Tell whether this host uses less than its share of a server's connections."""
         if self._spec is None:
             return True
