--- a/standins/decision_benchmark.py
+++ b/standins/decision_benchmark.py
@@ -94,7 +94,8 @@
     candidates = [
         server_choice.Candidate(r.entry, 1.0, 0.0, False) for r in records[:8]
     ]
-    waiting = {(f"m{number}", "a1"): 1 for number in range(10)}
+    adapter_demand = adapter_placement.AdapterDemand(1)
+    waiting = {(f"m{number}", "a1"): adapter_demand for number in range(10)}
     loads = {r.entry.server: 1.0 for r in records}
     choice = mean_cpu_ms(lambda: server_choice.choose(candidates, "z", random.random))
     adapters = mean_cpu_ms(
