Endless events: cost in proportion to the bytes received

Cause: EventSplitter.feed joined the buffered part and the new bytes for each chunk, so that an event cost the square of its size; and a connection passed on each of the 29,000 chunks of one read by itself, in one callback of the loop.

Fix: the splitter appends to its buffer and searches only new bytes; a connection passes on what one read has brought at once. Both costs are now proportional to the bytes, so the limit is reached early. The chat interface's splitter had the same fault and no limit; a collected body is one buffer.

--- a/sequoiapoint/node/attempt.py
+++ b/sequoiapoint/node/attempt.py
@@ -123,6 +123,9 @@
                 yield from self._process(raw)
                 if self._outcome is not None:
                     return
+            if splitter.is_too_large:
+                self._outcome = self._failure("event_too_large")
+                return
         if self._outcome is None:
             self._outcome = self._classify_end(stream)
 
--- a/sequoiapoint/protocol/chat.py
+++ b/sequoiapoint/protocol/chat.py
@@ -6,6 +6,8 @@
 
 import pydantic
 
+from sequoiapoint.protocol.event_stream import MAX_EVENT_BYTES
+
 DONE_EVENT = b"data: [DONE]"
 EVENT_END = b"\n\n"
 DATA_PREFIX = b"data: "
@@ -49,14 +51,25 @@
 
 
 class EventSplitter:
-    """Splits a byte stream into events."""
+    """Splits a byte stream into events, at a cost proportional to their size."""
 
     def __init__(self) -> None:
-        self._partial = b""
+        self._partial = bytearray()
+
+    @property
+    def is_too_large(self) -> bool:
+        """Tell whether the incomplete event exceeds ``MAX_EVENT_BYTES``."""
+        return len(self._partial) > MAX_EVENT_BYTES
 
     def feed(self, data: bytes) -> list[bytes]:
         """Add received bytes and return the events that are now complete."""
-        *events, self._partial = (self._partial + data).split(EVENT_END)
+        # The end of an event may lie across the new and the buffered bytes.
+        unsearched = max(0, len(self._partial) + 1 - len(EVENT_END))
+        self._partial += data
+        if self._partial.find(EVENT_END, unsearched) < 0:
+            return []
+        *events, partial = bytes(self._partial).split(EVENT_END)
+        self._partial = bytearray(partial)
         return events
 
 
--- a/sequoiapoint/protocol/event_stream.py
+++ b/sequoiapoint/protocol/event_stream.py
@@ -1,7 +1,8 @@
 """Splits an event stream that arrives in chunks of any size into complete events.
 
 This code runs for every event of every stream, so it scans each byte only a few times
-and parses nothing but the last event id.
+and parses nothing but the last event id.  The cost of an event is proportional to its
+size, in however many chunks it arrives.
 """
 
 import re
@@ -10,6 +11,7 @@
 """Maximum size of an event; thousands of tokens."""
 _EVENT_END = b"\n\n"
 _ANY_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r|\r\n\n|\n\r\n")
+_MAX_EVENT_END_BYTES = 4
 _ID = re.compile(rb"(?:\A|[\r\n])id: ?([^\r\n]*)")
 
 
@@ -22,7 +24,7 @@
     """
 
     def __init__(self, last_id: str = "") -> None:
-        self._partial = b""
+        self._partial = bytearray()
         self._events = b""
         self._last_id = last_id
         self.count = 0
@@ -45,29 +47,44 @@
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the events that are now complete."""
-        if self._partial:
-            data = self._partial + data
-            self._partial = b""
-        if b"\r" in data:
-            ends = [match.end() for match in _ANY_EVENT_END.finditer(data)]
-            end, count = ends[-1] if ends else 0, len(ends)
+        partial = self._partial
+        if not partial:
+            end, count = _find_last_end(data)
+            events = data[:end]
         else:
-            end = len(data) if data.endswith(_EVENT_END) else _last_end(data)
-            count = data.count(_EVENT_END, 0, end)
+            # Only the new bytes can complete the end of an event.
+            overlap = bytes(partial[1 - _MAX_EVENT_END_BYTES :])
+            end, count = _find_last_end(overlap + data)
+            if not end:
+                partial += data
+                return b""
+            end -= len(overlap)
+            events = bytes(partial) + data[:end]
+            partial.clear()
         if end < len(data):
-            self._partial = data[end:]
-            data = data[:end]
+            partial += data[end:]
         self.count += count
-        if data.startswith(b"id:") or b"id:" in data and _ID.search(data):
-            self._events = data
-        return data
+        if events.startswith(b"id:") or b"id:" in events and _ID.search(events):
+            self._events = events
+        return events
 
     def drop_partial(self) -> None:
         """Discard the buffered bytes before the stream is resumed."""
-        self._partial = b""
+        self._partial.clear()
 
 
-def _last_end(data: bytes) -> int:
-    """Return the position after the last event that ends, 0 if none does."""
-    start = data.rfind(_EVENT_END)
-    return 0 if start < 0 else start + len(_EVENT_END)
+def _find_last_end(data: bytes) -> tuple[int, int]:
+    """Return the position after the last event that ends, and how many end.
+
+    The position is 0 if none does.
+    """
+    if b"\r" in data:
+        ends = [match.end() for match in _ANY_EVENT_END.finditer(data)]
+        return (ends[-1] if ends else 0), len(ends)
+    if data.endswith(_EVENT_END):
+        end = len(data)
+    else:
+        end = data.rfind(_EVENT_END) + len(_EVENT_END)
+        if end < len(_EVENT_END):
+            return 0, 0
+    return end, data.count(_EVENT_END, 0, end)
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -112,7 +112,7 @@
         self.on_body: Callable[[bytes], None] | None = None
         self.is_paused = False
         self._accepts = accepts
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
 
     def accepts(self, status: int, headers: Headers) -> bool:
@@ -128,7 +128,7 @@
         if self._body_bytes > MAX_BODY_BYTES:
             self._body.clear()
         else:
-            self._body.append(data)
+            self._body += data
 
     @property
     def is_too_large(self) -> bool:
@@ -137,7 +137,7 @@
 
     def take_body(self) -> bytes:
         """Remove and return the buffered part of the body."""
-        body = b"".join(self._body)
+        body = bytes(self._body)
         self._body.clear()
         self._body_bytes = 0
         return body
@@ -170,6 +170,8 @@
         self._exchange: Exchange | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: Headers = []
+        # Parts of the body from the data that is being parsed.
+        self._body_parts: list[bytes] = []
         self._head_bytes = 0
         self._received_in_head = 0
         self._skipped_bytes = 0
@@ -310,16 +312,34 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._report_failure(error)
+            self._report_failure(error.__context__)
             if self._exchange is not None:
                 self._end(ExchangeOutcome.MALFORMED)
             self.close()
+        self._deliver_body()
         if self._has_surplus_bytes:
             self.close()
 
-    def _report_failure(self, error: Exception) -> None:
-        """Report the failure of a callback, for which the parser raises an error."""
-        cause = error.__context__
+    def _deliver_body(self) -> None:
+        """Pass the parts of the body that one read has brought to the exchange at once.
+
+        A peer may send a body of millions of small chunks.
+        """
+        exchange, parts = self._exchange, self._body_parts
+        if exchange is None or not parts:
+            return
+        self._body_parts = []
+        try:
+            exchange.receive(b"".join(parts))
+        except Exception as error:
+            self._report_failure(error)
+            self._end(ExchangeOutcome.MALFORMED)
+            return
+        if exchange.is_too_large:
+            self._end(ExchangeOutcome.TOO_LARGE)
+
+    def _report_failure(self, cause: BaseException | None) -> None:
+        """Report the unexpected failure of a callback, None if there was none."""
         if cause is not None and not isinstance(cause, _HeadTooLargeError):
             self._loop.call_exception_handler(
                 {"message": "processing a response failed", "exception": cause}
@@ -401,16 +421,9 @@
             self._end(ExchangeOutcome.COMPLETE)
 
     def on_body(self, data: bytes) -> None:
-        """Pass a part of the body to the exchange."""
-        exchange = self._exchange
-        if exchange is None or self._is_discarding:
-            return
-        if exchange.on_body is not None:
-            exchange.on_body(data)
-            return
-        exchange.receive(data)
-        if exchange.is_too_large:
-            self._end(ExchangeOutcome.TOO_LARGE)
+        """Collect a part of the body for the exchange."""
+        if self._exchange is not None and not self._is_discarding:
+            self._body_parts.append(data)
 
     def on_message_complete(self) -> None:
         """End the exchange and release the connection if it can be reused."""
@@ -443,7 +456,11 @@
         )
 
     def _end(self, outcome: ExchangeOutcome) -> None:
+        self._deliver_body()
         exchange, self._exchange = self._exchange, None
+        if exchange is None:
+            # The receiver of the body has closed the connection.
+            return
         self._idle_since = monotonic_s()
         exchange.finish(outcome)
         has_unsent = self.is_open and self._transport.get_write_buffer_size() > 0
