Lines without end outside a body: limited in both directions

Cause: only what precedes a body was limited. The parser collects a line of a trailer, whatever its length, and copies all of it for each read.

Evidence: on the code before, node/endless_response_test.py for a trailer line and a chunk's extension, and transport/async_http_server_test.py for a caller's header, trailer line and chunk's extension fail: the bytes are taken in until a timeout.

Fix: both sides count the bytes received since the last part of a body, whatever they belong to, and end the connection at the maximum size of a head. Memory is thus bounded by that limit and one read.

--- a/sequoiapoint/node/endless_response_test.py
+++ b/sequoiapoint/node/endless_response_test.py
@@ -27,6 +27,9 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
+EVENT = chunk(b"id: 1\ndata: oak\n\n")
+
+
 class EndlessPeer:
     """A server that answers a request with a first part, and another without end."""
 
@@ -90,8 +93,18 @@
             ExchangeOutcome.ABANDONED,
         ),
         (CHUNKED, chunk(b"x"), False, ExchangeOutcome.TOO_LARGE),
+        (CHUNKED + EVENT + b"0\r\nNote: ", b"oak ", True, ExchangeOutcome.MALFORMED),
+        (CHUNKED + EVENT + b"0\r\n", b"a: b\r\n", True, ExchangeOutcome.MALFORMED),
+        (CHUNKED + EVENT + b"4;note=", b"oak", True, ExchangeOutcome.MALFORMED),
+    ],
+    ids=[
+        "event",
+        "event_with_carriage_return",
+        "body",
+        "trailer_line",
+        "trailer_lines",
+        "chunk_extension",
     ],
-    ids=["event", "event_with_carriage_return", "body"],
 )
 def test_a_response_without_end_holds_up_no_other_caller(
     first, part, is_stream, expected
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -51,7 +51,8 @@
 _LAST_ACK_OFFSET = 56
 """Offset of the time since the last acknowledgement, in ms, in ``struct tcp_info``."""
 MAX_HEAD_BYTES = 65_536
-"""Maximum size of a response head; a larger one is treated as malformed."""
+"""Maximum size of a response head, and of what lies between two parts of a body or
+behind the last one; a larger one is treated as malformed."""
 MAX_BODY_BYTES = 4_194_304
 """Maximum size of a body that is collected; four times a full page of the store."""
 MAX_READ_BYTES = 262_144
@@ -173,7 +174,7 @@
         # Parts of the body from the data that is being parsed.
         self._body_parts: list[bytes] = []
         self._head_bytes = 0
-        self._received_in_head = 0
+        self._overhead_bytes = 0
         self._skipped_bytes = 0
         self._is_in_head = True
         self._is_framed = False
@@ -305,10 +306,9 @@
             self.close()
             return
         # Bytes of a body, for example the events of a stream, are not limited here.
-        is_limited = self._is_in_head or not exchange.head.done()
-        if is_limited and self._is_unlimited(len(data)):
-            self._end(ExchangeOutcome.MALFORMED)
-            return
+        self._overhead_bytes += len(data)
+        if not exchange.head.done():
+            self._skipped_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -319,6 +319,8 @@
         self._deliver_body()
         if self._has_surplus_bytes:
             self.close()
+        if self._exchange is not None and self._has_too_much_overhead:
+            self._end(ExchangeOutcome.MALFORMED)
 
     def _deliver_body(self) -> None:
         """Pass the parts of the body that one read has brought to the exchange at once.
@@ -345,21 +347,16 @@
                 {"message": "processing a response failed", "exception": cause}
             )
 
-    def _is_unlimited(self, received: int) -> bool:
-        """Tell whether the peer sends too much before the request's response.
-
-        The parser itself collects a line of any length.
+    @property
+    def _has_too_much_overhead(self) -> bool:
+        """Tell whether the peer sends too much beside the body of the response.
 
-        :param received: The number of bytes that have just arrived.
+        The parser itself collects a line of any length, in a head or a trailer.
         """
-        if self._is_in_head:
-            self._received_in_head += received
-        if not self._exchange.head.done():
-            self._skipped_bytes += received
-        return (
-            self._received_in_head > MAX_HEAD_BYTES + MAX_READ_BYTES
-            or self._skipped_bytes > MAX_SKIPPED_BYTES + MAX_READ_BYTES
-        )
+        if self._overhead_bytes > MAX_HEAD_BYTES:
+            return True
+        is_skipping = not self._exchange.head.done()
+        return is_skipping and self._skipped_bytes > MAX_SKIPPED_BYTES
 
     def eof_received(self) -> bool:
         """End the response; without framing, the end of the connection completes it."""
@@ -389,11 +386,12 @@
         self._reset_message()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
+        """Collect a header; one in a trailer is ignored."""
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > MAX_HEAD_BYTES:
             raise _HeadTooLargeError(f"response head exceeds {MAX_HEAD_BYTES} bytes")
-        self._headers.append((name.lower(), value))
+        if self._is_in_head:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Pass the head to the exchange unless it belongs to another request."""
@@ -401,6 +399,7 @@
         if exchange is None:
             return
         self._is_in_head = False
+        self._overhead_bytes = 0
         status = self._parser.get_status_code()
         self._is_informational = status < 200
         if self._is_informational:
@@ -422,6 +421,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body for the exchange."""
+        self._overhead_bytes = 0
         if self._exchange is not None and not self._is_discarding:
             self._body_parts.append(data)
 
@@ -439,7 +439,7 @@
     def _reset_message(self) -> None:
         self._headers = []
         self._head_bytes = 0
-        self._received_in_head = 0
+        self._overhead_bytes = 0
         self._is_in_head = True
         self._is_framed = False
         self._is_discarding = False
--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -32,6 +32,9 @@
 """Length of the accept queue; sufficient for all callers connecting at once."""
 WRITE_BUFFER_BYTES = 65_536
 """Unsent bytes of a response above which reading from its source is paused."""
+OVERHEAD_FACTOR = 2
+"""Size of an incomplete head, or of a trailer, relative to the maximum size of headers,
+from which on it is rejected; the delimiters between headers count too."""
 CALLER_TIMEOUT_MS = 30_000
 """Maximum time for which a caller may take no bytes of a response, or be out of reach.
 The kernel also counts the time in which a caller is alive but does not read."""
@@ -337,6 +340,8 @@
             self._is_reading = True
             self._is_head_complete = False
             self._head_started_at = self._last_progress_s
+        self._overhead_bytes += len(data)
+        limits = self._server.limits
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -348,6 +353,9 @@
         except httptools.HttpParserError as error:
             self._reject(_rejection_status(error))
             return
+        if self._overhead_bytes > OVERHEAD_FACTOR * limits.max_header_bytes:
+            self._reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            return
         if self._active is None and self._queue:
             self._start_next()
         if self._active is not None and self._queue and self._transport is not None:
@@ -372,6 +380,7 @@
     def on_headers_complete(self) -> None:
         """Reject ambiguous framing and excessive body sizes before the body is read."""
         self._is_head_complete = True
+        self._overhead_bytes = 0
         self.is_http_11 = self._parser.get_http_version() == "1.1"
         names = [name for name, _ in self._headers]
         if names.count(b"host") != 1 and self.is_http_11:
@@ -396,6 +405,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
+        self._overhead_bytes = 0
         self._body_bytes += len(data)
         if self._body_bytes > self._server.limits.max_body_bytes:
             raise _RejectionError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -407,6 +417,7 @@
         Once the server accepts no requests, none is taken behind one in progress.
         """
         self._is_reading = False
+        self._overhead_bytes = 0
         if self._server.is_closed and self._active is not None:
             return
         request = InboundRequest(
@@ -424,6 +435,9 @@
         self._target = b""
         self._headers: Headers = []
         self._head_bytes = 0
+        # Bytes since the start of the request or the last part of its body.  The parser
+        # itself collects a line of any length, in a head or a trailer.
+        self._overhead_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
 
--- a/sequoiapoint/transport/async_http_server_test.py
+++ b/sequoiapoint/transport/async_http_server_test.py
@@ -17,6 +17,10 @@
     idle_timeout_s=0.8,
 )
 VALID_REQUEST = b"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+CHUNKED_REQUEST = (
+    b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n"
+)
+MAX_ENDLESS_BYTES = 4 * LIMITS.max_header_bytes
 
 
 class RecordingServer:
@@ -77,9 +81,9 @@
     return asyncio.run(coroutine)
 
 
-async def _send_parts(*parts, handler=None):
+async def _send_parts(*parts, handler=None, pause_s=0.02):
     async with RecordingServer(handler) as recorder:
-        return await exchange(recorder, *parts), recorder
+        return await exchange(recorder, *parts, pause_s=pause_s), recorder
 
 
 @pytest.mark.parametrize(
@@ -429,3 +433,22 @@
                 return await reader.readuntil(b"ok")
 
     assert run(scenario()).startswith(b"HTTP/1.1 200 ")
+
+
+@pytest.mark.parametrize(
+    ("start", "part"),
+    [
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: ", b"y" * 500),
+        (b"GET /", b"y" * 500),
+        (CHUNKED_REQUEST + b"0\r\nX: ", b"y" * 500),
+        (CHUNKED_REQUEST + b"0\r\n", b"X: y\r\n" * 80),
+        (CHUNKED_REQUEST + b"2;x=", b"y" * 500),
+    ],
+    ids=["header", "target", "trailer_line", "trailer_lines", "chunk_extension"],
+)
+def test_a_line_without_end_is_rejected_before_the_timeout(start, part):
+    """Bytes without end in a head or a trailer filled a host's memory."""
+    parts = MAX_ENDLESS_BYTES // len(part)
+    data, recorder = run(_send_parts(start, *[part] * parts, pause_s=0.001))
+    assert data.startswith(b"HTTP/1.1 431 ")
+    assert (recorder.received, recorder.rejected) == ([], [431])
