Late copies: a connection carries each request once

Cause: a retry has the id of the first attempt and was sent on the connection that was used last, where the id identifies neither. A response without an id was taken for the response to any request. What a discarded response says was stored as the attempt's head.

Fix: a connection remembers the ids it has carried, and the pool passes over it for these. A response without an id is accepted for the first request on a connection only, as nothing else can have been answered there.

--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -9,7 +9,7 @@
 import enum
 import http
 import itertools
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 
@@ -591,7 +591,12 @@
         """
         state = self._state
         pool = state.pools.get_or_create(entry)
-        connection = await pool.acquire(min(CONNECT_TIMEOUT_S, self._remaining_s()))
+        request_id = self._request.request_id
+        timeout_s = min(CONNECT_TIMEOUT_S, self._remaining_s())
+        if request_id:
+            connection = await pool.acquire(timeout_s, request_id)
+        else:
+            connection = await pool.acquire_new(timeout_s)
         if isinstance(connection, Failure):
             load = state.loads.get_or_create(entry.incarnation)
             load.note_connect_failure(monotonic_s())
@@ -692,7 +697,12 @@
             self._request.shared_parts
         )
         sent_at = now
-        exchange = connection.send(head, self._request.body, self._accept_response)
+        exchange = connection.send(
+            head,
+            self._request.body,
+            self._response_filter(connection),
+            self._request.request_id,
+        )
         self._reachability.note_sent(entry.incarnation, now)
         try:
             outcome, reason = await self._process_response(
@@ -732,10 +742,28 @@
             return None
         return self._state.configuration.sent_priority(self._selector.priority)
 
-    def _accept_response(self, status: int, headers: Headers) -> bool:
-        """Tell whether a response belongs to this request, and store its head."""
-        self._head = head = self._state.adapter.servers.decode_head(status, headers)
-        return not head.request_id or head.request_id == self._request.request_id
+    def _response_filter(
+        self, connection: ClientConnection
+    ) -> Callable[[int, Headers], bool]:
+        """Return a function that tells whether a response belongs to this request.
+
+        It stores the head of the response that does.  One without an id may be a late
+        copy of the response to any earlier request on the connection.
+        """
+        is_first_request = connection.is_unused
+
+        def accepts(status: int, headers: Headers) -> bool:
+            head = self._state.adapter.servers.decode_head(status, headers)
+            if not head.request_id:
+                connection.forbid_reuse()
+                if not is_first_request:
+                    return False
+            elif head.request_id != self._request.request_id:
+                return False
+            self._head = head
+            return True
+
+        return accepts
 
     async def _process_response(
         self,
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -113,7 +113,7 @@
             self.state.pools,
             "get_or_create",
             lambda entry: SimpleNamespace(
-                acquire=lambda t: self._connect(entry),
+                acquire=lambda t, request_id: self._connect(entry),
                 refuses_connections=lambda t: self._refuses_connections(entry),
                 accepts_connections=lambda t: _result(not self.is_cut_off),
                 put_back=self.unused.setdefault(entry.server, []).append,
@@ -130,7 +130,7 @@
         self.on_connect(entry.server)
         exchanges = []
 
-        def send(head, body, accepts):
+        def send(head, body, accepts, request_id):
             exchanges.append(self._send(entry, accepts))
             return exchanges[-1]
 
@@ -142,6 +142,8 @@
             send=send,
             close=close,
             opened_at=monotonic_s(),
+            is_unused=True,
+            forbid_reuse=lambda: None,
             tolerate_silence=lambda: None,
             pause=lambda exchange: setattr(exchange, "is_paused", True),
             resume=lambda exchange: setattr(exchange, "is_paused", False),
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -3,6 +3,11 @@
 A connection carries one request at a time.  It is reused only after a response that
 ended exactly where its framing says; any further byte closes it, so that no request
 receives the response to another one.
+
+A faulty server may send a second copy of a response late, when the response to the next
+request is due.  Only the id of a request tells them apart, so a connection never
+carries two requests with the same id, and a response without an id is certain only for
+the first request on a connection.
 """
 
 import asyncio
@@ -62,6 +67,10 @@
 """Maximum size of what may precede a request's response on a connection: informational
 responses, and late ones to other requests."""
 
+MAX_REQUESTS_PER_CONNECTION = 500
+"""Number of requests with an id after which a connection is closed, as it remembers all
+of them."""
+
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
@@ -184,6 +193,8 @@
         self._has_surplus_bytes = False
         self._may_reuse = True
         self._tolerates_silence = False
+        self._is_unused = True
+        self._request_ids: set[str] = set()
         self.idle_limit_s = idle_limit_s
         self._idle_since = 0.0
         self.opened_at = 0.0
@@ -193,6 +204,15 @@
         """Tell whether the connection can carry a request."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def is_unused(self) -> bool:
+        """Tell whether no request has been sent on the connection."""
+        return self._is_unused
+
+    def has_carried(self, request_id: str) -> bool:
+        """Tell whether a request with an id has been sent on the connection."""
+        return request_id in self._request_ids
+
     def is_reusable(self, now: float) -> bool:
         """Tell whether the connection is open and the peer will not close it soon.
 
@@ -229,17 +249,27 @@
         return has_unread(self._transport)
 
     def send(
-        self, head: bytes, body: bytes, accepts: Callable[[int, Headers], bool]
+        self,
+        head: bytes,
+        body: bytes,
+        accepts: Callable[[int, Headers], bool],
+        request_id: str = "",
     ) -> Exchange:
         """Send a request.
 
         :param head: The encoded head, including the empty line at its end.
         :param accepts: See :class:`Exchange`.
+        :param request_id: The id by which its response is identified; "" for none.
         """
         exchange = Exchange(self._loop, accepts)
         if not self.is_open:
             exchange.finish(ExchangeOutcome.CLOSED)
             return exchange
+        self._is_unused = False
+        if request_id:
+            self._request_ids.add(request_id)
+        if len(self._request_ids) >= MAX_REQUESTS_PER_CONNECTION:
+            self._may_reuse = False
         self._exchange = exchange
         self._parser = httptools.HttpResponseParser(self)
         self._reset_message()
@@ -263,6 +293,10 @@
         if exchange is not None:
             exchange.finish(ExchangeOutcome.ABANDONED)
 
+    def forbid_reuse(self) -> None:
+        """Close the connection after the response that is awaited or being received."""
+        self._may_reuse = False
+
     def tolerate_silence(self) -> None:
         """Let the kernel keep the connection while the peer is silent.
 
@@ -538,17 +572,38 @@
         """Return the number of connections that are open or being opened."""
         return len(self._open) + self._connecting
 
-    async def acquire(self, timeout_s: float) -> ClientConnection | Failure:
+    async def acquire(
+        self, timeout_s: float, request_id: str = ""
+    ) -> ClientConnection | Failure:
         """Return an idle connection that can be reused, otherwise a new one.
 
         :param timeout_s: The time for opening a connection, in seconds.
+        :param request_id: The id of the request that is to be sent; it is not sent
+            again on a connection that has carried it.
         """
+        connection = self._take_idle(request_id)
+        return connection or await self._connect(timeout_s)
+
+    def _take_idle(self, request_id: str) -> ClientConnection | None:
         now = monotonic_s()
-        while self._idle:
+        unsuitable = []
+        chosen = None
+        while self._idle and chosen is None:
             connection = self._idle.pop()
-            if connection.is_reusable(now) and not connection.has_unread:
-                return connection
-            connection.close()
+            if not connection.is_reusable(now) or connection.has_unread:
+                connection.close()
+            elif connection.has_carried(request_id):
+                unsuitable.append(connection)
+            else:
+                chosen = connection
+        self._idle.extend(reversed(unsuitable))
+        return chosen
+
+    async def acquire_new(self, timeout_s: float) -> ClientConnection | Failure:
+        """Return a connection on which nothing has been sent.
+
+        :param timeout_s: The time for opening a connection, in seconds.
+        """
         return await self._connect(timeout_s)
 
     async def _connect(self, timeout_s: float) -> ClientConnection | Failure:
