Late copies: orders and reports take a new connection

Cause: orders and reports have no id, and were sent on connections that had carried requests. A late copy of a stream's 200 was taken for the response to an unload, so the slot counted as free.

Evidence: node/late_copy_test.py; all 8 cases of orders fail before, with a copy of the response to a request or to an earlier order.

Fix: such a call takes a new connection, on which no other response can be due. Requests with an id may use it afterwards.

--- a/sequoiapoint/node/late_copy_test.py
+++ b/sequoiapoint/node/late_copy_test.py
@@ -7,12 +7,20 @@
 import asyncio
 import contextlib
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 import uvloop
 
+from sequoiapoint.node.placement_controller import PlacementController
 from sequoiapoint.node.request_forwarder_test import ENTRY, Site
-from sequoiapoint.protocol.gateway import Repeatability
+from sequoiapoint.protocol.gateway import (
+    Order,
+    OrderAction,
+    OrderResult,
+    Repeatability,
+)
+from sequoiapoint.state.engine_ledger import EngineRecord
 from sequoiapoint.transport.async_http_client import ConnectionPool
 
 WHOLE = b"id: 1\ndata: whole\n\n"
@@ -35,11 +43,12 @@
     :param first: The responses to the first requests, which are not run.
     :param late: The late copies before the second, third, ... one on a connection.
     :param run_headers: The headers of the response to a request that is run.
+    :param run_status: Its status.
     """
 
-    def __init__(self, first, late, run_headers):
+    def __init__(self, first, late, run_headers, run_status=200):
         self._first, self._late = list(first), late
-        self._run_headers = run_headers
+        self._run_headers, self._run_status = run_headers, run_status
         self.runs = 0
 
     async def __aenter__(self):
@@ -64,7 +73,7 @@
                     writer.write(self._first.pop(0))
                     continue
                 self.runs += 1
-                writer.write(respond(200, self._run_headers, WHOLE))
+                writer.write(respond(self._run_status, self._run_headers, WHOLE))
 
 
 SIGNED = b"Server-Seal: s\r\n"
@@ -138,3 +147,34 @@
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         status, leaving = runner.run(scenario())
     assert (status, list(leaving)) == (200, [])
+
+
+@pytest.mark.parametrize("late_status", [200, 409, 412, 421])
+@pytest.mark.parametrize("has_carried", ["request", "order"])
+def test_a_late_copy_is_not_the_response_to_an_order(
+    monkeypatch, late_status, has_carried
+):
+    """An engine was ordered to load an adapter more than it has slots, and crashed."""
+    late = respond(late_status, OWN_ID + LEAVING)
+
+    async def scenario():
+        async with CopyingServer([], late, b"", 202) as server:
+            entry = replace(ENTRY, address=server.address)
+            site = Site(monkeypatch, entry)
+            site.state.metrics.order = lambda *a: None
+            get_pool = lambda entry: server.pool  # noqa: E731
+            monkeypatch.setattr(site.state.pools, "get_or_create", get_pool)
+            controller = PlacementController(site.state, None, SimpleNamespace())
+            record = EngineRecord(entry, order_count=4)
+            order = Order(OrderAction.EVICT, "oak", "a1", 4, "h", 7)
+            if has_carried == "request":
+                earlier = await server.pool.acquire(1.0)
+                head = b"GET / HTTP/1.1\r\nRequest-Id: id\r\n\r\n"
+                await earlier.send(head, b"", lambda *a: True, "id").outcome
+            else:
+                await controller._call_engine(record, order)
+            result = await controller._call_engine(record, order)
+            return result, list(site.state.fleet.leaving())
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert runner.run(scenario()) == (OrderResult.STARTED, [])
--- a/sequoiapoint/node/placement_controller.py
+++ b/sequoiapoint/node/placement_controller.py
@@ -25,8 +25,10 @@
     Order,
     OrderAction,
     OrderResult,
+    ServerEntry,
     Unreadable,
 )
+from sequoiapoint.protocol.ports import HttpCall
 from sequoiapoint.state.engine_ledger import REPORT_LAG_S, EngineRecord
 from sequoiapoint.transport.async_http_client import Response, call
 from sequoiapoint.transport.clock import monotonic_s
@@ -421,9 +423,8 @@
 
     async def _call_engine(self, record: EngineRecord, order: Order) -> OrderResult:
         codec = self._state.adapter.servers
-        pool = self._state.pools.get_or_create(record.entry)
         request = codec.order_call(record.entry, order)
-        response = await call(pool, record.entry.address, request, ORDER_TIMEOUT_S)
+        response = await self._call(record.entry, request)
         result = (
             OrderResult.UNANSWERED
             if isinstance(response, Failure)
@@ -444,6 +445,17 @@
         )
         return result
 
+    async def _call(self, entry: ServerEntry, request: HttpCall) -> Response | Failure:
+        """Make a call to an engine.
+
+        On a connection that has carried requests of callers, a late copy of a response
+        could be taken for the one to an order.
+        """
+        pool = self._state.pools.get_or_create(entry)
+        return await call(
+            pool, entry.address, request, ORDER_TIMEOUT_S, on_new_connection=True
+        )
+
     def _note_condition(
         self, record: EngineRecord, response: Response | Failure, step: str
     ) -> None:
@@ -537,9 +549,7 @@
         """Poll an engine's report and update its record."""
         try:
             codec = self._state.adapter.servers
-            pool = self._state.pools.get_or_create(record.entry)
-            request = codec.report_call(record.entry)
-            response = await call(pool, record.entry.address, request, ORDER_TIMEOUT_S)
+            response = await self._call(record.entry, codec.report_call(record.entry))
             now = monotonic_s()
             self._note_condition(record, response, "report")
             if isinstance(response, Failure) or response.status != 200:
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -701,14 +701,22 @@
 
 
 async def call(
-    pool: ConnectionPool, address: str, request: HttpCall, timeout_s: float
+    pool: ConnectionPool,
+    address: str,
+    request: HttpCall,
+    timeout_s: float,
+    on_new_connection: bool = False,
 ) -> Response | Failure:
     """Make one call and wait for the complete response.
 
+    A call has no id, so its response is certain only if the peer sends each response
+    once, or on a new connection.
+
     :param timeout_s: The time for the response, in seconds; also limits the time for
         opening a connection.
     """
-    connection = await pool.acquire(min(timeout_s, CONNECT_TIMEOUT_S))
+    acquire = pool.acquire_new if on_new_connection else pool.acquire
+    connection = await acquire(min(timeout_s, CONNECT_TIMEOUT_S))
     if isinstance(connection, Failure):
         return connection
     exchange = connection.send(
