Crashed racks: an answer proves a request sound, a crash at once proves nothing

Cause: three processes that crash with a request in flight were proof, whether in one event or one after the other. Answers cleared a suspicion at one host only, and not once it was proven.

Fix: an answered request is sound, which digests tell all hosts. Crashes are proof if all but the first were of servers that got the request as a suspect. Without such proof, each host tries one request at a time and asks others to come back (503).

Discarded responses are logged and counted, to tell late copies from other failures.

--- a/sequoiapoint/coordination/quarantine.py
+++ b/sequoiapoint/coordination/quarantine.py
@@ -1,11 +1,20 @@
 """Quarantine of requests that crash the backend servers that run them.
 
-A request that was in flight on a server when it crashed is a suspect.  Its fingerprint
-is quarantined after two crashes of different server processes.  A harmless request is
-rarely in flight during two such crashes; to keep it out of quarantine, a suspect is
-retried with no other suspect on the server, and is cleared once it completes.
+A request that was in flight on a server when it crashed is a suspect.  Requests with
+one fingerprint may be in flight on many servers, and one event may take several servers
+down at once, so the number of crashed processes alone proves nothing: a fingerprint is
+quarantined once enough processes have crashed, of which all but the first were sent the
+request after the suspicion had arisen.  If enough have crashed but not in this order,
+it has to be tried, by one request at a time.
+
+A request that crashes servers is never answered, so one that is answered is sound, and
+crashes do not count against it for as long as that is remembered.
+
+Hosts exchange the crashes and the answered fingerprints.  Both sets only grow, so hosts
+agree in whatever order they learn of them.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass, replace
 
 QUARANTINE_TTL_S = 600.0
@@ -13,6 +22,8 @@
 QUARANTINE_THRESHOLD = 2
 MAX_EXCUSED = 256
 """Number of server processes that are remembered whose crashes do not count."""
+MAX_SOUND = 4096
+"""Number of answered fingerprints that are remembered, the latest ones."""
 
 
 @dataclass(frozen=True)
@@ -22,7 +33,10 @@
     :param deaths: The server incarnations that crashed with the request in flight.
     :param until: When the record expires, in seconds on the local clock.
     :param is_quarantined: Whether the request is rejected.
-    :param changed_at: When the last crash was recorded, in seconds.
+    :param changed_at: When the record was last changed, in seconds.
+    :param repeats: Those of the incarnations that were sent the request as a suspect.
+    :param is_sound: Whether the request has been answered.
+    :param since: When the first crash became known here, in seconds.
     """
 
     fingerprint: str
@@ -30,6 +44,9 @@
     until: float
     is_quarantined: bool
     changed_at: float = 0.0
+    repeats: frozenset[str] = frozenset()
+    is_sound: bool = False
+    since: float = 0.0
 
 
 class Quarantine:
@@ -43,34 +60,74 @@
         self._crash_threshold = crash_threshold
         self._suspicions: dict[str, Suspicion] = {}
         self._excused: dict[str, None] = {}
-
-    def record_crash(self, fingerprint: str, incarnation: str, now: float) -> bool:
+        self._sound: dict[str, float] = {}
+        self._on_trial: set[str] = set()
+
+    def record_crash(
+        self,
+        fingerprint: str,
+        incarnation: str,
+        now: float,
+        sent_at: float | None = None,
+    ) -> bool:
         """Record that a server crashed with a request in flight.
 
         :param incarnation: The server process that crashed.
         :param now: The time, in seconds.
+        :param sent_at: When the server was sent the request, in seconds; None if that
+            was after earlier crashes had become known.
         :return: Whether the request is in quarantine.
         """
-        return self.merge(fingerprint, frozenset({incarnation}), now)
-
-    def merge(self, fingerprint: str, deaths: frozenset[str], now: float) -> bool:
+        known = self._unexpired(fingerprint, now)
+        is_repeat = known is not None and (sent_at is None or sent_at >= known.since)
+        death = frozenset({incarnation})
+        return self.merge(fingerprint, death, now, death if is_repeat else frozenset())
+
+    def merge(
+        self,
+        fingerprint: str,
+        deaths: frozenset[str],
+        now: float,
+        repeats: frozenset[str] | None = None,
+    ) -> bool:
         """Merge the crashes that a peer has recorded for a fingerprint.
 
+        :param repeats: Those of servers that were sent the request as a suspect; None
+            if they all were.
         :return: Whether the request is in quarantine.
         """
         known = self._unexpired(fingerprint, now)
+        repeats = deaths if repeats is None else repeats
         deaths -= self._excused.keys()
+        repeats &= deaths
         if not deaths:
             return known is not None and known.is_quarantined
-        all_deaths = deaths | (known.deaths if known else frozenset())
-        if known is not None and all_deaths == known.deaths:
+        if known is None:
+            known = Suspicion(fingerprint, frozenset(), 0.0, False, since=now)
+        elif deaths <= known.deaths and repeats <= known.repeats:
             return known.is_quarantined
-        quarantined = len(all_deaths) >= self._crash_threshold
-        until = now + (QUARANTINE_TTL_S if quarantined else SUSPECT_TTL_S)
-        self._suspicions[fingerprint] = Suspicion(
-            fingerprint, all_deaths, until, quarantined, now
+        suspicion = replace(
+            known,
+            deaths=known.deaths | deaths,
+            repeats=known.repeats | repeats,
+            changed_at=now,
+            is_sound=self._is_sound(fingerprint, now),
+        )
+        is_quarantined = self._is_proven(suspicion)
+        has_enough = len(suspicion.deaths) >= self._crash_threshold
+        until = now + (QUARANTINE_TTL_S if has_enough else SUSPECT_TTL_S)
+        self._suspicions[fingerprint] = replace(
+            suspicion, until=until, is_quarantined=is_quarantined
+        )
+        return is_quarantined
+
+    def _is_proven(self, suspicion: Suspicion) -> bool:
+        """Tell whether a request has crashed servers, not only been there."""
+        return (
+            len(suspicion.deaths) >= self._crash_threshold
+            and len(suspicion.repeats) >= self._crash_threshold - 1
+            and not suspicion.is_sound
         )
-        return quarantined
 
     def excuse(self, incarnation: str) -> None:
         """Do not count the crash of a server, as it was not due to what it ran."""
@@ -80,20 +137,34 @@
         for fingerprint, known in list(self._suspicions.items()):
             if incarnation not in known.deaths:
                 continue
-            deaths = known.deaths - {incarnation}
-            is_quarantined = len(deaths) >= self._crash_threshold
-            if deaths:
+            suspicion = replace(
+                known,
+                deaths=known.deaths - {incarnation},
+                repeats=known.repeats - {incarnation},
+            )
+            if suspicion.deaths:
                 self._suspicions[fingerprint] = replace(
-                    known, deaths=deaths, is_quarantined=is_quarantined
+                    suspicion, is_quarantined=self._is_proven(suspicion)
                 )
             else:
                 del self._suspicions[fingerprint]
 
-    def clear(self, fingerprint: str) -> None:
-        """Remove a suspect that has completed on a server."""
-        known = self._suspicions.get(fingerprint)
-        if known is not None and not known.is_quarantined:
-            del self._suspicions[fingerprint]
+    def clear(self, fingerprint: str, now: float) -> bool:
+        """Record that a request was answered.
+
+        :return: Whether crashes had counted against it until now.
+        """
+        self._sound.pop(fingerprint, None)
+        self._sound[fingerprint] = now
+        while len(self._sound) > MAX_SOUND:
+            del self._sound[next(iter(self._sound))]
+        known = self._unexpired(fingerprint, now)
+        if known is None or known.is_sound:
+            return False
+        self._suspicions[fingerprint] = replace(
+            known, is_quarantined=False, is_sound=True, changed_at=now
+        )
+        return True
 
     def is_quarantined(self, fingerprint: str, now: float) -> bool:
         """Tell whether a request has to be rejected."""
@@ -102,7 +173,31 @@
 
     def is_suspect(self, fingerprint: str, now: float) -> bool:
         """Tell whether a request was in flight when a server crashed."""
-        return self._unexpired(fingerprint, now) is not None
+        known = self._unexpired(fingerprint, now)
+        return known is not None and not known.is_sound
+
+    def needs_trial(self, fingerprint: str, now: float) -> bool:
+        """Tell whether a request has to be tried, as enough servers have crashed.
+
+        They may have crashed for another cause, all at once.
+        """
+        known = self._unexpired(fingerprint, now)
+        return (
+            known is not None
+            and not (known.is_quarantined or known.is_sound)
+            and len(known.deaths) >= self._crash_threshold
+        )
+
+    def begin_trial(self, fingerprint: str) -> bool:
+        """Let one request of a fingerprint be tried; return whether none is yet."""
+        if fingerprint in self._on_trial:
+            return False
+        self._on_trial.add(fingerprint)
+        return True
+
+    def end_trial(self, fingerprint: str) -> None:
+        """Note that the request that was tried has ended."""
+        self._on_trial.discard(fingerprint)
 
     def remaining_s(self, fingerprint: str, now: float) -> float:
         """Return the time until a fingerprint's record expires, in seconds."""
@@ -110,22 +205,31 @@
         return known.until - now if known else 0.0
 
     def suspicions(self, now: float) -> tuple[Suspicion, ...]:
-        """Return all unexpired records, for the peers."""
-        self._suspicions = {f: s for f, s in self._suspicions.items() if s.until > now}
-        return tuple(self._suspicions.values())
+        """Return the unexpired records of requests not known to be sound."""
+        return tuple(s for s in self._records(now) if not s.is_sound)
 
     def recent_changes(
         self, now: float, age_s: float, limit: int
     ) -> tuple[Suspicion, ...]:
-        """Return the records changed recently, the newest first, for the peers.
+        """Return the records changed recently, for the peers.
+
+        Those of most crashes come first, of these the newest.
 
         :param age_s: Maximum age of a change, in seconds.
         :param limit: Maximum number of records.
         """
-        recent = [s for s in self.suspicions(now) if now - s.changed_at < age_s]
-        recent.sort(key=lambda suspicion: -suspicion.changed_at)
+        recent = [s for s in self._records(now) if now - s.changed_at < age_s]
+        recent.sort(key=lambda s: (-len(s.deaths), -s.changed_at))
         return tuple(recent[:limit])
 
+    def _records(self, now: float) -> Collection[Suspicion]:
+        self._suspicions = {f: s for f, s in self._suspicions.items() if s.until > now}
+        return self._suspicions.values()
+
+    def _is_sound(self, fingerprint: str, now: float) -> bool:
+        answered_at = self._sound.get(fingerprint)
+        return answered_at is not None and now - answered_at < QUARANTINE_TTL_S
+
     def _unexpired(self, fingerprint: str, now: float) -> Suspicion | None:
         known = self._suspicions.get(fingerprint)
         return known if known is not None and known.until > now else None
--- a/sequoiapoint/coordination/quarantine_test.py
+++ b/sequoiapoint/coordination/quarantine_test.py
@@ -1,3 +1,7 @@
+import itertools
+
+import pytest
+
 from sequoiapoint.coordination.quarantine import Quarantine
 
 
@@ -34,3 +38,70 @@
     assert not quarantine.is_suspect("page", 0.2)
     deadly = frozenset({"s-2@1", "s-3@1", "s-4@1", "s-5@1"})
     assert quarantine.merge("deadly", deadly, 0.3)
+
+
+FREE, ON_TRIAL, REJECTED = "free", "on_trial", "rejected"
+
+
+def verdict(quarantine, now):
+    if quarantine.is_quarantined("page", now):
+        return REJECTED
+    return ON_TRIAL if quarantine.needs_trial("page", now) else FREE
+
+
+@pytest.mark.parametrize(
+    ("crashes", "answered_at", "expected"),
+    [
+        ([(1.0, 0.5), (1.0, 0.6), (1.0, 0.9)], None, ON_TRIAL),
+        ([(1.0, 0.5)] * 20, None, ON_TRIAL),
+        ([(1.0, 0.5)] * 20, 0.3, FREE),
+        ([(1.0, 0.5)] * 20, 1.2, FREE),
+        ([(1.0, 0.5), (1.1, 1.0), (1.2, 1.1)], None, REJECTED),
+        ([(1.0, 0.5), (1.1, 1.0), (1.2, 1.1)], 0.3, FREE),
+        ([(1.0, 0.5), (1.1, 1.0), (1.2, 1.1)], 1.3, FREE),
+        ([(1.0, 0.9), (1.0, 0.9), (2.0, 1.5)], None, ON_TRIAL),
+        ([(1.0, 0.9), (1.0, 0.9), (1.0, 0.9), (2.0, 1.5), (3.0, 2.5)], None, REJECTED),
+        ([(1.0, 0.9), (2.0, 1.5)], None, FREE),
+    ],
+)
+def test_servers_that_crash_at_once_prove_nothing(crashes, answered_at, expected):
+    """A page that was in flight on a rack as it crashed was rejected for 10 minutes.
+
+    :param crashes: When servers crashed, and when they had been sent the request.
+    :param answered_at: When a request for the page was answered.
+    """
+    quarantine = Quarantine(3)
+    events = [(at, f"s-{n}@1", sent_at) for n, (at, sent_at) in enumerate(crashes)]
+    events += [] if answered_at is None else [(answered_at, "", 0.0)]
+    for now, server, sent_at in sorted(events, key=lambda event: event[0]):
+        if server:
+            quarantine.record_crash("page", server, now, sent_at)
+        else:
+            quarantine.clear("page", now)
+    assert verdict(quarantine, 4.0) == expected
+
+
+def test_one_request_is_tried_at_a_time():
+    quarantine = Quarantine(3)
+    assert quarantine.begin_trial("page")
+    assert not quarantine.begin_trial("page")
+    assert quarantine.begin_trial("other")
+    quarantine.end_trial("page")
+    assert quarantine.begin_trial("page")
+
+
+@pytest.mark.parametrize("is_answered", [False, True])
+def test_hosts_agree_in_whatever_order_they_learn_of_crashes(is_answered):
+    steps = [
+        lambda q: q.merge("page", frozenset({"a", "b"}), 1.0, frozenset({"b"})),
+        lambda q: q.merge("page", frozenset({"b", "c"}), 1.0, frozenset({"c"})),
+    ]
+    if is_answered:
+        steps.append(lambda q: q.clear("page", 1.0))
+    verdicts = set()
+    for order in itertools.permutations(steps):
+        quarantine = Quarantine(3)
+        for step in order:
+            step(quarantine)
+        verdicts.add(verdict(quarantine, 2.0))
+    assert verdicts == {FREE if is_answered else REJECTED}
--- a/sequoiapoint/node/chat_run.py
+++ b/sequoiapoint/node/chat_run.py
@@ -264,7 +264,7 @@
     def _finish(self, candidate: Candidate) -> None:
         with self._runtime.coordination() as coordination:
             coordination.servers.record_success(candidate.server)
-            coordination.quarantine.clear(self._fingerprint)
+            coordination.quarantine.clear(self._fingerprint, clock.monotonic_s())
 
     def _handle_failure(
         self, candidate: Candidate, outcome: AttemptOutcome
--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -254,12 +254,13 @@
         state = self._state
         local_counts = state.loads.report()
         self.slots.report(local_counts, now)
-        suspicions = tuple(
-            (s.fingerprint, s.deaths)
-            for s in state.quarantine.recent_changes(
-                now, SUSPICION_REPEAT_S, MAX_SUSPICIONS_PER_DIGEST
-            )
+        changes = state.quarantine.recent_changes(
+            now, SUSPICION_REPEAT_S, MAX_SUSPICIONS_PER_DIGEST
         )
+        sound = tuple(s.fingerprint for s in changes if s.is_sound)
+        suspects = [s for s in changes if not s.is_sound]
+        suspicions = tuple((s.fingerprint, s.deaths) for s in suspects)
+        repeats = tuple((s.fingerprint, s.repeats) for s in suspects if s.repeats)
         suspect_parts = tuple(
             (s.part, s.crashes, s.is_cleared)
             for s in state.prompt_quarantine.recent_changes(
@@ -288,6 +289,8 @@
                 scope=Scope.HOST,
                 counts=tuple(local_counts.items()),
                 suspicions=suspicions,
+                repeated_crashes=repeats,
+                sound_requests=sound,
                 suspect_parts=suspect_parts,
                 leaving_servers=leaving,
                 limits=limits,
@@ -312,6 +315,8 @@
             scope=Scope.ZONE,
             counts=tuple(zone_totals.items()),
             suspicions=suspicions,
+            repeated_crashes=repeats,
+            sound_requests=sound,
             suspect_parts=suspect_parts,
             leaving_servers=leaving,
             limits=limits,
@@ -327,6 +332,8 @@
             scope=Scope.FLEET,
             counts=tuple((zone_totals + other_totals).items()),
             suspicions=suspicions,
+            repeated_crashes=repeats,
+            sound_requests=sound,
             suspect_parts=suspect_parts,
             leaving_servers=leaving,
             limits=limits,
@@ -407,8 +414,7 @@
             state.note_turned_away(incarnation, now - age_s, now)
         for incarnation in digest.fallen:
             state.note_fall(incarnation, digest.host, now)
-        for fingerprint, deaths in digest.suspicions:
-            state.quarantine.merge(fingerprint, deaths, now)
+        self._merge_suspicions(digest, now)
         self._merge_suspect_parts(digest, now)
         self.slots.handle_report(digest, now)
         self.placement.handle_digest(digest, now)
@@ -434,6 +440,19 @@
             {known[p]: sample for p, sample in samples.items() if p in known}, now
         )
 
+    def _merge_suspicions(self, digest: Digest, now: float) -> None:
+        """Take over what another host knows of requests in flight at crashed servers.
+
+        A host of an older build does not tell which crashes were repeats.
+        """
+        quarantine = self._state.quarantine
+        for fingerprint in digest.sound_requests:
+            quarantine.clear(fingerprint, now)
+        repeats = dict(digest.repeated_crashes)
+        for fingerprint, deaths in digest.suspicions:
+            repeated = repeats.get(fingerprint, frozenset())
+            quarantine.merge(fingerprint, deaths, now, repeated)
+
     def _merge_suspect_parts(self, digest: Digest, now: float) -> None:
         quarantine = self._state.prompt_quarantine
         known = quarantine.rejected
--- a/sequoiapoint/node/peer_exchange_test.py
+++ b/sequoiapoint/node/peer_exchange_test.py
@@ -156,6 +156,24 @@
         assert host.state.quarantine.is_quarantined("f", network.now)
 
 
+@pytest.mark.parametrize("answering_host", [0, 23])
+def test_a_suspected_request_that_is_answered_is_sound_at_every_host(
+    monkeypatch, answering_host
+):
+    """A page that was in flight on a rack as it crashed was answered 403 everywhere."""
+    network = HostNetwork(monkeypatch, 4, 6)
+    network.run(4.0)
+    for crash in ("a", "b", "c"):
+        network.hosts[3].state.quarantine.record_crash("f", crash, network.now, 0.0)
+    network.run(2.0)
+    for host in network.hosts:
+        assert host.state.quarantine.needs_trial("f", network.now)
+    network.hosts[answering_host].state.quarantine.clear("f", network.now)
+    network.run(2.0)
+    for host in network.hosts:
+        assert not host.state.quarantine.is_suspect("f", network.now)
+
+
 @pytest.mark.parametrize("size", [(4, 2), (4, 21)])
 def test_a_part_of_prompts_that_crashes_engines_is_rejected_by_every_host(
     monkeypatch, size
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -75,6 +75,8 @@
 ANSWERED_EVENTS = 2
 """Events of a stream after which its engine counts as having answered.  An engine that
 crashes as it begins to write may have sent the first one."""
+TRIAL_RETRY_AFTER_S = 1.0
+"""Time after which callers of a request that is on trial should come back."""
 LEFT_REASON = "left_before_sending"
 """Reason if the server stopped accepting requests after it was selected."""
 BROKEN_REASONS = frozenset({ExchangeOutcome.CLOSED.value, ExchangeOutcome.RESET.value})
@@ -215,6 +217,8 @@
             budget_s = min(budget_s, request.budget_s)
         self._deadline = arrived_s + budget_s
         self._fingerprint = request_fingerprint(request)
+        self._quarantine_key = f"{self._fingerprint:016x}"
+        self._is_on_trial = False
         under_way_s = 0.0
         if not is_on_detour:
             under_way_s = state.stated_times.note(
@@ -267,10 +271,27 @@
     async def run(self) -> None:
         """Send the request until a response is delivered or no retry is allowed."""
         try:
-            await self._run()
+            if not self._is_rejected_as_suspect():
+                await self._run()
         finally:
+            if self._is_on_trial:
+                self._state.quarantine.end_trial(self._quarantine_key)
             self._discard_successor()
 
+    def _is_rejected_as_suspect(self) -> bool:
+        """Reject a request that crashes servers, or one beside it that is on trial."""
+        quarantine, now = self._state.quarantine, monotonic_s()
+        if quarantine.is_quarantined(self._quarantine_key, now):
+            self._reject("quarantined", http.HTTPStatus.FORBIDDEN, None)
+            return True
+        if not quarantine.needs_trial(self._quarantine_key, now):
+            return False
+        self._is_on_trial = quarantine.begin_trial(self._quarantine_key)
+        if not self._is_on_trial:
+            status = http.HTTPStatus.SERVICE_UNAVAILABLE
+            self._reject("suspect_on_trial", status, TRIAL_RETRY_AFTER_S)
+        return not self._is_on_trial
+
     def _discard_successor(self) -> None:
         """Give back what the server holds that was to take the request over."""
         successor, self._successor = self._successor, None
@@ -311,10 +332,6 @@
 
     async def _run(self) -> None:
         state = self._state
-        fingerprint = f"{self._fingerprint:016x}"
-        if state.quarantine.is_quarantined(fingerprint, monotonic_s()):
-            self._reject("quarantined", http.HTTPStatus.FORBIDDEN, None)
-            return
         if not self._selector.has_model():
             self._reject_not_run("unknown_model")
             return
@@ -353,7 +370,7 @@
                 state.demand.adjust(self._selector.demand_key, monotonic_s(), running=1)
             self._slot_quality = SlotQuality.UNUSED
             try:
-                outcome = await self._attempt(entry, connection, fingerprint)
+                outcome = await self._attempt(entry, connection)
             finally:
                 self._end_attempt(
                     entry, attempt_number, self._selector, self._slot_quality
@@ -656,7 +673,6 @@
         self,
         entry: ServerEntry,
         connection: ClientConnection | None,
-        fingerprint: str,
     ) -> _AttemptOutcome:
         """Make one attempt.
 
@@ -700,7 +716,7 @@
         exchange = connection.send(
             head,
             self._request.body,
-            self._response_filter(connection),
+            self._response_filter(entry.server, connection),
             self._request.request_id,
         )
         self._reachability.note_sent(entry.incarnation, now)
@@ -719,7 +735,8 @@
         if reason != ExchangeOutcome.TIMED_OUT.value:
             load.note_received(now)
         has_crashed = await self._has_crashed(entry, reason)
-        self._note_health(entry, outcome, reason, fingerprint, has_crashed)
+        self._note_health(entry, outcome, reason)
+        self._note_suspicion(entry, outcome, reason, has_crashed, sent_at)
         if outcome is _AttemptOutcome.DELIVERED and not reason:
             self._note_work(entry, now - sent_at, pace, now)
             self._clear_parts()
@@ -743,7 +760,7 @@
         return self._state.configuration.sent_priority(self._selector.priority)
 
     def _response_filter(
-        self, connection: ClientConnection
+        self, server: str, connection: ClientConnection
     ) -> Callable[[int, Headers], bool]:
         """Return a function that tells whether a response belongs to this request.
 
@@ -754,17 +771,29 @@
 
         def accepts(status: int, headers: Headers) -> bool:
             head = self._state.adapter.servers.decode_head(status, headers)
+            is_own = head.request_id == self._request.request_id
             if not head.request_id:
                 connection.forbid_reuse()
-                if not is_first_request:
-                    return False
-            elif head.request_id != self._request.request_id:
-                return False
-            self._head = head
-            return True
+                is_own = is_first_request
+            if is_own:
+                self._head = head
+            else:
+                self._note_discarded(server, head)
+            return is_own
 
         return accepts
 
+    def _note_discarded(self, server: str, head: ResponseHead) -> None:
+        """Log and count a response that is not certainly the one to this request."""
+        self._state.metrics.event("response_discarded")
+        self._state.log.event(
+            "response_discarded",
+            server=server,
+            request=self._request.request_id,
+            response_to=head.request_id,
+            status=head.status,
+        )
+
     async def _process_response(
         self,
         entry: ServerEntry,
@@ -1124,6 +1153,8 @@
             return False
         if not self._has_attempts_left():
             return False
+        if self._state.quarantine.is_quarantined(self._quarantine_key, monotonic_s()):
+            return False
         if not waiting.may_send_again(self._remaining_s()):
             return False
         if self._has_reserved_retry:
@@ -1274,15 +1305,9 @@
     # Server health and logging
 
     def _note_health(
-        self,
-        entry: ServerEntry,
-        outcome: _AttemptOutcome,
-        reason: str,
-        fingerprint: str,
-        has_crashed: bool,
+        self, entry: ServerEntry, outcome: _AttemptOutcome, reason: str
     ) -> None:
-        state = self._state
-        load = state.loads.get_or_create(entry.incarnation)
+        load = self._state.loads.get_or_create(entry.incarnation)
         is_failure = outcome in (
             _AttemptOutcome.UNKNOWN,
             _AttemptOutcome.BROKEN_STREAM,
@@ -1290,17 +1315,30 @@
         if outcome is _AttemptOutcome.NOT_RUN:
             is_failure = reason != MISDIRECTED_REASON
         load.note_outcome(is_failure)
+
+    def _note_suspicion(
+        self,
+        entry: ServerEntry,
+        outcome: _AttemptOutcome,
+        reason: str,
+        has_crashed: bool,
+        sent_at: float,
+    ) -> None:
+        """Record whether the request was answered, or its server crashed."""
+        state, key, now = self._state, self._quarantine_key, monotonic_s()
+        quarantine = state.quarantine
         if outcome is _AttemptOutcome.DELIVERED and not reason:
-            state.quarantine.clear(fingerprint)
+            if quarantine.clear(key, now):
+                state.shared_state_changed()
         elif has_crashed:
             crash = crash_name(entry.incarnation)
-            now = monotonic_s()
-            if state.quarantine.record_crash(fingerprint, crash, now):
+            if quarantine.record_crash(key, crash, now, sent_at):
                 state.log.event(
                     "request_quarantined",
                     request=self._request.request_id,
-                    fingerprint=fingerprint,
+                    fingerprint=key,
                 )
+            state.shared_state_changed()
 
     def _note_work(
         self, entry: ServerEntry, seconds: float, pace: _StreamPace, now: float
--- a/sequoiapoint/protocol/digest.capnp
+++ b/sequoiapoint/protocol/digest.capnp
@@ -114,6 +114,8 @@
   turnedAway @27 :List(ServerAge); # Brittle servers that have turned requests away.
   contested @28 :List(Member);  # Aggregators beside which others aggregate.
   speeds @29 :List(Speed);      # How long work takes at servers, from the counted hosts.
+  repeatedCrashes @30 :List(Suspicion); # Of servers that were sent a suspect request.
+  soundRequests @31 :List(Text); # Fingerprints of suspect requests that were answered.
 }
 
 struct Record {
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -163,6 +163,9 @@
         precedence aggregates for the same zone.
     :param speeds: How long work takes at server processes, by their numbers, as known
         to the hosts in ``scope``.
+    :param repeated_crashes: Those of the crashes in ``suspicions`` of processes that
+        were sent the request as a suspect.
+    :param sound_requests: Fingerprints of suspect requests that have been answered.
     """
 
     host: str
@@ -195,6 +198,8 @@
     turned_away: tuple[tuple[Incarnation, float], ...] = ()
     contested: tuple[Member, ...] = ()
     speeds: tuple[tuple[int, SpeedSample], ...] = ()
+    repeated_crashes: tuple[tuple[str, frozenset[str]], ...] = ()
+    sound_requests: tuple[str, ...] = ()
 
     @property
     def sender(self) -> Member:
@@ -273,6 +278,13 @@
     )
 
 
+def _encode_suspicions(
+    message: Any, name: str, suspicions: Sequence[tuple[str, frozenset[str]]]
+) -> None:
+    for item, (fingerprint, deaths) in _new_items(message, name, suspicions):
+        item.fingerprint, item.deaths = fingerprint, sorted(deaths)
+
+
 def _decode_suspicion(message: Any) -> tuple[str, frozenset[str]]:
     fingerprint, deaths = read_fields(message, _SUSPICION)
     return fingerprint, frozenset(deaths)
@@ -415,10 +427,10 @@
     message.isDemandReport = digest.is_demand_report
     message.isHeartbeat = digest.is_heartbeat
     _encode_demands(message, digest.demands)
-    for item, (fingerprint, deaths) in _new_items(
-        message, "suspicions", digest.suspicions
-    ):
-        item.fingerprint, item.deaths = fingerprint, sorted(deaths)
+    _encode_suspicions(message, "suspicions", digest.suspicions)
+    _encode_suspicions(message, "repeatedCrashes", digest.repeated_crashes)
+    if digest.sound_requests:
+        message.soundRequests = list(digest.sound_requests)
     _encode_processes(message, "leavingServers", digest.leaving_servers)
     for item, (part, crashes, is_cleared) in _new_items(
         message, "suspectParts", digest.suspect_parts
@@ -485,6 +497,10 @@
             fallen=_decode_each(_decode_process, get(fields["fallen"])),
             turned_away=_decode_each(_decode_server_age, get(fields["turnedAway"])),
             speeds=_decode_speeds(get(fields["speeds"])),
+            repeated_crashes=_decode_each(
+                _decode_suspicion, get(fields["repeatedCrashes"])
+            ),
+            sound_requests=tuple(get(fields["soundRequests"])),
         )
     except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a digest: {error}") from error
--- a/sequoiapoint/protocol/digests_test.py
+++ b/sequoiapoint/protocol/digests_test.py
@@ -56,6 +56,10 @@
     suspicions=st.lists(
         st.tuples(TEXT, st.frozensets(TEXT, max_size=2)), max_size=2
     ).map(tuple),
+    repeated_crashes=st.lists(
+        st.tuples(TEXT, st.frozensets(TEXT, max_size=2)), max_size=2
+    ).map(tuple),
+    sound_requests=st.lists(TEXT, max_size=2).map(tuple),
     scope=st.sampled_from(Scope),
     host_count=NUMBER,
     members=MEMBERS,
