Quarantine: a request is its caller's, not everybody's

One organisation's request crashed each server that ran it, and others asked for the same page: either the page was refused to all of them (DENIED), or their answers cleared the suspicion and the request went on to crash servers (BUDGET).

Evidence: tests/organisations_test.py, four hosts as processes: the request crashes a server on each of its 8 visits before; node/crash_suspect_test.py.

Fix: the fingerprint has the organisation, or else the key. Without either it is the number that earlier builds compute.

After: three crashes, then 403 for that organisation; none for the other.

--- a/sequoiapoint/node/crash_suspect_test.py
+++ b/sequoiapoint/node/crash_suspect_test.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 
@@ -97,3 +98,35 @@
 
     assert asyncio.run(run()) == 403
     assert len(site.sent) == 3
+
+
+@pytest.mark.parametrize(
+    ("deadly", "other", "expected"),
+    [
+        ({"organisation": "a"}, {"organisation": "b"}, 200),
+        ({"key_digest": b"a"}, {"key_digest": b"b"}, 200),
+        ({"key_digest": b"a"}, {}, 200),
+        ({"organisation": "a", "key_digest": b"k"}, {"organisation": "a"}, 403),
+    ],
+)
+def test_a_request_that_crashes_servers_is_rejected_for_its_caller_only(
+    monkeypatch, deadly, other, expected
+):
+    """One organisation's request made the same page be refused to all others."""
+    site = site_of_servers(monkeypatch)
+    site.crashed = set(SERVERS)
+    monkeypatch.setattr(
+        "sequoiapoint.node.admission.decide_entry",
+        lambda state, request, route: SimpleNamespace(name=request.organisation),
+    )
+
+    async def run():
+        for name in SERVERS:
+            site.responses[name] = [CRASH]
+        for _ in range(4):
+            await site.request(body=b"page", **deadly)
+        for name in SERVERS:
+            site.responses[name] = [OK] * 50
+        return (await site.request(body=b"page", **other))[0]
+
+    assert asyncio.run(run()) == expected
--- a/sequoiapoint/node/request_record.py
+++ b/sequoiapoint/node/request_record.py
@@ -13,10 +13,16 @@
 
 
 def request_fingerprint(request: CallerRequest) -> int:
-    """Return a number that identifies a request when its caller sends it again."""
+    """Return a number that identifies a request when its caller sends it again.
+
+    Without a caller it is the number that earlier builds compute.
+    """
     digest = xxhash.xxh64(request.target.encode())
     digest.update(request.model.encode())
     digest.update(request.body)
+    caller = request.caller
+    if caller:
+        digest.update(b"\0" + caller)
     return digest.intdigest()
 
 
--- a/sequoiapoint/protocol/gateway.py
+++ b/sequoiapoint/protocol/gateway.py
@@ -317,6 +317,14 @@
         """Return the target without its query."""
         return self.target.partition("?")[0]
 
+    @property
+    def caller(self) -> bytes:
+        """Return what identifies the caller: the organisation, else the key.
+
+        It is empty if the caller has sent neither.
+        """
+        return self.organisation.encode() if self.organisation else self.key_digest
+
 
 @dataclass(frozen=True)
 class LoadReport:
--- a/standins/site/backends.py
+++ b/standins/site/backends.py
@@ -42,6 +42,7 @@
         response; 0 for none.  It begins with the next request.
     :param poison: A request body that crashes the process that begins to run it; empty
         for none.
+    :param poison_sender: The only organisation whose requests do so; empty for all.
     """
 
     reset_next: int = 0
@@ -49,6 +50,7 @@
     cut_stream_after: int = 0
     turn_away_s: float = 0.0
     poison: bytes = b""
+    poison_sender: str = ""
 
 
 @dataclass(frozen=True)
@@ -246,7 +248,7 @@
         try:
             self.runs[header(request, b"request-id")] += 1
             self._record_credentials(request)
-            if self.faults.poison and request.body == self.faults.poison:
+            if self._is_poison(request):
                 asyncio.get_running_loop().create_task(self.crash(0.3))
                 await asyncio.sleep(10)
             await asyncio.sleep(self.work_s)
@@ -258,6 +260,12 @@
         finally:
             self._release_slot()
 
+    def _is_poison(self, request: InboundRequest) -> bool:
+        if not self.faults.poison or request.body != self.faults.poison:
+            return False
+        sender = self.faults.poison_sender
+        return not sender or header(request, b"tenant") == sender
+
     def _record_credentials(self, request: InboundRequest) -> None:
         self.credentials[header(request, b"request-id")].append(
             {
--- a/tests/organisations_test.py
+++ b/tests/organisations_test.py
@@ -8,6 +8,7 @@
 
 from sequoiapoint.protocol.api_keys import key_digest, key_label
 from standins.site.deployment import (
+    SiteDeployment,
     bearer,
     configuration,
     free_port,
@@ -213,3 +214,28 @@
         (credentials,) = received(site, "plain")
     assert credentials["tenant"] == ["birch"]
     assert credentials["authorization"] == [f"Bearer {ASPEN_KEY}"]
+
+
+def test_a_request_that_crashes_servers_is_rejected_for_its_organisation_only():
+    """The page of one organisation was refused to all, or went on to crash servers."""
+    statuses = []
+    with SiteDeployment(
+        4, engines=0, plain=5, first_configuration=keyed(1, ASPEN_KEY)
+    ) as site:
+        time.sleep(1.0)
+        for backend in site.plain:
+            backend.faults.poison, backend.faults.poison_sender = b"b", "birch"
+        for number in range(8):
+            gateway = site.gateways[number % 4]
+            send(gateway, "write", f"deadly-{number}", bearer(BIRCH_KEY))
+            for copy in range(4):
+                request_id = f"sound-{number}-{copy}"
+                reply = send(gateway, "write", request_id, bearer(ASPEN_KEY))
+                statuses.append(reply.status)
+            time.sleep(0.7)
+        last = send(site.gateways[1], "write", "deadly-last", bearer(BIRCH_KEY))
+        runs = sum(len(received(site, f"deadly-{number}")) for number in range(8))
+    assert statuses.count(403) == 0
+    assert statuses.count(200) >= len(statuses) / 2
+    assert runs <= 3
+    assert last.status == 403
