Late digests: dated by when they were sent, not by when they are handled

Cause: a digest says how old its sender's list of servers was. The receiver counted that age from the moment at which it handled the digest, so one that had waited made an old list look complete until now. Whether one version alone has served rests on that, and whether the list knows of leaving servers.

Evidence: node/peer_exchange_test.py: digests held for 0.6, 4 and 6 s were dated as much too late; all three cases fail before.

Fix: digests carry their sender's clock since boot. The offset of two clocks is nearly constant, so the delay beyond the sender's fastest digest is known, and is added to the age.

--- a/sequoiapoint/node/digest_sender.py
+++ b/sequoiapoint/node/digest_sender.py
@@ -7,7 +7,7 @@
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.store_watch import StoreWatch
 from sequoiapoint.protocol.digests import Digest, Member, encode_digest
-from sequoiapoint.transport.clock import monotonic_s
+from sequoiapoint.transport.clock import monotonic_s, since_boot_s
 from sequoiapoint.transport.store_client import StoreClient
 
 MIN_PACING_PAUSE_S = 0.002
@@ -65,6 +65,7 @@
             is_store_reachable=self._store.is_reachable,
             server_age_s=self._watch.servers.freshness.known_age_s(monotonic_s()),
             fence=self.fence,
+            sent_at=since_boot_s(),
             **fields,
         )
 
--- a/sequoiapoint/node/peer_exchange_test.py
+++ b/sequoiapoint/node/peer_exchange_test.py
@@ -256,6 +256,36 @@
             assert host.exchange.peers.host_count(network.now) == 10
 
 
+@pytest.mark.parametrize("held_s", [0.6, 4.0, 6.0])
+def test_what_late_digests_announce_is_as_old_as_they_are(monkeypatch, held_s):
+    """Guards against a stream that goes on at another version than it began at.
+
+    Digests that had waited in a host's socket while it stood still made its old list of
+    servers look complete, as if no server of another version had joined.
+    """
+    network = HostNetwork(monkeypatch, 2, 4)
+    network.run(4.0)
+    host, held, told = network.hosts[-1], [], []
+    deliver = network._deliver
+
+    def hold(sender, receiver, data):
+        if receiver is host:
+            held.append((network.now, sender, data))
+        else:
+            deliver(sender, receiver, data)
+
+    monkeypatch.setattr(network, "_deliver", hold)
+    host.watch.handle_announcement = lambda end, age_s, now: told.append(now - age_s)
+    for other in network.hosts:
+        other.watch.servers.freshness.note_read(network.now)
+    read_at = network.now
+    network.run(held_s)
+    for sent_at, sender, data in held:
+        told.clear()
+        deliver(sender, host, data)
+        assert all(at <= min(sent_at, read_at) + 0.001 for at in told)
+
+
 def test_each_kind_of_message_has_a_first_byte_of_its_own():
     """Two kinds that were added at the same time had the same one."""
     kinds = (allowances, configuration_age, origins, permits, slots)
--- a/sequoiapoint/node/topic_exchange.py
+++ b/sequoiapoint/node/topic_exchange.py
@@ -25,10 +25,11 @@
 from sequoiapoint.protocol.errors import Failure
 from sequoiapoint.protocol.ports import HttpCall
 from sequoiapoint.state.keyed_topic import KeyedTopic
+from sequoiapoint.state.message_delays import MessageDelays
 from sequoiapoint.state.peers import Peer, Peers
 from sequoiapoint.transport.async_http_client import ConnectionPool, call
 from sequoiapoint.transport.async_http_server import InboundRequest, Responder
-from sequoiapoint.transport.clock import monotonic_s
+from sequoiapoint.transport.clock import monotonic_s, since_boot_s
 from sequoiapoint.transport.store_client import StoreClient
 
 FETCH_TIMEOUT_S = 1.0
@@ -86,6 +87,7 @@
         self._reader_at = -math.inf
         self._reading = StoreReading(state.rng.random)
         self._advanced = asyncio.Event()
+        self._delays = MessageDelays()
         # By topic: an announced end offset that this host lacks, and since when.
         self._awaited: dict[str, tuple[int, float]] = {}
         self._refresher = ReplicaRefresher(state, peers, watch.servers, self.fetch)
@@ -121,9 +123,13 @@
 
     def handle_digest(self, digest: Digest) -> None:
         """Note what a digest announces; schedule a fetch if this host lags behind."""
+        late_s = 0.0
+        if digest.sent_at is not None:
+            process = (digest.host, digest.started_ms)
+            late_s = self._delays.late_s(process, digest.sent_at, since_boot_s())
         if digest.server_age_s is not None:
             self._watch.handle_announcement(
-                digest.server_end, digest.server_age_s, monotonic_s()
+                digest.server_end, digest.server_age_s + late_s, monotonic_s()
             )
         for watch in (self._watch.configuration, self._watch.servers):
             is_behind = _known_end(digest, watch, self._watch) > watch.content.end
--- a/sequoiapoint/protocol/digest.capnp
+++ b/sequoiapoint/protocol/digest.capnp
@@ -116,6 +116,7 @@
   speeds @29 :List(Speed);      # How long work takes at servers, from the counted hosts.
   repeatedCrashes @30 :List(Suspicion); # Of servers that were sent a suspect request.
   soundRequests @31 :List(Text); # Fingerprints of suspect requests that were answered.
+  sentMs @32 :Int64 = -1;       # By the sender's clock since boot; -1 if not stated.
 }
 
 struct Record {
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -166,6 +166,8 @@
     :param repeated_crashes: Those of the crashes in ``suspicions`` of processes that
         were sent the request as a suspect.
     :param sound_requests: Fingerprints of suspect requests that have been answered.
+    :param sent_at: When it was sent by the sender's clock, which includes the
+        suspension of the system, in seconds; None if that is not stated.
     """
 
     host: str
@@ -200,6 +202,7 @@
     speeds: tuple[tuple[int, SpeedSample], ...] = ()
     repeated_crashes: tuple[tuple[str, frozenset[str]], ...] = ()
     sound_requests: tuple[str, ...] = ()
+    sent_at: float | None = None
 
     @property
     def sender(self) -> Member:
@@ -421,6 +424,7 @@
     message.configurationEnd = digest.configuration_end
     message.serverEnd = digest.server_end
     message.serverAgeMs = _encode_age(digest.server_age_s)
+    message.sentMs = _encode_age(digest.sent_at)
     message.isStoreReachable = digest.is_store_reachable
     message.fence = digest.fence
     message.scope, message.hostCount = digest.scope.value, _uint32(digest.host_count)
@@ -501,6 +505,7 @@
                 _decode_suspicion, get(fields["repeatedCrashes"])
             ),
             sound_requests=tuple(get(fields["soundRequests"])),
+            sent_at=_decode_age(get(fields["sentMs"])),
         )
     except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a digest: {error}") from error
--- a/standins/virtual/host_network.py
+++ b/standins/virtual/host_network.py
@@ -153,7 +153,8 @@
         self.isolated_zones, self.isolated_hosts = set(), set()
         self.blocked_pairs = set()
         """Pairs of hosts that do not hear each other, each as a frozenset."""
-        monkeypatch.setattr(allowance_exchange, "since_boot_s", lambda: self.now)
+        for module in (allowance_exchange, digest_sender, topic_exchange):
+            monkeypatch.setattr(module, "since_boot_s", lambda: self.now)
         for module in (
             allowance_exchange,
             peer_exchange,
