Odd entries: another writer's start does not outdate a live server

Callers of a server would lose it for good: an entry under its id, from another writer, with a service that isn't named or a start in the far future, made all further entries of the server count as those of an earlier process.

Evidence: node/store_watch_test.py; three of eight odd entries keep the server out of use before. Odd reports and headers were tried as well: no error.

Fix: an entry of a service that the configuration doesn't name yields to any other entry, and a start after the year 2286 makes an entry unreadable.

--- a/sequoiapoint/node/store_watch.py
+++ b/sequoiapoint/node/store_watch.py
@@ -410,6 +410,9 @@
                 self._state.metrics.event("server_entry_restored")
                 self._state.log.event("server_entry", "restored", server=entry.server)
                 continue
+            if known is not None and not self._is_named(known.service):
+                # It is from another writer, and its start would outdate this entry.
+                fleet.remove(entry.server)
             if not fleet.put(entry, monotonic_s()):
                 self._state.metrics.event("server_entry_outdated")
             elif known is None or (known.state, known.incarnation) != (
@@ -440,6 +443,11 @@
         else:
             self.on_unchanged()
 
+    def _is_named(self, service: str) -> bool:
+        """Tell whether the configuration in force names a service, as far as known."""
+        configuration = self._state.configuration
+        return configuration is None or service in configuration.services
+
     def _remove(self, server: str) -> None:
         """Remove a server; after a store outage, mark it as missing instead.
 
--- a/sequoiapoint/node/store_watch_test.py
+++ b/sequoiapoint/node/store_watch_test.py
@@ -25,9 +25,9 @@
 from standins.virtual.event_loop import VirtualTimeLoop
 
 
-def entry(count, state="ready", born=5):
+def entry(count, state="ready", born=5, service="lm"):
     value = {
-        "service": "lm",
+        "service": service,
         "addr": "10.0.0.1:80",
         "zone": "z",
         "state": state,
@@ -45,6 +45,7 @@
     state = SimpleNamespace(
         settings=SimpleNamespace(bounds=Bounds()),
         fleet=Fleet(),
+        configuration=SimpleNamespace(services={"lm": None}),
         rng=random.Random(1),
         loads=SimpleNamespace(retain=lambda live: None),
         pools=SimpleNamespace(retain=lambda live: None),
@@ -169,6 +170,42 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("odd", "expected"),
+    [
+        (entry(1, born=9, service="unnamed"), ("lm", 5)),
+        (entry(1, born=2**53, service="unnamed"), ("lm", 5)),
+        (entry(1, born=2**53), ("lm", 5)),
+        (entry(1, born=9, state="odd"), ("lm", 5)),
+        (entry(1, born=9).replace(b":80", b":65536"), ("lm", 5)),
+        (entry(1, born=10**30), ("lm", 5)),
+        (b"[" * 200_000 + b"]" * 200_000, ("lm", 5)),
+        # A process that has started again, whose predecessor's write was late.
+        (entry(1, born=9), ("lm", 9)),
+    ],
+    ids=[
+        "service",
+        "service_far_future",
+        "far_future",
+        "state",
+        "port",
+        "number",
+        "nested",
+        "start",
+    ],
+)
+def test_an_odd_entry_under_a_servers_id_yields_to_the_servers_next_one(
+    watch, odd, expected
+):
+    """A server was out of use for good after another writer had named a later start."""
+    for offset, value in enumerate((entry(7), odd, entry(8))):
+        record = StoreRecord(position(1, offset), "s-1", value)
+        state = TopicState((record,), position(1, offset + 1), True)
+        watch.servers.merge_peer_state(state)
+    (known,) = watch.fleet.entries.values()
+    assert (known.service, known.started_ms) == expected
+
+
 class SleepyStore:
     """A store whose polls return at the end of their wait, whatever it takes meanwhile.
 
--- a/sequoiapoint/platform/store.py
+++ b/sequoiapoint/platform/store.py
@@ -53,6 +53,9 @@
 MAX_COUNT = 2**53
 """Maximum of a time in milliseconds and of a number of reports: messages between hosts
 carry integers of 64 bits, and an entry may come from another writer."""
+MAX_START_MS = 10**13
+"""Latest start of a server, in Unix milliseconds; a later one would outdate all further
+entries of the server itself."""
 _SERVER_ID = re.compile(r"[\x21-\x7e]+")
 """Server ids that a header can carry."""
 
@@ -261,7 +264,7 @@
     # The number of reports since the start; in a report "seq" counts orders.
     seq: Count
     # The Unix time of the process's start, in milliseconds.
-    born: Count = 0
+    born: Annotated[Count, pydantic.Field(le=MAX_START_MS)] = 0
     models: list[ModelStatus] | None = None
     # Only validated: a server about to be reclaimed also has the state "draining".
     remaining_ms: pydantic.StrictInt | pydantic.StrictFloat | None = None
