Cut-off hosts: probe servers that have not failed first

Evidence: node/reachability_monitor_test.py: one or two sound servers of 47 are not found within 3 s before.

Fix: servers without a failure come first, those that fail a probe are noted, and rounds grow from 3 to 12 servers after two that have failed.

--- a/sequoiapoint/node/reachability_monitor.py
+++ b/sequoiapoint/node/reachability_monitor.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import math
+from collections.abc import Sequence
 
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.protocol.errors import Failure
@@ -23,6 +24,9 @@
 PROBED_SERVERS = 3
 """Number of servers that are probed at the same time.  Some of them may have crashed,
 which does not show that this host is cut off."""
+MAX_PROBED_SERVERS = 12
+"""The same after several rounds that have failed, while there are servers that have not
+been tried: many of those that are listed may not exist."""
 MAX_LOGGED_SERVERS = 5
 """Number of failed servers that are logged."""
 
@@ -34,6 +38,8 @@
         self._state = state
         self._probe_requested = asyncio.Event()
         self._probed_at = -math.inf
+        # By service: the number of rounds of probes in a row that have failed.
+        self._failed_rounds: dict[str, int] = {}
 
     async def run(self) -> None:
         """Watch until the process stops."""
@@ -141,16 +147,37 @@
         self.check(name)
 
     async def _probe_some(self, name: str, service: ServiceReachability) -> bool:
-        """Probe several servers of a service.
+        """Probe several servers of a service, those first that have not failed.
 
         :return: Whether any of them has responded, or there is none.
         """
         entries = self._state.fleet.ready_servers(name)
         if not entries:
             return True
-        chosen = self._state.rng.sample(entries, min(PROBED_SERVERS, len(entries)))
-        probes = (self._probe(name, service, entry) for entry in chosen)
-        return any(await asyncio.gather(*probes))
+        failed_rounds = self._failed_rounds.pop(name, 0)
+        size = PROBED_SERVERS * 2 ** min(4, max(0, failed_rounds - 1))
+        chosen = self._choose(entries, service, min(size, MAX_PROBED_SERVERS))
+        probes = [self._probe(name, service, entry) for entry in chosen]
+        have_responded = await asyncio.gather(*probes)
+        if any(have_responded):
+            return True
+        for entry in chosen:
+            service.note_connect_failure(entry.incarnation, monotonic_s())
+        self._failed_rounds[name] = failed_rounds + 1
+        return False
+
+    def _choose(
+        self, entries: Sequence[ServerEntry], service: ServiceReachability, size: int
+    ) -> list[ServerEntry]:
+        servers = {entry.incarnation for entry in entries}
+        failed = service.failures(servers, monotonic_s())
+        untried = [entry for entry in entries if entry.incarnation not in failed]
+        rng = self._state.rng
+        if len(untried) >= PROBED_SERVERS:
+            return rng.sample(untried, min(size, len(untried)))
+        others = [entry for entry in entries if entry.incarnation in failed]
+        missing = min(PROBED_SERVERS - len(untried), len(others))
+        return untried + rng.sample(others, missing)
 
     async def _probe(
         self, name: str, service: ServiceReachability, entry: ServerEntry
--- a/sequoiapoint/node/reachability_monitor_test.py
+++ b/sequoiapoint/node/reachability_monitor_test.py
@@ -127,3 +127,22 @@
 
     assert asyncio.run(run()) is is_cut_off
     assert state.probes <= (0 if has_data else 9)
+
+
+@pytest.mark.parametrize("sound", [1, 2])
+def test_a_sound_server_among_many_that_do_not_exist_is_found(monkeypatch, sound):
+    """A host took itself for cut off, as most of 47 listed servers did not exist."""
+    listed = 47
+    monitor, state = monitor_of(monkeypatch, listed, set(range(listed - sound)))
+    service = state.reachability.service(SERVICE)
+
+    async def run():
+        for number in range(3):
+            service.note_connect_failure((f"s-{number}", 1), monotonic_s())
+        monitor.check(SERVICE)
+        was_cut_off = service.is_cut_off
+        await probe_for(monitor, 3.0)
+        return was_cut_off, service.is_cut_off
+
+    assert asyncio.run(run()) == (True, False)
+    assert state.probes <= 2 * listed
