--- a/sequoiapoint/node/reachability_monitor.py
+++ b/sequoiapoint/node/reachability_monitor.py
@@ -25,8 +25,9 @@
 """Number of servers that are probed at the same time.  Some of them may have crashed,
 which does not show that this host is cut off."""
 MAX_PROBED_SERVERS = 12
-"""The same after several rounds that have failed, while there are servers that have not
-been tried: many of those that are listed may not exist."""
+"""The same after ``SMALL_ROUNDS`` that have failed, if so many have not been tried;
+most servers that are listed may not exist."""
+SMALL_ROUNDS = 2
 MAX_LOGGED_SERVERS = 5
 """Number of failed servers that are logged."""
 
@@ -155,8 +156,9 @@
         if not entries:
             return True
         failed_rounds = self._failed_rounds.pop(name, 0)
-        size = PROBED_SERVERS * 2 ** min(4, max(0, failed_rounds - 1))
-        chosen = self._choose(entries, service, min(size, MAX_PROBED_SERVERS))
+        is_small = failed_rounds < SMALL_ROUNDS
+        size = PROBED_SERVERS if is_small else MAX_PROBED_SERVERS
+        chosen = self._choose(entries, service, size)
         probes = [self._probe(name, service, entry) for entry in chosen]
         have_responded = await asyncio.gather(*probes)
         if any(have_responded):
@@ -169,6 +171,10 @@
     def _choose(
         self, entries: Sequence[ServerEntry], service: ServiceReachability, size: int
     ) -> list[ServerEntry]:
+        """Choose servers that have not failed; others too if there are too few.
+
+        :param size: The maximum number of servers.
+        """
         servers = {entry.incarnation for entry in entries}
         failed = service.failures(servers, monotonic_s())
         untried = [entry for entry in entries if entry.incarnation not in failed]
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -271,15 +271,18 @@
     async def run(self) -> None:
         """Send the request until a response is delivered or no retry is allowed."""
         try:
-            if not self._is_rejected_as_suspect():
+            if not self._reject_suspect():
                 await self._run()
         finally:
             if self._is_on_trial:
                 self._state.quarantine.end_trial(self._quarantine_key)
             self._discard_successor()
 
-    def _is_rejected_as_suspect(self) -> bool:
-        """Reject a request that crashes servers, or one beside it that is on trial."""
+    def _reject_suspect(self) -> bool:
+        """Reject a request that crashes servers, or is being tried by another one.
+
+        :return: Whether it was rejected.
+        """
         quarantine, now = self._state.quarantine, monotonic_s()
         if quarantine.is_quarantined(self._quarantine_key, now):
             self._reject("quarantined", http.HTTPStatus.FORBIDDEN, None)
@@ -608,12 +611,9 @@
         """
         state = self._state
         pool = state.pools.get_or_create(entry)
-        request_id = self._request.request_id
-        timeout_s = min(CONNECT_TIMEOUT_S, self._remaining_s())
-        if request_id:
-            connection = await pool.acquire(timeout_s, request_id)
-        else:
-            connection = await pool.acquire_new(timeout_s)
+        connection = await pool.acquire(
+            min(CONNECT_TIMEOUT_S, self._remaining_s()), self._request.request_id
+        )
         if isinstance(connection, Failure):
             load = state.loads.get_or_create(entry.incarnation)
             load.note_connect_failure(monotonic_s())
