--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -3,6 +3,11 @@
 A connection carries one request at a time.  It is reused only after a response that
 ended exactly where its framing says; any further byte closes it, so that no request
 receives the response to another one.
+
+A faulty server may send a second copy of a response late, when the response to the next
+request is due.  Only the id of a request tells them apart, so a connection never
+carries two requests with the same id, and a response without an id is certain only for
+the first request on a connection.
 """
 
 import asyncio
@@ -51,7 +56,8 @@
 _LAST_ACK_OFFSET = 56
 """Offset of the time since the last acknowledgement, in ms, in ``struct tcp_info``."""
 MAX_HEAD_BYTES = 65_536
-"""Maximum size of a response head; a larger one is treated as malformed."""
+"""Maximum size of a response head, and of what lies between two parts of a body or
+behind the last one; a larger one is treated as malformed."""
 MAX_BODY_BYTES = 4_194_304
 """Maximum size of a body that is collected; four times a full page of the store."""
 MAX_READ_BYTES = 262_144
@@ -61,6 +67,10 @@
 """Maximum size of what may precede a request's response on a connection: informational
 responses, and late ones to other requests."""
 
+MAX_REQUESTS_PER_CONNECTION = 500
+"""Number of requests with an id after which a connection is closed, as it remembers all
+of them."""
+
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
@@ -112,7 +122,7 @@
         self.on_body: Callable[[bytes], None] | None = None
         self.is_paused = False
         self._accepts = accepts
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
 
     def accepts(self, status: int, headers: Headers) -> bool:
@@ -128,7 +138,7 @@
         if self._body_bytes > MAX_BODY_BYTES:
             self._body.clear()
         else:
-            self._body.append(data)
+            self._body += data
 
     @property
     def is_too_large(self) -> bool:
@@ -137,7 +147,7 @@
 
     def take_body(self) -> bytes:
         """Remove and return the buffered part of the body."""
-        body = b"".join(self._body)
+        body = bytes(self._body)
         self._body.clear()
         self._body_bytes = 0
         return body
@@ -170,8 +180,10 @@
         self._exchange: Exchange | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: Headers = []
+        # Parts of the body from the data that is being parsed.
+        self._body_parts: list[bytes] = []
         self._head_bytes = 0
-        self._received_in_head = 0
+        self._overhead_bytes = 0
         self._skipped_bytes = 0
         self._is_in_head = True
         self._is_framed = False
@@ -181,6 +193,8 @@
         self._has_surplus_bytes = False
         self._may_reuse = True
         self._tolerates_silence = False
+        self._is_unused = True
+        self._request_ids: set[str] = set()
         self.idle_limit_s = idle_limit_s
         self._idle_since = 0.0
         self.opened_at = 0.0
@@ -190,6 +204,15 @@
         """Tell whether the connection can carry a request."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def is_unused(self) -> bool:
+        """Tell whether no request has been sent on the connection."""
+        return self._is_unused
+
+    def has_carried(self, request_id: str) -> bool:
+        """Tell whether a request with an id has been sent on the connection."""
+        return request_id in self._request_ids
+
     def is_reusable(self, now: float) -> bool:
         """Tell whether the connection is open and the peer will not close it soon.
 
@@ -226,17 +249,27 @@
         return has_unread(self._transport)
 
     def send(
-        self, head: bytes, body: bytes, accepts: Callable[[int, Headers], bool]
+        self,
+        head: bytes,
+        body: bytes,
+        accepts: Callable[[int, Headers], bool],
+        request_id: str = "",
     ) -> Exchange:
         """Send a request.
 
         :param head: The encoded head, including the empty line at its end.
         :param accepts: See :class:`Exchange`.
+        :param request_id: The id by which its response is identified; "" for none.
         """
         exchange = Exchange(self._loop, accepts)
         if not self.is_open:
             exchange.finish(ExchangeOutcome.CLOSED)
             return exchange
+        self._is_unused = False
+        if request_id:
+            self._request_ids.add(request_id)
+        if len(self._request_ids) >= MAX_REQUESTS_PER_CONNECTION:
+            self._may_reuse = False
         self._exchange = exchange
         self._parser = httptools.HttpResponseParser(self)
         self._reset_message()
@@ -260,6 +293,10 @@
         if exchange is not None:
             exchange.finish(ExchangeOutcome.ABANDONED)
 
+    def forbid_reuse(self) -> None:
+        """Close the connection after the response that is awaited or being received."""
+        self._may_reuse = False
+
     def tolerate_silence(self) -> None:
         """Let the kernel keep the connection while the peer is silent.
 
@@ -303,43 +340,57 @@
             self.close()
             return
         # Bytes of a body, for example the events of a stream, are not limited here.
-        is_limited = self._is_in_head or not exchange.head.done()
-        if is_limited and self._is_unlimited(len(data)):
-            self._end(ExchangeOutcome.MALFORMED)
-            return
+        self._overhead_bytes += len(data)
+        if not exchange.head.done():
+            self._skipped_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._report_failure(error)
+            self._report_failure(error.__context__)
             if self._exchange is not None:
                 self._end(ExchangeOutcome.MALFORMED)
             self.close()
+        self._deliver_body()
         if self._has_surplus_bytes:
             self.close()
+        if self._exchange is not None and self._has_too_much_overhead:
+            self._end(ExchangeOutcome.MALFORMED)
+
+    def _deliver_body(self) -> None:
+        """Pass the parts of the body that one read has brought to the exchange at once.
+
+        A peer may send a body of millions of small chunks.
+        """
+        exchange, parts = self._exchange, self._body_parts
+        if exchange is None or not parts:
+            return
+        self._body_parts = []
+        try:
+            exchange.receive(b"".join(parts))
+        except Exception as error:
+            self._report_failure(error)
+            self._end(ExchangeOutcome.MALFORMED)
+            return
+        if exchange.is_too_large:
+            self._end(ExchangeOutcome.TOO_LARGE)
 
-    def _report_failure(self, error: Exception) -> None:
-        """Report the failure of a callback, for which the parser raises an error."""
-        cause = error.__context__
+    def _report_failure(self, cause: BaseException | None) -> None:
+        """Report the unexpected failure of a callback, None if there was none."""
         if cause is not None and not isinstance(cause, _HeadTooLargeError):
             self._loop.call_exception_handler(
                 {"message": "processing a response failed", "exception": cause}
             )
 
-    def _is_unlimited(self, received: int) -> bool:
-        """Tell whether the peer sends too much before the request's response.
-
-        The parser itself collects a line of any length.
+    @property
+    def _has_too_much_overhead(self) -> bool:
+        """Tell whether the peer sends too much beside the body of the response.
 
-        :param received: The number of bytes that have just arrived.
+        The parser itself collects a line of any length, in a head or a trailer.
         """
-        if self._is_in_head:
-            self._received_in_head += received
-        if not self._exchange.head.done():
-            self._skipped_bytes += received
-        return (
-            self._received_in_head > MAX_HEAD_BYTES + MAX_READ_BYTES
-            or self._skipped_bytes > MAX_SKIPPED_BYTES + MAX_READ_BYTES
-        )
+        if self._overhead_bytes > MAX_HEAD_BYTES:
+            return True
+        is_skipping = not self._exchange.head.done()
+        return is_skipping and self._skipped_bytes > MAX_SKIPPED_BYTES
 
     def eof_received(self) -> bool:
         """End the response; without framing, the end of the connection completes it."""
@@ -369,11 +420,12 @@
         self._reset_message()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
+        """Collect a header; one in a trailer is ignored."""
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > MAX_HEAD_BYTES:
             raise _HeadTooLargeError(f"response head exceeds {MAX_HEAD_BYTES} bytes")
-        self._headers.append((name.lower(), value))
+        if self._is_in_head:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Pass the head to the exchange unless it belongs to another request."""
@@ -381,6 +433,7 @@
         if exchange is None:
             return
         self._is_in_head = False
+        self._overhead_bytes = 0
         status = self._parser.get_status_code()
         self._is_informational = status < 200
         if self._is_informational:
@@ -401,16 +454,10 @@
             self._end(ExchangeOutcome.COMPLETE)
 
     def on_body(self, data: bytes) -> None:
-        """Pass a part of the body to the exchange."""
-        exchange = self._exchange
-        if exchange is None or self._is_discarding:
-            return
-        if exchange.on_body is not None:
-            exchange.on_body(data)
-            return
-        exchange.receive(data)
-        if exchange.is_too_large:
-            self._end(ExchangeOutcome.TOO_LARGE)
+        """Collect a part of the body for the exchange."""
+        self._overhead_bytes = 0
+        if self._exchange is not None and not self._is_discarding:
+            self._body_parts.append(data)
 
     def on_message_complete(self) -> None:
         """End the exchange and release the connection if it can be reused."""
@@ -426,7 +473,7 @@
     def _reset_message(self) -> None:
         self._headers = []
         self._head_bytes = 0
-        self._received_in_head = 0
+        self._overhead_bytes = 0
         self._is_in_head = True
         self._is_framed = False
         self._is_discarding = False
@@ -443,7 +490,11 @@
         )
 
     def _end(self, outcome: ExchangeOutcome) -> None:
+        self._deliver_body()
         exchange, self._exchange = self._exchange, None
+        if exchange is None:
+            # The receiver of the body has closed the connection.
+            return
         self._idle_since = monotonic_s()
         exchange.finish(outcome)
         has_unsent = self.is_open and self._transport.get_write_buffer_size() > 0
@@ -521,17 +572,38 @@
         """Return the number of connections that are open or being opened."""
         return len(self._open) + self._connecting
 
-    async def acquire(self, timeout_s: float) -> ClientConnection | Failure:
+    async def acquire(
+        self, timeout_s: float, request_id: str = ""
+    ) -> ClientConnection | Failure:
         """Return an idle connection that can be reused, otherwise a new one.
 
         :param timeout_s: The time for opening a connection, in seconds.
+        :param request_id: The id of the request that is to be sent; it is not sent
+            again on a connection that has carried it.
         """
+        connection = self._take_idle(request_id)
+        return connection or await self._connect(timeout_s)
+
+    def _take_idle(self, request_id: str) -> ClientConnection | None:
         now = monotonic_s()
-        while self._idle:
+        unsuitable = []
+        chosen = None
+        while self._idle and chosen is None:
             connection = self._idle.pop()
-            if connection.is_reusable(now) and not connection.has_unread:
-                return connection
-            connection.close()
+            if not connection.is_reusable(now) or connection.has_unread:
+                connection.close()
+            elif connection.has_carried(request_id):
+                unsuitable.append(connection)
+            else:
+                chosen = connection
+        self._idle.extend(reversed(unsuitable))
+        return chosen
+
+    async def acquire_new(self, timeout_s: float) -> ClientConnection | Failure:
+        """Return a connection on which nothing has been sent.
+
+        :param timeout_s: The time for opening a connection, in seconds.
+        """
         return await self._connect(timeout_s)
 
     async def _connect(self, timeout_s: float) -> ClientConnection | Failure:
@@ -629,14 +701,22 @@
 
 
 async def call(
-    pool: ConnectionPool, address: str, request: HttpCall, timeout_s: float
+    pool: ConnectionPool,
+    address: str,
+    request: HttpCall,
+    timeout_s: float,
+    on_new_connection: bool = False,
 ) -> Response | Failure:
     """Make one call and wait for the complete response.
 
+    A call has no id, so its response is certain only if the peer sends each response
+    once, or on a new connection.
+
     :param timeout_s: The time for the response, in seconds; also limits the time for
         opening a connection.
     """
-    connection = await pool.acquire(min(timeout_s, CONNECT_TIMEOUT_S))
+    acquire = pool.acquire_new if on_new_connection else pool.acquire
+    connection = await acquire(min(timeout_s, CONNECT_TIMEOUT_S))
     if isinstance(connection, Failure):
         return connection
     exchange = connection.send(
