--- a/tests/leaving_lag_test.py
+++ b/tests/leaving_lag_test.py
@@ -185,6 +185,7 @@
             host=OWN.host, zone=OWN.zone, peer_address=OWN.address, bounds=Bounds()
         ),
         fleet=Fleet(),
+        configuration=None,
         rng=random.Random(1),
         loads=SimpleNamespace(retain=lambda live: None),
         pools=SimpleNamespace(retain=lambda live: None),
