The change read again: waiting copies, one name for each concept

A request that waits for a server as its fingerprint is quarantined waited on, for 3.1 s in node/crash_suspect_test.py, and was then sent. It is woken and rejected at once now, at every host, and looked at again before it is sent; so is one that waits while another one probes. Both tests fail before.

The quarantine decides with one verdict. Its terms are those of the parts of prompts and of probe slots: cleared, repeated, probe.

--- a/sequoiapoint/coordination/quarantine.py
+++ b/sequoiapoint/coordination/quarantine.py
@@ -5,16 +5,17 @@
 down at once, so the number of crashed processes alone proves nothing: a fingerprint is
 quarantined once enough processes have crashed, of which all but the first were sent the
 request after the suspicion had arisen.  If enough have crashed but not in this order,
-it has to be tried, by one request at a time.
+one request at a time probes whether it crashes a server.
 
-A request that crashes servers is never answered, so one that is answered is sound, and
+A request that crashes servers is never answered, so one that is answered is cleared:
 crashes do not count against it for as long as that is remembered.
 
-Hosts exchange the crashes and the answered fingerprints.  Both sets only grow, so hosts
+Hosts exchange the crashes and the cleared fingerprints.  Both sets only grow, so hosts
 agree in whatever order they learn of them.
 """
 
-from collections.abc import Collection
+import enum
+from collections.abc import Collection, Hashable
 from dataclasses import dataclass, replace
 
 QUARANTINE_TTL_S = 600.0
@@ -22,8 +23,17 @@
 QUARANTINE_THRESHOLD = 2
 MAX_EXCUSED = 256
 """Number of server processes that are remembered whose crashes do not count."""
-MAX_SOUND = 4096
-"""Number of answered fingerprints that are remembered, the latest ones."""
+MAX_CLEARED = 4096
+"""Number of cleared fingerprints that are remembered, those last answered."""
+
+
+class Verdict(enum.Enum):
+    """Whether a request may be sent to a server."""
+
+    ADMITTED = "admitted"
+    BEHIND_PROBE = "behind_probe"
+    """Another request with the same fingerprint probes whether it crashes a server."""
+    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True)
@@ -34,8 +44,8 @@
     :param until: When the record expires, in seconds on the local clock.
     :param is_quarantined: Whether the request is rejected.
     :param changed_at: When the record was last changed, in seconds.
-    :param repeats: Those of the incarnations that were sent the request as a suspect.
-    :param is_sound: Whether the request has been answered.
+    :param repeated: Those of the incarnations that were sent the request as a suspect.
+    :param is_cleared: Whether the request has been answered.
     :param since: When the first crash became known here, in seconds.
     """
 
@@ -44,8 +54,8 @@
     until: float
     is_quarantined: bool
     changed_at: float = 0.0
-    repeats: frozenset[str] = frozenset()
-    is_sound: bool = False
+    repeated: frozenset[str] = frozenset()
+    is_cleared: bool = False
     since: float = 0.0
 
 
@@ -60,8 +70,9 @@
         self._crash_threshold = crash_threshold
         self._suspicions: dict[str, Suspicion] = {}
         self._excused: dict[str, None] = {}
-        self._sound: dict[str, float] = {}
-        self._on_trial: set[str] = set()
+        self._cleared: dict[str, float] = {}
+        # By fingerprint: who holds the right to probe it.
+        self._probes: dict[str, Hashable] = {}
 
     def record_crash(
         self,
@@ -79,39 +90,40 @@
         :return: Whether the request is in quarantine.
         """
         known = self._unexpired(fingerprint, now)
-        is_repeat = known is not None and (sent_at is None or sent_at >= known.since)
+        was_suspect = known is not None and (sent_at is None or sent_at >= known.since)
         death = frozenset({incarnation})
-        return self.merge(fingerprint, death, now, death if is_repeat else frozenset())
+        repeated = death if was_suspect else frozenset()
+        return self.merge(fingerprint, death, now, repeated)
 
     def merge(
         self,
         fingerprint: str,
         deaths: frozenset[str],
         now: float,
-        repeats: frozenset[str] | None = None,
+        repeated: frozenset[str] | None = None,
     ) -> bool:
         """Merge the crashes that a peer has recorded for a fingerprint.
 
-        :param repeats: Those of servers that were sent the request as a suspect; None
+        :param repeated: Those of servers that were sent the request as a suspect; None
             if they all were.
         :return: Whether the request is in quarantine.
         """
         known = self._unexpired(fingerprint, now)
-        repeats = deaths if repeats is None else repeats
+        repeated = deaths if repeated is None else repeated
         deaths -= self._excused.keys()
-        repeats &= deaths
+        repeated &= deaths
         if not deaths:
             return known is not None and known.is_quarantined
         if known is None:
             known = Suspicion(fingerprint, frozenset(), 0.0, False, since=now)
-        elif deaths <= known.deaths and repeats <= known.repeats:
+        elif deaths <= known.deaths and repeated <= known.repeated:
             return known.is_quarantined
         suspicion = replace(
             known,
             deaths=known.deaths | deaths,
-            repeats=known.repeats | repeats,
+            repeated=known.repeated | repeated,
             changed_at=now,
-            is_sound=self._is_sound(fingerprint, now),
+            is_cleared=self._is_cleared(fingerprint, now),
         )
         is_quarantined = self._is_proven(suspicion)
         has_enough = len(suspicion.deaths) >= self._crash_threshold
@@ -125,8 +137,8 @@
         """Tell whether a request has crashed servers, not only been there."""
         return (
             len(suspicion.deaths) >= self._crash_threshold
-            and len(suspicion.repeats) >= self._crash_threshold - 1
-            and not suspicion.is_sound
+            and len(suspicion.repeated) >= self._crash_threshold - 1
+            and not suspicion.is_cleared
         )
 
     def excuse(self, incarnation: str) -> None:
@@ -140,7 +152,7 @@
             suspicion = replace(
                 known,
                 deaths=known.deaths - {incarnation},
-                repeats=known.repeats - {incarnation},
+                repeated=known.repeated - {incarnation},
             )
             if suspicion.deaths:
                 self._suspicions[fingerprint] = replace(
@@ -154,15 +166,15 @@
 
         :return: Whether crashes had counted against it until now.
         """
-        self._sound.pop(fingerprint, None)
-        self._sound[fingerprint] = now
-        while len(self._sound) > MAX_SOUND:
-            del self._sound[next(iter(self._sound))]
+        self._cleared.pop(fingerprint, None)
+        self._cleared[fingerprint] = now
+        while len(self._cleared) > MAX_CLEARED:
+            del self._cleared[next(iter(self._cleared))]
         known = self._unexpired(fingerprint, now)
-        if known is None or known.is_sound:
+        if known is None or known.is_cleared:
             return False
         self._suspicions[fingerprint] = replace(
-            known, is_quarantined=False, is_sound=True, changed_at=now
+            known, is_quarantined=False, is_cleared=True, changed_at=now
         )
         return True
 
@@ -174,30 +186,38 @@
     def is_suspect(self, fingerprint: str, now: float) -> bool:
         """Tell whether a request was in flight when a server crashed."""
         known = self._unexpired(fingerprint, now)
-        return known is not None and not known.is_sound
+        return known is not None and not known.is_cleared
 
-    def needs_trial(self, fingerprint: str, now: float) -> bool:
-        """Tell whether a request has to be tried, as enough servers have crashed.
+    def needs_probe(self, fingerprint: str, now: float) -> bool:
+        """Tell whether a request has to be probed, as enough servers have crashed.
 
         They may have crashed for another cause, all at once.
         """
         known = self._unexpired(fingerprint, now)
         return (
             known is not None
-            and not (known.is_quarantined or known.is_sound)
+            and not (known.is_quarantined or known.is_cleared)
             and len(known.deaths) >= self._crash_threshold
         )
 
-    def begin_trial(self, fingerprint: str) -> bool:
-        """Let one request of a fingerprint be tried; return whether none is yet."""
-        if fingerprint in self._on_trial:
-            return False
-        self._on_trial.add(fingerprint)
-        return True
+    def admit(self, fingerprint: str, holder: Hashable, now: float) -> Verdict:
+        """Decide whether a request may be sent to a server.
+
+        The first one of a fingerprint that needs a probe becomes the probe.
 
-    def end_trial(self, fingerprint: str) -> None:
-        """Note that the request that was tried has ended."""
-        self._on_trial.discard(fingerprint)
+        :param holder: Stands for the request until ``end_probe``.
+        """
+        if self.is_quarantined(fingerprint, now):
+            return Verdict.QUARANTINED
+        if not self.needs_probe(fingerprint, now):
+            return Verdict.ADMITTED
+        is_probe = self._probes.setdefault(fingerprint, holder) == holder
+        return Verdict.ADMITTED if is_probe else Verdict.BEHIND_PROBE
+
+    def end_probe(self, fingerprint: str, holder: Hashable) -> None:
+        """Note that a request has ended; no effect if it was not the probe."""
+        if self._probes.get(fingerprint) == holder:
+            del self._probes[fingerprint]
 
     def remaining_s(self, fingerprint: str, now: float) -> float:
         """Return the time until a fingerprint's record expires, in seconds."""
@@ -205,8 +225,8 @@
         return known.until - now if known else 0.0
 
     def suspicions(self, now: float) -> tuple[Suspicion, ...]:
-        """Return the unexpired records of requests not known to be sound."""
-        return tuple(s for s in self._records(now) if not s.is_sound)
+        """Return the unexpired records of requests that are not cleared."""
+        return tuple(s for s in self._records(now) if not s.is_cleared)
 
     def recent_changes(
         self, now: float, age_s: float, limit: int
@@ -226,8 +246,8 @@
         self._suspicions = {f: s for f, s in self._suspicions.items() if s.until > now}
         return self._suspicions.values()
 
-    def _is_sound(self, fingerprint: str, now: float) -> bool:
-        answered_at = self._sound.get(fingerprint)
+    def _is_cleared(self, fingerprint: str, now: float) -> bool:
+        answered_at = self._cleared.get(fingerprint)
         return answered_at is not None and now - answered_at < QUARANTINE_TTL_S
 
     def _unexpired(self, fingerprint: str, now: float) -> Suspicion | None:
--- a/sequoiapoint/coordination/quarantine_test.py
+++ b/sequoiapoint/coordination/quarantine_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sequoiapoint.coordination.quarantine import Quarantine
+from sequoiapoint.coordination.quarantine import Quarantine, Verdict
 
 
 def test_peers_receive_a_limited_number_of_recent_changes():
@@ -40,26 +40,26 @@
     assert quarantine.merge("deadly", deadly, 0.3)
 
 
-FREE, ON_TRIAL, REJECTED = "free", "on_trial", "rejected"
+FREE, PROBED, REJECTED = "free", "probed", "rejected"
 
 
 def verdict(quarantine, now):
     if quarantine.is_quarantined("page", now):
         return REJECTED
-    return ON_TRIAL if quarantine.needs_trial("page", now) else FREE
+    return PROBED if quarantine.needs_probe("page", now) else FREE
 
 
 @pytest.mark.parametrize(
     ("crashes", "answered_at", "expected"),
     [
-        ([(1.0, 0.5), (1.0, 0.6), (1.0, 0.9)], None, ON_TRIAL),
-        ([(1.0, 0.5)] * 20, None, ON_TRIAL),
+        ([(1.0, 0.5), (1.0, 0.6), (1.0, 0.9)], None, PROBED),
+        ([(1.0, 0.5)] * 20, None, PROBED),
         ([(1.0, 0.5)] * 20, 0.3, FREE),
         ([(1.0, 0.5)] * 20, 1.2, FREE),
         ([(1.0, 0.5), (1.1, 1.0), (1.2, 1.1)], None, REJECTED),
         ([(1.0, 0.5), (1.1, 1.0), (1.2, 1.1)], 0.3, FREE),
         ([(1.0, 0.5), (1.1, 1.0), (1.2, 1.1)], 1.3, FREE),
-        ([(1.0, 0.9), (1.0, 0.9), (2.0, 1.5)], None, ON_TRIAL),
+        ([(1.0, 0.9), (1.0, 0.9), (2.0, 1.5)], None, PROBED),
         ([(1.0, 0.9), (1.0, 0.9), (1.0, 0.9), (2.0, 1.5), (3.0, 2.5)], None, REJECTED),
         ([(1.0, 0.9), (2.0, 1.5)], None, FREE),
     ],
@@ -81,13 +81,21 @@
     assert verdict(quarantine, 4.0) == expected
 
 
-def test_one_request_is_tried_at_a_time():
+def test_one_request_at_a_time_probes_whether_it_crashes_servers():
+    """Answers a rack that crashes while a page that nobody has got yet is in demand."""
     quarantine = Quarantine(3)
-    assert quarantine.begin_trial("page")
-    assert not quarantine.begin_trial("page")
-    assert quarantine.begin_trial("other")
-    quarantine.end_trial("page")
-    assert quarantine.begin_trial("page")
+    for number in range(3):
+        quarantine.record_crash("page", f"s-{number}@1", 1.0, 0.5)
+    first = quarantine.admit("page", "first", 1.1)
+    assert first is quarantine.admit("page", "first", 1.2) is Verdict.ADMITTED
+    assert quarantine.admit("page", "second", 1.2) is Verdict.BEHIND_PROBE
+    assert quarantine.admit("other", "second", 1.2) is Verdict.ADMITTED
+    quarantine.end_probe("page", "second")
+    assert quarantine.admit("page", "second", 1.3) is Verdict.BEHIND_PROBE
+    quarantine.end_probe("page", "first")
+    assert quarantine.admit("page", "second", 1.4) is Verdict.ADMITTED
+    quarantine.clear("page", 1.5)
+    assert quarantine.admit("page", "third", 1.6) is Verdict.ADMITTED
 
 
 @pytest.mark.parametrize("is_answered", [False, True])
--- a/sequoiapoint/node/crash_suspect_test.py
+++ b/sequoiapoint/node/crash_suspect_test.py
@@ -12,6 +12,7 @@
 
 from sequoiapoint.node.request_forwarder_test import CRASH, ENTRY, SIGNED, Site
 from sequoiapoint.transport.async_http_client import ExchangeOutcome
+from sequoiapoint.transport.clock import monotonic_s
 
 SERVERS = [f"s-{n}" for n in range(8)]
 OK = (200, [SIGNED])
@@ -66,7 +67,7 @@
     assert asyncio.run(run()) == [200] * 5
 
 
-def test_requests_beside_one_on_trial_are_asked_to_come_back(monkeypatch):
+def test_requests_beside_one_that_probes_are_asked_to_come_back(monkeypatch):
     site = site_of_servers(monkeypatch)
 
     async def run():
@@ -87,6 +88,31 @@
     assert headers[b"retry-after"] > 0.0
 
 
+def test_a_request_that_waits_is_rejected_as_soon_as_it_is_quarantined(monkeypatch):
+    """Copies of a harmful request that waited for a server were sent after all."""
+    site = site_of_servers(monkeypatch)
+    for name in SERVERS:
+        site.state.fleet.remove(name)
+
+    async def run():
+        requests = [
+            asyncio.ensure_future(site.request(body=b"deadly", budget_s=8.0))
+            for _ in range(4)
+        ]
+        await asyncio.sleep(0.1)
+        assert not any(request.done() for request in requests)
+        started_at = monotonic_s()
+        key = site.forwarder._quarantine_key
+        deaths = frozenset({"a@1", "b@1", "c@1"})
+        site.state.quarantine.merge(key, deaths, started_at)
+        site.state.wait_queue.notify()
+        await asyncio.gather(*requests)
+        return monotonic_s() - started_at
+
+    assert asyncio.run(run()) < 0.5
+    assert (site.answer[0], site.sent) == (403, [])
+
+
 @pytest.mark.parametrize("attempts", [1, 3])
 def test_a_request_that_crashes_servers_reaches_three_of_them(monkeypatch, attempts):
     site = site_of_servers(monkeypatch, attempts)
--- a/sequoiapoint/node/peer_exchange.py
+++ b/sequoiapoint/node/peer_exchange.py
@@ -257,10 +257,10 @@
         changes = state.quarantine.recent_changes(
             now, SUSPICION_REPEAT_S, MAX_SUSPICIONS_PER_DIGEST
         )
-        sound = tuple(s.fingerprint for s in changes if s.is_sound)
-        suspects = [s for s in changes if not s.is_sound]
+        cleared = tuple(s.fingerprint for s in changes if s.is_cleared)
+        suspects = [s for s in changes if not s.is_cleared]
         suspicions = tuple((s.fingerprint, s.deaths) for s in suspects)
-        repeats = tuple((s.fingerprint, s.repeats) for s in suspects if s.repeats)
+        repeated = tuple((s.fingerprint, s.repeated) for s in suspects if s.repeated)
         suspect_parts = tuple(
             (s.part, s.crashes, s.is_cleared)
             for s in state.prompt_quarantine.recent_changes(
@@ -289,8 +289,8 @@
                 scope=Scope.HOST,
                 counts=tuple(local_counts.items()),
                 suspicions=suspicions,
-                repeated_crashes=repeats,
-                sound_requests=sound,
+                repeated_crashes=repeated,
+                cleared_requests=cleared,
                 suspect_parts=suspect_parts,
                 leaving_servers=leaving,
                 limits=limits,
@@ -315,8 +315,8 @@
             scope=Scope.ZONE,
             counts=tuple(zone_totals.items()),
             suspicions=suspicions,
-            repeated_crashes=repeats,
-            sound_requests=sound,
+            repeated_crashes=repeated,
+            cleared_requests=cleared,
             suspect_parts=suspect_parts,
             leaving_servers=leaving,
             limits=limits,
@@ -332,8 +332,8 @@
             scope=Scope.FLEET,
             counts=tuple((zone_totals + other_totals).items()),
             suspicions=suspicions,
-            repeated_crashes=repeats,
-            sound_requests=sound,
+            repeated_crashes=repeated,
+            cleared_requests=cleared,
             suspect_parts=suspect_parts,
             leaving_servers=leaving,
             limits=limits,
@@ -443,15 +443,17 @@
     def _merge_suspicions(self, digest: Digest, now: float) -> None:
         """Take over what another host knows of requests in flight at crashed servers.
 
-        A host of an older build does not tell which crashes were repeats.
+        A host of an older build does not tell which servers were sent it as a suspect.
         """
         quarantine = self._state.quarantine
-        for fingerprint in digest.sound_requests:
+        for fingerprint in digest.cleared_requests:
             quarantine.clear(fingerprint, now)
-        repeats = dict(digest.repeated_crashes)
+        repeated = dict(digest.repeated_crashes)
         for fingerprint, deaths in digest.suspicions:
-            repeated = repeats.get(fingerprint, frozenset())
-            quarantine.merge(fingerprint, deaths, now, repeated)
+            was_quarantined = quarantine.is_quarantined(fingerprint, now)
+            known = repeated.get(fingerprint, frozenset())
+            if quarantine.merge(fingerprint, deaths, now, known) > was_quarantined:
+                self._state.wait_queue.notify()
 
     def _merge_suspect_parts(self, digest: Digest, now: float) -> None:
         quarantine = self._state.prompt_quarantine
--- a/sequoiapoint/node/peer_exchange_test.py
+++ b/sequoiapoint/node/peer_exchange_test.py
@@ -156,8 +156,21 @@
         assert host.state.quarantine.is_quarantined("f", network.now)
 
 
+def test_hosts_wake_their_waiting_requests_once_when_one_is_quarantined(monkeypatch):
+    """Copies of a harmful request waited until their deadlines at the other hosts."""
+    network = HostNetwork(monkeypatch, 2, 3)
+    network.run(4.0)
+    woken = []
+    for host in network.hosts[1:]:
+        host.state.wait_queue.notify = lambda host=host: woken.append(host)
+    for crash in ("a", "b", "c"):
+        network.hosts[0].state.quarantine.record_crash("f", crash, network.now)
+    network.run(3.0)
+    assert len(woken) == len(set(woken)) == len(network.hosts) - 1
+
+
 @pytest.mark.parametrize("answering_host", [0, 23])
-def test_a_suspected_request_that_is_answered_is_sound_at_every_host(
+def test_a_suspected_request_that_is_answered_is_cleared_at_every_host(
     monkeypatch, answering_host
 ):
     """A page that was in flight on a rack as it crashed was answered 403 everywhere."""
@@ -167,7 +180,7 @@
         network.hosts[3].state.quarantine.record_crash("f", crash, network.now, 0.0)
     network.run(2.0)
     for host in network.hosts:
-        assert host.state.quarantine.needs_trial("f", network.now)
+        assert host.state.quarantine.needs_probe("f", network.now)
     network.hosts[answering_host].state.quarantine.clear("f", network.now)
     network.run(2.0)
     for host in network.hosts:
@@ -260,7 +273,7 @@
 def test_what_late_digests_announce_is_as_old_as_they_are(monkeypatch, held_s):
     """Guards against a stream that goes on at another version than it began at.
 
-    Digests that had waited in a host's socket while it stood still made its old list of
+    Digests that had waited in the socket of a suspended host made its old list of
     servers look complete, as if no server of another version had joined.
     """
     network = HostNetwork(monkeypatch, 2, 4)
--- a/sequoiapoint/node/reachability_monitor.py
+++ b/sequoiapoint/node/reachability_monitor.py
@@ -6,8 +6,9 @@
 
 import asyncio
 import math
-from collections.abc import Sequence
 
+from sequoiapoint.coordination import probe_choice
+from sequoiapoint.coordination.probe_choice import PROBED_SERVERS
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.protocol.errors import Failure
 from sequoiapoint.protocol.gateway import ServerEntry
@@ -21,13 +22,6 @@
 """Interval of probes while the host is cut off, whatever the number of services."""
 PROBE_TIMEOUT_S = 0.4
 """Timeout of a probe, which needs no slot of a server."""
-PROBED_SERVERS = 3
-"""Number of servers that are probed at the same time.  Some of them may have crashed,
-which does not show that this host is cut off."""
-MAX_PROBED_SERVERS = 12
-"""The same after ``SMALL_ROUNDS`` that have failed, if so many have not been tried;
-most servers that are listed may not exist."""
-SMALL_ROUNDS = 2
 MAX_LOGGED_SERVERS = 5
 """Number of failed servers that are logged."""
 
@@ -155,10 +149,11 @@
         entries = self._state.fleet.ready_servers(name)
         if not entries:
             return True
+        servers = {entry.incarnation for entry in entries}
+        failed = service.failures(servers, monotonic_s())
         failed_rounds = self._failed_rounds.pop(name, 0)
-        is_small = failed_rounds < SMALL_ROUNDS
-        size = PROBED_SERVERS if is_small else MAX_PROBED_SERVERS
-        chosen = self._choose(entries, service, size)
+        sample = self._state.rng.sample
+        chosen = probe_choice.choose(entries, failed, failed_rounds, sample)
         probes = [self._probe(name, service, entry) for entry in chosen]
         have_responded = await asyncio.gather(*probes)
         if any(have_responded):
@@ -168,23 +163,6 @@
         self._failed_rounds[name] = failed_rounds + 1
         return False
 
-    def _choose(
-        self, entries: Sequence[ServerEntry], service: ServiceReachability, size: int
-    ) -> list[ServerEntry]:
-        """Choose servers that have not failed; others too if there are too few.
-
-        :param size: The maximum number of servers.
-        """
-        servers = {entry.incarnation for entry in entries}
-        failed = service.failures(servers, monotonic_s())
-        untried = [entry for entry in entries if entry.incarnation not in failed]
-        rng = self._state.rng
-        if len(untried) >= PROBED_SERVERS:
-            return rng.sample(untried, min(size, len(untried)))
-        others = [entry for entry in entries if entry.incarnation in failed]
-        missing = min(PROBED_SERVERS - len(untried), len(others))
-        return untried + rng.sample(others, missing)
-
     async def _probe(
         self, name: str, service: ServiceReachability, entry: ServerEntry
     ) -> bool:
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -15,12 +15,14 @@
 
 from sequoiapoint.coordination import prompt_quarantine, waiting
 from sequoiapoint.coordination.entry import Rejected
+from sequoiapoint.coordination.quarantine import Verdict
 from sequoiapoint.node import admission
 from sequoiapoint.node.detour_exchange import DetourOutcome, DetourResult
 from sequoiapoint.node.gateway_state import GatewayState, crash_name
 from sequoiapoint.node.peer_exchange import PeerExchange
 from sequoiapoint.node.request_record import (
     RequestRecord,
+    quarantine_key,
     reject,
     request_fingerprint,
 )
@@ -75,8 +77,8 @@
 ANSWERED_EVENTS = 2
 """Events of a stream after which its engine counts as having answered.  An engine that
 crashes as it begins to write may have sent the first one."""
-TRIAL_RETRY_AFTER_S = 1.0
-"""Time after which callers of a request that is on trial should come back."""
+PROBE_RETRY_AFTER_S = 1.0
+"""Time after which callers of a request that another one probes should come back."""
 LEFT_REASON = "left_before_sending"
 """Reason if the server stopped accepting requests after it was selected."""
 BROKEN_REASONS = frozenset({ExchangeOutcome.CLOSED.value, ExchangeOutcome.RESET.value})
@@ -108,6 +110,9 @@
     the configuration has become too old to tell."""
     PROMPT_REJECTED = "prompt_rejected"
     """Nothing was sent, as a part of the prompt is rejected since the choice."""
+    SUSPECT = "suspect"
+    """Nothing was sent, as the request is in quarantine since the choice, or as another
+    one probes whether it crashes servers."""
     DELIVERED = "delivered"
     NOT_RUN = "not_run"
     UNKNOWN = "unknown"
@@ -217,8 +222,7 @@
             budget_s = min(budget_s, request.budget_s)
         self._deadline = arrived_s + budget_s
         self._fingerprint = request_fingerprint(request)
-        self._quarantine_key = f"{self._fingerprint:016x}"
-        self._is_on_trial = False
+        self._quarantine_key = quarantine_key(self._fingerprint)
         under_way_s = 0.0
         if not is_on_detour:
             under_way_s = state.stated_times.note(
@@ -271,30 +275,11 @@
     async def run(self) -> None:
         """Send the request until a response is delivered or no retry is allowed."""
         try:
-            if not self._reject_suspect():
-                await self._run()
+            await self._run()
         finally:
-            if self._is_on_trial:
-                self._state.quarantine.end_trial(self._quarantine_key)
+            self._state.quarantine.end_probe(self._quarantine_key, self)
             self._discard_successor()
 
-    def _reject_suspect(self) -> bool:
-        """Reject a request that crashes servers, or is being tried by another one.
-
-        :return: Whether it was rejected.
-        """
-        quarantine, now = self._state.quarantine, monotonic_s()
-        if quarantine.is_quarantined(self._quarantine_key, now):
-            self._reject("quarantined", http.HTTPStatus.FORBIDDEN, None)
-            return True
-        if not quarantine.needs_trial(self._quarantine_key, now):
-            return False
-        self._is_on_trial = quarantine.begin_trial(self._quarantine_key)
-        if not self._is_on_trial:
-            status = http.HTTPStatus.SERVICE_UNAVAILABLE
-            self._reject("suspect_on_trial", status, TRIAL_RETRY_AFTER_S)
-        return not self._is_on_trial
-
     def _discard_successor(self) -> None:
         """Give back what the server holds that was to take the request over."""
         successor, self._successor = self._successor, None
@@ -335,6 +320,9 @@
 
     async def _run(self) -> None:
         state = self._state
+        if self._verdict() is not Verdict.ADMITTED:
+            self._send_failure()
+            return
         if not self._selector.has_model():
             self._reject_not_run("unknown_model")
             return
@@ -392,6 +380,7 @@
                 continue
             if outcome in (
                 _AttemptOutcome.PROMPT_REJECTED,
+                _AttemptOutcome.SUSPECT,
                 _AttemptOutcome.NOT_ADMITTED,
             ):
                 self._send_failure()
@@ -652,6 +641,8 @@
             return _AttemptOutcome.NOT_PERMITTED, "no_permit_before_sending"
         if self._rejected_part() is not None:
             return _AttemptOutcome.PROMPT_REJECTED, "rejected_before_sending"
+        if self._is_held_back():
+            return _AttemptOutcome.SUSPECT, "suspect_before_sending"
         if not self._is_still_admitted():
             return _AttemptOutcome.NOT_ADMITTED, self._rejection.reason
         return None, ""
@@ -1165,6 +1156,21 @@
         self._state.metrics.retry(self._selector.reason)
         return True
 
+    # Requests that crash servers
+
+    def _verdict(self) -> Verdict:
+        return self._state.quarantine.admit(self._quarantine_key, self, monotonic_s())
+
+    def _is_held_back(self) -> bool:
+        """Tell whether nothing may be sent, as servers have crashed with the request.
+
+        A request whose server has crashed is not held back by the probe of another one:
+        it may be answered as soon as that one.
+        """
+        verdict, was_sent = self._verdict(), self._record.attempts > 0
+        is_behind = verdict is Verdict.BEHIND_PROBE and not was_sent
+        return verdict is Verdict.QUARANTINED or is_behind
+
     # Parts of prompts that crash engines
 
     def _rejected_part(self) -> str | None:
@@ -1251,6 +1257,11 @@
                 self._state, self._request.request_id, self._rejection
             )
             self._reject(refused.reason, refused.status, refused.retry_after_s)
+        elif (verdict := self._verdict()) is Verdict.QUARANTINED:
+            self._reject("quarantined", http.HTTPStatus.FORBIDDEN, None)
+        elif verdict is Verdict.BEHIND_PROBE:
+            status = http.HTTPStatus.SERVICE_UNAVAILABLE
+            self._reject("suspect_probed", status, PROBE_RETRY_AFTER_S)
         elif (part := self._rejected_part()) is not None:
             remaining_s = self._state.prompt_quarantine.remaining_s(part, monotonic_s())
             status = http.HTTPStatus.SERVICE_UNAVAILABLE
@@ -1338,6 +1349,7 @@
                     request=self._request.request_id,
                     fingerprint=key,
                 )
+                state.wait_queue.notify()
             state.shared_state_changed()
 
     def _note_work(
--- a/sequoiapoint/node/request_record.py
+++ b/sequoiapoint/node/request_record.py
@@ -26,6 +26,11 @@
     return digest.intdigest()
 
 
+def quarantine_key(fingerprint: int) -> str:
+    """Return the name of a request's fingerprint in the quarantine and in messages."""
+    return f"{fingerprint:016x}"
+
+
 @dataclass(frozen=True)
 class Refusal:
     """An error response of the gateway itself.
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -10,6 +10,7 @@
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.peer_exchange import PeerExchange
 from sequoiapoint.node.permit_exchange import Permit
+from sequoiapoint.node.request_record import quarantine_key
 from sequoiapoint.node.slot_exchange import SlotTicket
 from sequoiapoint.protocol.gateway import (
     CallerRequest,
@@ -106,6 +107,7 @@
         self._permits = exchange.permits
         self._permit: Permit | None = None
         self._fingerprint = fingerprint
+        self._quarantine_key = quarantine_key(fingerprint)
         self._goal_at = arrived_s - under_way_s + route.goal_s
         self._is_return = under_way_s > 0.0
         self._slots = exchange.slots
@@ -174,8 +176,8 @@
         """Return a server for the next attempt, waiting for one if necessary.
 
         :return: None if the request should be given up: too little time remains, the
-            limit on its wait has passed, too many connections have failed, a part of
-            its prompt is rejected, or the host is cut off from the servers.
+            limit on its wait has passed, too many connections have failed, it or a
+            part of its prompt is rejected, or the host is cut off from the servers.
         """
         self._asked_servers, self._silent_zones = set(), set()
         self._is_queued, self._predictions, self._questioned = False, {}, ()
@@ -247,6 +249,8 @@
                     return None
                 if state.prompt_quarantine.rejected_part(self._request.shared_parts):
                     return None
+                if state.quarantine.is_quarantined(self._quarantine_key, now):
+                    return None
                 has_ended = now >= give_up_at and not self._needs_capacity
                 if has_ended and ticket.grant is None:
                     # Nothing has changed since the last selection.
--- a/sequoiapoint/protocol/digest.capnp
+++ b/sequoiapoint/protocol/digest.capnp
@@ -115,7 +115,7 @@
   contested @28 :List(Member);  # Aggregators beside which others aggregate.
   speeds @29 :List(Speed);      # How long work takes at servers, from the counted hosts.
   repeatedCrashes @30 :List(Suspicion); # Of servers that were sent a suspect request.
-  soundRequests @31 :List(Text); # Fingerprints of suspect requests that were answered.
+  clearedRequests @31 :List(Text); # Fingerprints of suspects that were answered.
   sentMs @32 :Int64 = -1;       # By the sender's clock since boot; -1 if not stated.
 }
 
--- a/sequoiapoint/protocol/digests.py
+++ b/sequoiapoint/protocol/digests.py
@@ -165,7 +165,7 @@
         to the hosts in ``scope``.
     :param repeated_crashes: Those of the crashes in ``suspicions`` of processes that
         were sent the request as a suspect.
-    :param sound_requests: Fingerprints of suspect requests that have been answered.
+    :param cleared_requests: Fingerprints of suspect requests that have been answered.
     :param sent_at: When it was sent by the sender's clock, which includes the
         suspension of the system, in seconds; None if that is not stated.
     """
@@ -201,7 +201,7 @@
     contested: tuple[Member, ...] = ()
     speeds: tuple[tuple[int, SpeedSample], ...] = ()
     repeated_crashes: tuple[tuple[str, frozenset[str]], ...] = ()
-    sound_requests: tuple[str, ...] = ()
+    cleared_requests: tuple[str, ...] = ()
     sent_at: float | None = None
 
     @property
@@ -433,8 +433,8 @@
     _encode_demands(message, digest.demands)
     _encode_suspicions(message, "suspicions", digest.suspicions)
     _encode_suspicions(message, "repeatedCrashes", digest.repeated_crashes)
-    if digest.sound_requests:
-        message.soundRequests = list(digest.sound_requests)
+    if digest.cleared_requests:
+        message.clearedRequests = list(digest.cleared_requests)
     _encode_processes(message, "leavingServers", digest.leaving_servers)
     for item, (part, crashes, is_cleared) in _new_items(
         message, "suspectParts", digest.suspect_parts
@@ -504,7 +504,7 @@
             repeated_crashes=_decode_each(
                 _decode_suspicion, get(fields["repeatedCrashes"])
             ),
-            sound_requests=tuple(get(fields["soundRequests"])),
+            cleared_requests=tuple(get(fields["clearedRequests"])),
             sent_at=_decode_age(get(fields["sentMs"])),
         )
     except (*DECODE_ERRORS, ValueError) as error:
--- a/sequoiapoint/protocol/digests_test.py
+++ b/sequoiapoint/protocol/digests_test.py
@@ -59,7 +59,7 @@
     repeated_crashes=st.lists(
         st.tuples(TEXT, st.frozensets(TEXT, max_size=2)), max_size=2
     ).map(tuple),
-    sound_requests=st.lists(TEXT, max_size=2).map(tuple),
+    cleared_requests=st.lists(TEXT, max_size=2).map(tuple),
     sent_at=st.none() | st.integers(0, 9000).map(lambda ms: ms / 1000),
     scope=st.sampled_from(Scope),
     host_count=NUMBER,
--- a/sequoiapoint/state/message_delays.py
+++ b/sequoiapoint/state/message_delays.py
@@ -1,7 +1,7 @@
 """By how much messages of other hosts arrive late.
 
 A message says what its sender knew as it was sent.  It may wait on the network, or in
-this host's socket while the process stands still, so its arrival proves nothing about
+this host's socket while the process is suspended, so its arrival proves nothing about
 the time since then.  The clocks of two machines differ by an unknown but nearly
 constant offset: a message for which they seem to differ by more than for the fastest
 one was on its way for longer by that time.
