Stops: the log tells a request that the host cuts from a caller that left

At the end of a stop the host aborts what is in progress. Now its cause is host_stopped, and host_stop counts what was received completely and not answered (unanswered), with the responses that were not sent to their end.

--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -127,7 +127,11 @@
         await exchange.stop()
         for server in (self._caller_server, readiness_server, metrics_server):
             await server.stop()
-        log.event("host_stop", dropped_lines=log.dropped)
+        log.event(
+            "host_stop",
+            dropped_lines=log.dropped,
+            unanswered=self._caller_server.unanswered,
+        )
 
     async def _run_with_restart(self, component: Callable[[], Awaitable[None]]) -> None:
         """Run a component and restart it after a failure; requests are still served."""
--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -41,6 +41,10 @@
 CALLER_CLOSED = "closed"
 """Why a handler is cancelled if the caller has closed its connection.  Otherwise it is
 the error with which the connection ended."""
+HOST_STOPPED = "host_stopped"
+"""Why a handler is cancelled if the server itself has ended the connection."""
+STOP_WAIT_S = 0.1
+"""Time in which cancelled handlers may log their end as the server stops."""
 
 
 @dataclass(frozen=True)
@@ -162,6 +166,7 @@
         self._last_progress_s = monotonic_s()
         self._pause: Callable[[], None] | None = None
         self._resume: Callable[[], None] | None = None
+        self._end_cause = ""
         self.is_http_11 = True
         self._begin_message()
 
@@ -185,6 +190,11 @@
             and not self._has_unsent
         )
 
+    @property
+    def task(self) -> asyncio.Task | None:
+        """Return the task of the last request's handler, None if there was none."""
+        return self._task
+
     @property
     def _has_unsent(self) -> bool:
         return (
@@ -198,14 +208,20 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
-    def abort(self) -> None:
+    def abort(self, cause: str = "") -> None:
         """Abort the connection.
 
         A caller with HTTP/1.0 takes an orderly end for the end of the response, so the
         kernel resets its connection if one is in progress.
+
+        :param cause: Why a handler in progress is cancelled; "" if its caller has left.
         """
         if self._transport is None:
             return
+        self._end_cause = cause
+        if cause == HOST_STOPPED:
+            is_unfinished = self._active is not None or self._has_unsent
+            self._server.unanswered += len(self._queue) + is_unfinished
         if self._active is not None and not self.is_http_11:
             set_discard_on_close(self._transport, True)
         self._transport.abort()
@@ -314,7 +330,8 @@
         self._server.connections.discard(self)
         self._queue.clear()
         if self._task is not None and not self._task.done():
-            self._task.cancel(CALLER_CLOSED if error is None else repr(error))
+            cause = CALLER_CLOSED if error is None else repr(error)
+            self._task.cancel(self._end_cause or cause)
 
     def eof_received(self) -> bool:
         """Treat the end of the caller's data as a disconnect."""
@@ -420,6 +437,7 @@
         self._is_reading = False
         self._overhead_bytes = 0
         if self._server.is_closed and self._active is not None:
+            self._server.unanswered += 1
             return
         request = InboundRequest(
             self._parser.get_method().decode("latin-1"),
@@ -507,6 +525,8 @@
         it reaches the handler.
     :ivar has_connections: Set when a connection is accepted.
     :ivar idle_closed: Number of connections closed because they were idle.
+    :ivar unanswered: Number of completely received requests to which the server itself
+        has not responded, or not to the end.
     """
 
     def __init__(self, handler: Handler, on_rejected: Callable[[int], None]) -> None:
@@ -518,6 +538,7 @@
         self.is_draining = False
         self.is_closed = False
         self.idle_closed = 0
+        self.unanswered = 0
         self._listener: asyncio.Server | None = None
         self._socket: socket.socket | None = None
         # Connections that were accepted as the listener closed.
@@ -600,8 +621,12 @@
             self._timeout_task.cancel()
         if self._listener is not None:
             self._listener.close()
+        tasks = [connection.task for connection in self.connections]
         for connection in list(self.connections):
-            connection.abort()
+            connection.abort(HOST_STOPPED)
+        running = [task for task in tasks if task is not None and not task.done()]
+        if running:
+            await asyncio.wait(running, timeout=STOP_WAIT_S)
 
     async def _check_timeouts(self) -> None:
         while True:
--- a/sequoiapoint/transport/lost_responses_test.py
+++ b/sequoiapoint/transport/lost_responses_test.py
@@ -205,3 +205,26 @@
             return await read_until(reader, b"/last")
 
     assert run(scenario()).count(b"HTTP/1.1 200 ") == 5
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_requests_cut_as_the_server_stops_are_counted_and_not_taken_for_left(count):
+    causes = []
+
+    async def wait(request, responder):
+        try:
+            await asyncio.sleep(READ_TIMEOUT_S)
+        except asyncio.CancelledError as error:
+            causes.append(error.args)
+            raise
+
+    async def scenario():
+        async with RecordingServer(wait) as recorder:
+            reader, writer = await recorder.connect()
+            writer.write(VALID_REQUEST * count)
+            await asyncio.sleep(0.1)
+            await recorder.server.stop()
+            return recorder.server.unanswered
+
+    assert run(scenario()) == count
+    assert causes == [(async_http_server.HOST_STOPPED,)]
