Stops: nothing is sent to a server that may be cut at the end

What callers saw: a request whose last byte came 3.5 to 4.1 s after a host was told to stop was passed on to a server that takes 4 s, and cut without an answer 7.4 s after the signal, also one that may not be repeated; and so was one that stood behind another on its connection, when its turn came late.

Cause: what a stopping host still takes depended on when it had accepted the connection. Nothing was asked when the request itself was complete, or when it was sent.

Fix: coordination/planned_stop.py decides, at the moment of sending and at each further attempt of a request that has certainly not run. From 2.7 s after the signal only a request whose deadline lies before the end is begun; others get 503 at once, which promises that they have not run, and a Retry-After of a round trip, as any other host can take them. A request that may have run, and a stream that has begun, are tried further: nobody else knows of them.

--- a/sequoiapoint/node/explanation_test.py
+++ b/sequoiapoint/node/explanation_test.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from sequoiapoint.coordination import planned_stop
+from sequoiapoint.coordination.planned_stop import PlannedStop
 from sequoiapoint.coordination.slot_allocator import released
 from sequoiapoint.node.explanation import Explainer
 from sequoiapoint.node.gateway_host import GatewayHost
@@ -193,7 +195,7 @@
 
 
 def draining(site):
-    site.state.is_draining, site.state.queue_deadline = True, 0.0
+    site.state.stop = PlannedStop(monotonic_s() - planned_stop.QUEUE_S, 8.0)
     full(site)
 
 
--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from sequoiapoint.coordination.planned_stop import PlannedStop
 from sequoiapoint.node.detour_server import DetourServer
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.node.peer_exchange import PeerExchange
@@ -35,16 +36,6 @@
 """Interval at which idle connections are closed and limits updated."""
 SETTINGS_POLL_INTERVAL_S = 2.0
 """Interval at which the settings file is read, as it may change without a signal."""
-LOAD_BALANCER_DELAY_S = 2.7
-"""Time after the start of a drain until the load balancer sends no new connections: it
-checks readiness every second and removes a host after two failed checks in a row.  It
-ends before the three seconds after the stop signal from which on a request that is
-taken must not be cut at the drain timeout."""
-QUEUE_DRAIN_S = 2.0
-"""Time after the start of a drain until requests that still wait for a server are
-rejected, so that callers can retry them at another host."""
-DRAIN_MARGIN_S = 0.6
-"""Part of the drain timeout that is reserved for sending the last bytes."""
 RESTART_DELAY_S = 1.0
 """Delay before a failed component is restarted."""
 MAX_TRACE_ENTRIES = 4
@@ -167,17 +158,14 @@
 
         Meanwhile the load balancer moves new connections to other hosts.
         """
-        started_at = monotonic_s()
-        limit_s = self._settings.bounds.drain_timeout_s - DRAIN_MARGIN_S
-        self._state.is_draining = True
-        self._state.queue_deadline = started_at + QUEUE_DRAIN_S
+        stop = PlannedStop(monotonic_s(), self._settings.bounds.drain_timeout_s)
+        self._state.stop = stop
         self._caller_server.is_draining = True
         self._state.log.event("host_draining", busy=self._busy_count)
         release_task = asyncio.get_running_loop().create_task(placement.release())
-        while monotonic_s() - started_at < limit_s:
+        while monotonic_s() < stop.requests_end_at:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-            waited_s = monotonic_s() - started_at
-            if waited_s < LOAD_BALANCER_DELAY_S:
+            if monotonic_s() < stop.listens_until:
                 continue
             if not self._caller_server.is_closed:
                 self._caller_server.stop_accepting()
--- a/sequoiapoint/node/gateway_state.py
+++ b/sequoiapoint/node/gateway_state.py
@@ -10,6 +10,7 @@
 
 from sequoiapoint.coordination import waiting
 from sequoiapoint.coordination.fair_share import FairShare
+from sequoiapoint.coordination.planned_stop import PlannedStop
 from sequoiapoint.coordination.prompt_quarantine import (
     PromptQuarantine,
     process_number,
@@ -227,8 +228,7 @@
     :param host_count: Number of live hosts, this one included.
     :param recent_max_host_count: Number of hosts that may share a budget, including
         hosts that are unreachable at the moment.
-    :param queue_deadline: Time after which requests no longer wait for a server, set
-        when the host shuts down; on the monotonic clock, in seconds.
+    :param stop: The planned stop in progress, None if there is none.
     :param replan_requested: Set when the placement of models should be planned again.
     :param shared_state_changed: Called when the other hosts should learn of a
         change at once.
@@ -259,8 +259,7 @@
     routes: RouteTable | None = None
     host_count: int = 1
     recent_max_host_count: int = 1
-    is_draining: bool = False
-    queue_deadline: float = math.inf
+    stop: PlannedStop | None = None
     replan_requested: asyncio.Event = field(default_factory=asyncio.Event)
     shared_state_changed: Callable[[], None] = lambda: None
     configuration_age_s: Callable[[], float] = lambda: 0.0
@@ -270,6 +269,16 @@
         """Let waiting requests learn of changes of the servers."""
         self.fleet.on_change = self.wait_queue.notify_servers
 
+    @property
+    def is_draining(self) -> bool:
+        """Tell whether the host has been told to stop."""
+        return self.stop is not None
+
+    @property
+    def queue_deadline(self) -> float:
+        """Return the time after which requests no longer wait for a server."""
+        return math.inf if self.stop is None else self.stop.queue_deadline
+
     def retry_window(self, service: str) -> RetryWindow:
         """Return the retry budget of a service."""
         window = self._retry_windows.get(service)
--- /dev/null
+++ b/sequoiapoint/node/planned_stop_requests_test.py
@@ -0,0 +1,102 @@
+"""Requests at a host that has been told to stop, with scripted servers.
+
+Guards against a request that is sent to a server only to be cut as the host ends.
+"""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from sequoiapoint.coordination.planned_stop import PlannedStop
+from sequoiapoint.node.request_detour_test import (
+    AT_MOST_ONCE,
+    RESUMABLE,
+    answered,
+    cut_off_site,
+)
+from sequoiapoint.node.request_forwarder_test import (
+    END,
+    ENTRY,
+    SIGNED,
+    Site,
+    refusal,
+)
+from sequoiapoint.protocol.gateway import Repeatability
+from sequoiapoint.transport.clock import monotonic_s
+
+EVENT = b"id: 1\ndata: x\n\n"
+LATE_S = 4.0
+"""Time since the stop signal at which 3.4 s are left."""
+
+
+def stopping_site(monkeypatch, since_s=LATE_S, **route):
+    site = Site(monkeypatch, ENTRY, replace(ENTRY, server="s-2"))
+    site.route = replace(site.route, **route)
+    site.state.stop = PlannedStop(monotonic_s() - since_s, 8.0)
+    return site
+
+
+@pytest.mark.parametrize("route", [{}, AT_MOST_ONCE, RESUMABLE])
+@pytest.mark.parametrize(
+    ("since_s", "budget_s", "is_sent"),
+    [(1.0, 30.0, True), (4.0, 30.0, False), (4.0, 1.0, True), (7.0, 1.0, False)],
+)
+def test_a_late_request_is_sent_only_if_it_ends_before_the_host(
+    monkeypatch, route, since_s, budget_s, is_sent
+):
+    site = stopping_site(monkeypatch, since_s, timeout_s=30.0, **route)
+    head = [SIGNED, (b"content-type", b"text/event-stream")]
+    site.responses = {s: [(200, head, EVENT)] for s in ("s-1", "s-2")}
+    status, headers = asyncio.run(site.request(budget_s=budget_s))
+    assert (status, len(site.sent)) == ((200, 1) if is_sent else (503, 0))
+    if not is_sent:
+        assert headers[b"retry-after"] < 0.1
+        assert site.forwarder.was_certainly_not_run
+
+
+def test_a_late_request_takes_no_detour(monkeypatch):
+    site = cut_off_site(monkeypatch, answered(), timeout_s=30.0)
+    site.state.stop = PlannedStop(monotonic_s() - LATE_S, 8.0)
+    assert asyncio.run(site.request(budget_s=30.0))[0] == 503
+    assert site.detours.requests == []
+
+
+def test_a_request_is_not_sent_if_the_host_begins_to_end_as_it_connects(monkeypatch):
+    site = stopping_site(monkeypatch, 0.0, timeout_s=30.0)
+    site.on_connect = lambda server: setattr(
+        site.state, "stop", PlannedStop(monotonic_s() - LATE_S, 8.0)
+    )
+    assert asyncio.run(site.request(budget_s=30.0))[0] == 503
+    assert site.sent == []
+
+
+@pytest.mark.parametrize("repeatability", list(Repeatability))
+def test_a_request_that_was_turned_away_is_not_sent_again_late(
+    monkeypatch, repeatability
+):
+    site = stopping_site(
+        monkeypatch, 0.0, timeout_s=30.0, repeatability=repeatability, attempts=3
+    )
+    site.responses = {s: [refusal(b"")] * 2 for s in ("s-1", "s-2")}
+    stops = [PlannedStop(monotonic_s(), 8.0), PlannedStop(monotonic_s() - LATE_S, 8.0)]
+    site.on_connect = lambda server: setattr(site.state, "stop", stops.pop(0))
+    status, _ = asyncio.run(site.request(budget_s=30.0))
+    assert (status, len(site.sent)) == (503, 1)
+
+
+def test_a_stream_that_has_begun_goes_on_at_another_server_late(monkeypatch):
+    site = stopping_site(monkeypatch, 0.0, timeout_s=30.0, **RESUMABLE)
+    head = [SIGNED, (b"content-type", b"text/event-stream")]
+    rest = b"id: 2\ndata: y\n\n"
+    responses = [(200, head, EVENT, b"id: 2\nda"), (200, head, rest)]
+    site._send_scripted, site.responses = site._send, {"s-1": [], "s-2": []}
+
+    def send(entry, accepts):
+        site.responses[entry.server] = [responses.pop(0)]
+        site.state.stop = PlannedStop(monotonic_s() - LATE_S, 8.0)
+        return site._send_scripted(entry, accepts)
+
+    site._send = send
+    asyncio.run(site.request(budget_s=30.0))
+    assert site.streamed == [EVENT, rest, END]
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 
-from sequoiapoint.coordination import prompt_quarantine, waiting
+from sequoiapoint.coordination import planned_stop, prompt_quarantine, waiting
 from sequoiapoint.coordination.entry import Rejected
 from sequoiapoint.coordination.quarantine import Verdict
 from sequoiapoint.node import admission
@@ -113,6 +113,8 @@
     SUSPECT = "suspect"
     """Nothing was sent, as the request is in quarantine since the choice, or as another
     one probes whether it crashes servers."""
+    HOST_STOPPING = "host_stopping"
+    """Nothing was sent, as this host stops before the response would be certain."""
     DELIVERED = "delivered"
     NOT_RUN = "not_run"
     UNKNOWN = "unknown"
@@ -336,6 +338,9 @@
         is_resumed = self._route.is_stream and bool(self._request.last_event_id)
         while True:
             successor, self._successor = self._successor, None
+            if not self._may_begin():
+                self._refuse_at_stop()
+                return
             if successor is None and self._is_cut_off():
                 if await self._run_elsewhere():
                     return
@@ -376,7 +381,11 @@
                 self._selector.connect_failures += 1
                 self._unreached.add(entry.server)
                 continue
-            if outcome in (_AttemptOutcome.SERVER_LEFT, _AttemptOutcome.NOT_PERMITTED):
+            if outcome in (
+                _AttemptOutcome.SERVER_LEFT,
+                _AttemptOutcome.NOT_PERMITTED,
+                _AttemptOutcome.HOST_STOPPING,
+            ):
                 continue
             if outcome in (
                 _AttemptOutcome.PROMPT_REJECTED,
@@ -393,6 +402,23 @@
                     self._send_failure()
                     return
 
+    # Planned stops of this host
+
+    def _may_begin(self) -> bool:
+        """Tell whether the request may be sent although this host may be stopping.
+
+        One that may have run already is tried further: nobody else knows of it.
+        """
+        stop = self._state.stop
+        if stop is None or self._responder.is_started or self._has_unknown_outcome:
+            return True
+        return stop.may_begin(monotonic_s(), self._deadline)
+
+    def _refuse_at_stop(self) -> None:
+        status = http.HTTPStatus.SERVICE_UNAVAILABLE
+        reason, retry_after_s = planned_stop.STOPPING_REASON, planned_stop.RETRY_AFTER_S
+        self._reject(reason, status, retry_after_s)
+
     # Detours through other hosts
 
     def _is_cut_off(self) -> bool:
@@ -639,6 +665,8 @@
             return _AttemptOutcome.SERVER_LEFT, LEFT_REASON
         if not selector.is_permitted(entry, now):
             return _AttemptOutcome.NOT_PERMITTED, "no_permit_before_sending"
+        if not self._may_begin():
+            return _AttemptOutcome.HOST_STOPPING, planned_stop.STOPPING_REASON
         if self._rejected_part() is not None:
             return _AttemptOutcome.PROMPT_REJECTED, "rejected_before_sending"
         if self._is_held_back():
--- a/tests/docs_test.py
+++ b/tests/docs_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from sequoiapoint.cli.main import build_parser
-from sequoiapoint.node import gateway_host
+from sequoiapoint.coordination import planned_stop
 from sequoiapoint.protocol.jsonc import load_text
 from sequoiapoint.protocol.outcomes import Reason
 from sequoiapoint.protocol.settings import Settings
@@ -30,9 +30,9 @@
 
 def test_the_times_of_a_stop_are_documented_for_operators():
     page = (DOCS / "operators.md").read_text()
-    assert f"no new request from {gateway_host.LOAD_BALANCER_DELAY_S:g} s;" in page
-    assert f"refused after {gateway_host.QUEUE_DRAIN_S:g} s;" in page
-    assert f"until {gateway_host.DRAIN_MARGIN_S:g} s before" in page
+    assert f"no new request from {planned_stop.LISTENING_S:g} s;" in page
+    assert f"refused after {planned_stop.QUEUE_S:g} s;" in page
+    assert f"until {planned_stop.ANSWER_MARGIN_S:g} s before" in page
 
 
 def documented_commands():
