Stops: a request that has been read behind another one is answered

What callers saw: of two requests on one connection the second one was read after the host had closed its listener (2.7 s after SIGTERM), and its connection closed behind the first response, with no answer and no line in the log.

Cause: on_message_complete dropped it, as none was to be taken behind one in progress, although its bytes had been read. The same cause elsewhere: a response during a stop, or after the listener had closed, ended the connection although a part of the next request had been read; its rest was discarded. And a request that began behind another one in the same read did not count as being read.

Fix: what has been read is answered, behind the one in progress; the connection ends when nothing is queued or begun.

--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -174,10 +174,14 @@
     def is_draining(self) -> bool:
         """Tell whether a response should ask the caller to use another connection.
 
-        Requests that have been received already are still answered on this one.
+        Requests that have been received already, if only in part, are still answered on
+        this one.
         """
-        is_ending = self._server.is_draining or self._ignores_input
-        return is_ending and not self._queue
+        return self._is_ending(self._server.is_draining) and not self._queue
+
+    def _is_ending(self, is_server_ending: bool) -> bool:
+        """Tell whether the connection ends behind the requests that are queued."""
+        return self._ignores_input or (is_server_ending and not self._is_reading)
 
     @property
     def is_idle(self) -> bool:
@@ -257,14 +261,14 @@
         """
         self._active = None
         self._pause = self._resume = None
-        self._last_progress_s = monotonic_s()
+        # Reading may have been paused until now.
+        self._last_progress_s = self._head_started_at = monotonic_s()
         if self._transport is None:
             return
-        is_ending = self._server.is_closed or self._ignores_input
-        if not keep_alive or (is_ending and not self._queue):
-            self._close_after_delay()
-        elif self._queue:
+        if self._queue and keep_alive:
             self._start_next()
+        elif not keep_alive or self._is_ending(self._server.is_closed):
+            self._close_after_delay()
         else:
             self._transport.resume_reading()
 
@@ -381,7 +385,8 @@
     # httptools callbacks
 
     def on_message_begin(self) -> None:
-        """Start a request."""
+        """Start a request, which may begin behind another one in the same data."""
+        self._is_reading = True
         self._begin_message()
 
     def on_url(self, url: bytes) -> None:
@@ -432,13 +437,10 @@
     def on_message_complete(self) -> None:
         """Queue the complete request for the handler.
 
-        Once the server accepts no requests, none is taken behind one in progress.
+        One that has been read is also answered if the server accepts no requests.
         """
         self._is_reading = False
         self._overhead_bytes = 0
-        if self._server.is_closed and self._active is not None:
-            self._server.unanswered += 1
-            return
         request = InboundRequest(
             self._parser.get_method().decode("latin-1"),
             self._target.decode("latin-1"),
--- a/sequoiapoint/transport/lost_responses_test.py
+++ b/sequoiapoint/transport/lost_responses_test.py
@@ -113,6 +113,62 @@
     assert run(scenario()).count(b"HTTP/1.1 200 ") == 3
 
 
+@pytest.mark.parametrize("count", [1, 2, 3])
+@pytest.mark.parametrize("sent_at_stop", [0, 9, len(VALID_REQUEST)])
+def test_requests_that_are_read_behind_one_in_progress_at_a_stop_are_answered(
+    count, sent_at_stop
+):
+    """They were read after the listener had closed, and dropped."""
+    behind = VALID_REQUEST * count
+
+    async def scenario():
+        async with RecordingServer(answer_later) as recorder:
+            reader, writer = await recorder.connect()
+            writer.write(VALID_REQUEST)
+            await asyncio.sleep(0.05)
+            recorder.server.is_draining = True
+            writer.write(behind[:sent_at_stop])
+            await asyncio.sleep(0.05)
+            recorder.server.stop_accepting()
+            writer.write(behind[sent_at_stop:])
+            return await read_all(reader), recorder
+
+    data, recorder = run(scenario())
+    assert data.count(b"HTTP/1.1 200 ") == len(recorder.received)
+    if sent_at_stop != len(VALID_REQUEST):
+        # Reading pauses once a whole request waits; nothing behind it is read.
+        assert len(recorder.received) == 1 + count
+    assert len(recorder.received) >= 2
+    assert data.endswith(b"end")
+
+
+@pytest.mark.parametrize("is_accepting", [True, False])
+@pytest.mark.parametrize("size", [1, 9, len(VALID_REQUEST) - 1])
+def test_a_request_that_is_read_in_part_as_the_one_before_ends_at_a_stop_is_answered(
+    size, is_accepting
+):
+    """The response before it closed the connection, and its rest was discarded."""
+
+    async def scenario():
+        async with RecordingServer(answer_later) as recorder:
+            reader, writer = await recorder.connect()
+            recorder.server.is_draining = True
+            writer.write(VALID_REQUEST + VALID_REQUEST[:size])
+            await asyncio.sleep(0.05)
+            if not is_accepting:
+                recorder.server.stop_accepting()
+            first = await read_until(reader, b"end")
+            await asyncio.sleep(0.1)
+            writer.write(VALID_REQUEST[size:])
+            return first, await read_all(reader)
+
+    first, second = run(scenario())
+    assert b"Connection: close" not in first
+    assert second.startswith(b"HTTP/1.1 200 ")
+    assert b"Connection: close" in second[:200]
+    assert second.endswith(b"end")
+
+
 @pytest.mark.parametrize("action", ["stop_accepting", "idle_timeout"])
 def test_a_response_that_its_caller_reads_slowly_is_sent_to_its_end(action):
     """What had been written but not sent was discarded with an idle connection."""
