Stops: what is unanswered at the end is answered, what is unsent is sent

What callers saw: 7.4 s after SIGTERM the connections of all requests in progress were closed without an answer, and a response that its server had made in full was cut if its caller had not read it by then, although 0.6 s were left.

Cause: the end of the drain aborted every connection at once.

Fix: at 7.4 s the handlers in progress are ended and still respond: 503 if the request was certainly not sent, else 502 or 504, which promise nothing; a stream that has begun is broken off. A host for which this one ran a request is told the same. Connections are closed when all is sent, 0.2 s before the kill at the latest. Still discarded is what a caller has not read by then and the kernel does not hold.

--- a/sequoiapoint/node/detour_server.py
+++ b/sequoiapoint/node/detour_server.py
@@ -29,7 +29,11 @@
 )
 from sequoiapoint.protocol.gateway import CallerRequest, Route
 from sequoiapoint.protocol.ports import Headers
-from sequoiapoint.transport.async_http_server import InboundRequest, Responder
+from sequoiapoint.transport.async_http_server import (
+    HOST_STOPPED,
+    InboundRequest,
+    Responder,
+)
 
 OK = int(http.HTTPStatus.OK)
 UNKNOWN_STATUSES = (http.HTTPStatus.BAD_GATEWAY, http.HTTPStatus.GATEWAY_TIMEOUT)
@@ -52,6 +56,11 @@
         """Tell whether a part of the response has been written."""
         return self._responder.is_started
 
+    @property
+    def is_ended(self) -> bool:
+        """Tell whether the whole response has been written."""
+        return self._responder.is_ended
+
     def send_reply(self, reply: DetourReply, body: bytes = b"") -> None:
         """Write a reply, with the body of a server's response."""
         self._responder.send_response(OK, _head(reply), body)
@@ -103,15 +112,22 @@
 
 
 class DetourServer:
-    """Serves the calls of hosts that are cut off from servers.
-
-    :ivar busy_count: The number of requests in progress.
-    """
+    """Serves the calls of hosts that are cut off from servers."""
 
     def __init__(self, state: GatewayState, exchange: PeerExchange) -> None:
         self._state = state
         self._exchange = exchange
-        self.busy_count = 0
+        self._running: set[asyncio.Task] = set()
+
+    @property
+    def busy_count(self) -> int:
+        """Return the number of requests in progress."""
+        return len(self._running)
+
+    def end_requests(self) -> None:
+        """Cancel the requests in progress; the hosts they are from are still told."""
+        for task in list(self._running):
+            task.cancel(HOST_STOPPED)
 
     async def handle(self, inbound: InboundRequest, responder: Responder) -> None:
         """Run a request, or refuse it; a call without one asks whether we run."""
@@ -144,11 +160,12 @@
             detour_responder.send_reply(admitted)
             return
         message = replace(message, request=admitted)
-        self.busy_count += 1
+        task = asyncio.current_task()
+        self._running.add(task)
         try:
             await self._run(message, route, inbound.arrived_s, detour_responder)
         finally:
-            self.busy_count -= 1
+            self._running.discard(task)
 
     def _with_key(self, request: CallerRequest) -> CallerRequest:
         """Return a request with the digest of the caller's key.
@@ -212,5 +229,5 @@
         try:
             await forwarder.run()
         except asyncio.CancelledError as error:
-            forwarder.log_end("caller_gone", cause=error.args[0] if error.args else "")
+            forwarder.end_cancelled(error.args[0] if error.args else "")
             raise
--- a/sequoiapoint/node/detour_server_test.py
+++ b/sequoiapoint/node/detour_server_test.py
@@ -30,7 +30,7 @@
 )
 from sequoiapoint.protocol.gateway_settings import Bounds
 from sequoiapoint.state.reachability import Reachability
-from sequoiapoint.transport.async_http_server import InboundRequest
+from sequoiapoint.transport.async_http_server import HOST_STOPPED, InboundRequest
 from sequoiapoint.transport.clock import monotonic_s
 
 REQUEST = CallerRequest("id", "POST", "h", "/r/x", ((b"a", b"b"),), b"body")
@@ -58,8 +58,8 @@
     def count_attempts(self):
         return 1
 
-    def log_end(self, outcome, **fields):
-        self.logged.append(outcome)
+    def end_cancelled(self, cause):
+        self.logged.append(cause)
 
 
 class Site:
@@ -256,7 +256,26 @@
         asyncio.run(site.handle())
     assert counts == [1]
     assert site.server.busy_count == 0
-    assert Forwarder.last.logged == ["caller_gone"]
+    assert Forwarder.last.logged == ["closed"]
+
+
+def test_requests_of_other_hosts_are_told_that_the_helper_stops(monkeypatch):
+    site = Site(monkeypatch)
+
+    async def behave(forwarder):
+        await asyncio.sleep(30.0)
+
+    async def run():
+        call = asyncio.ensure_future(site.handle())
+        await asyncio.sleep(0)
+        site.server.end_requests()
+        await call
+
+    Forwarder.behave = staticmethod(behave)
+    with pytest.raises(asyncio.CancelledError):
+        asyncio.run(run())
+    assert Forwarder.last.logged == [HOST_STOPPED]
+    assert site.server.busy_count == 0
 
 
 def test_bytes_that_are_no_request_are_rejected(monkeypatch):
--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -174,6 +174,14 @@
             if not self._busy_count:
                 break
         release_task.cancel()
+        await self._end_requests(stop)
+
+    async def _end_requests(self, stop: PlannedStop) -> None:
+        """Answer the requests that are still in progress, and send what is unsent."""
+        self._caller_server.end_requests()
+        self._detour_server.end_requests()
+        while self._busy_count and monotonic_s() < stop.connections_end_at:
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
     def _on_reload_signal(self) -> None:
         """Reload the settings after a signal."""
--- a/sequoiapoint/node/gateway_host_test.py
+++ b/sequoiapoint/node/gateway_host_test.py
@@ -32,11 +32,12 @@
     settings = SimpleNamespace(bounds=Bounds(), host="h")
     host = GatewayHost(settings, str(path), None)
     host._state = SimpleNamespace(log=SimpleNamespace(event=lambda *a, **f: None))
-    host._detour_server = SimpleNamespace(busy_count=0)
+    host._detour_server = SimpleNamespace(busy_count=0, end_requests=lambda: None)
     closed_at = []
     host._caller_server = SimpleNamespace(
         is_closed=False,
         busy_count=1,
+        end_requests=lambda: None,
         stop_accepting=lambda: (
             closed_at.append(loop.now),
             setattr(host._caller_server, "is_closed", True),
--- a/sequoiapoint/node/planned_stop_requests_test.py
+++ b/sequoiapoint/node/planned_stop_requests_test.py
@@ -16,6 +16,7 @@
     cut_off_site,
 )
 from sequoiapoint.node.request_forwarder_test import (
+    ABORTED,
     END,
     ENTRY,
     SIGNED,
@@ -23,6 +24,8 @@
     refusal,
 )
 from sequoiapoint.protocol.gateway import Repeatability
+from sequoiapoint.transport.async_http_client import Exchange
+from sequoiapoint.transport.async_http_server import CALLER_CLOSED, HOST_STOPPED
 from sequoiapoint.transport.clock import monotonic_s
 
 EVENT = b"id: 1\ndata: x\n\n"
@@ -100,3 +103,43 @@
     site._send = send
     asyncio.run(site.request(budget_s=30.0))
     assert site.streamed == [EVENT, rest, END]
+
+
+@pytest.mark.parametrize("cause", [HOST_STOPPED, CALLER_CLOSED])
+@pytest.mark.parametrize(
+    ("at", "status"),
+    [("connection", 503), ("head", 502), ("body", 502), ("stream", ABORTED)],
+)
+def test_a_request_in_progress_as_the_host_ends_is_answered(
+    monkeypatch, at, status, cause
+):
+    """Its connection was closed without an answer, which says nothing of a repeat."""
+    is_stream = at == "stream"
+    site = stopping_site(monkeypatch, 0.0, timeout_s=30.0, is_stream=is_stream)
+    site.is_endless = True
+    head = [SIGNED, (b"content-type", b"text/event-stream")]
+    site.responses = {s: [(200, head, EVENT)] for s in ("s-1", "s-2")}
+    if at == "connection":
+        never = asyncio.Event
+        site._connect = lambda entry: never().wait()
+    elif at == "head":
+        site._send = lambda entry, accepts: Exchange(
+            asyncio.get_running_loop(), accepts
+        )
+
+    async def run():
+        request = asyncio.ensure_future(site.request(budget_s=30.0))
+        await asyncio.sleep(0.1)
+        request.cancel(cause)
+        return await request
+
+    answer = asyncio.run(run())
+    is_told = cause == HOST_STOPPED
+    if is_stream:
+        assert site.streamed == [EVENT] + [ABORTED] * is_told
+        ended = "broken_off" if is_told else "caller_gone"
+        assert [o for name, o, _ in site.logged if name == "request_ended"] == [ended]
+    else:
+        assert (answer and answer[0]) == (status if is_told else None)
+        reasons = [o for name, o, _ in site.logged if name == "request_refused"]
+        assert reasons == [HOST_STOPPED] * is_told
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -52,7 +52,7 @@
     Exchange,
     ExchangeOutcome,
 )
-from sequoiapoint.transport.async_http_server import Responder
+from sequoiapoint.transport.async_http_server import HOST_STOPPED, Responder
 from sequoiapoint.transport.clock import monotonic_s
 
 SERVER_RESPONSE_GRACE_S = 0.1
@@ -419,6 +419,21 @@
         reason, retry_after_s = planned_stop.STOPPING_REASON, planned_stop.RETRY_AFTER_S
         self._reject(reason, status, retry_after_s)
 
+    def end_cancelled(self, cause: str) -> None:
+        """End a request whose handler is cancelled.
+
+        Its caller has left, unless this host stops; then the caller is answered, also
+        if the request has been sent and what became of it is not known.
+
+        :param cause: Why it is cancelled.
+        """
+        if cause != HOST_STOPPED or self._responder.is_ended:
+            self.log_end("caller_gone", cause=cause)
+            return
+        self._selector.reason = cause
+        self._has_unknown_outcome |= not self.was_certainly_not_run
+        self._send_failure()
+
     # Detours through other hosts
 
     def _is_cut_off(self) -> bool:
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -176,6 +176,7 @@
         """
         recorder = SimpleNamespace(
             is_started=False,
+            is_ended=False,
             send_response=lambda status, headers, body=b"": setattr(
                 self, "answer", (status, dict(headers))
             ),
@@ -223,7 +224,10 @@
             responder or recorder,
             **self.forwarder_options,
         )
-        await self.forwarder.run()
+        try:
+            await self.forwarder.run()
+        except asyncio.CancelledError as error:
+            self.forwarder.end_cancelled(*error.args)
         return self.answer
 
 
--- a/sequoiapoint/node/request_handler.py
+++ b/sequoiapoint/node/request_handler.py
@@ -9,7 +9,11 @@
 from sequoiapoint.node.peer_exchange import PeerExchange
 from sequoiapoint.node.request_forwarder import RequestForwarder
 from sequoiapoint.node.request_record import reject
-from sequoiapoint.transport.async_http_server import InboundRequest, Responder
+from sequoiapoint.transport.async_http_server import (
+    HOST_STOPPED,
+    InboundRequest,
+    Responder,
+)
 
 
 class RequestHandler:
@@ -31,6 +35,10 @@
             return
         try:
             admitted = await self._admission.admit(request, responder)
+        except asyncio.CancelledError as error:
+            if error.args == (HOST_STOPPED,) and not responder.is_started:
+                self._reject_not_run(request.request_id, responder, HOST_STOPPED)
+            raise
         except Exception:
             # A fault of the program; nothing has been sent to a server.
             if not responder.is_started:
@@ -49,7 +57,7 @@
         try:
             await forwarder.run()
         except asyncio.CancelledError as error:
-            forwarder.log_end("caller_gone", cause=error.args[0] if error.args else "")
+            forwarder.end_cancelled(error.args[0] if error.args else "")
             raise
         except Exception:
             # A fault of the program, which the event loop logs with its traceback.
@@ -62,8 +70,10 @@
                 organisation, cost = admitted.charge
                 self._exchange.allowances.refund(organisation, cost)
 
-    def _reject_not_run(self, request_id: str, responder: Responder) -> None:
+    def _reject_not_run(
+        self, request_id: str, responder: Responder, reason: str = "part_failed"
+    ) -> None:
         state = self._state
         status = http.HTTPStatus.SERVICE_UNAVAILABLE
         retry_after_s = waiting.retry_after_s(False, state.rng.random())
-        reject(state, responder, request_id, "part_failed", status, retry_after_s)
+        reject(state, responder, request_id, reason, status, retry_after_s)
--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -617,6 +617,16 @@
         if not task.cancelled():
             task.exception()
 
+    def end_requests(self) -> None:
+        """Cancel the handlers in progress; they may still respond.
+
+        Handlers of requests that are queued behind them are started as usual.
+        """
+        for connection in list(self.connections):
+            task = connection.task
+            if task is not None and not task.done():
+                task.cancel(HOST_STOPPED)
+
     async def stop(self) -> None:
         """Stop listening and abort the remaining connections."""
         if self._timeout_task is not None:
--- a/sequoiapoint/transport/lost_responses_test.py
+++ b/sequoiapoint/transport/lost_responses_test.py
@@ -284,3 +284,33 @@
 
     assert run(scenario()) == count
     assert causes == [(async_http_server.HOST_STOPPED,)]
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_handlers_that_are_ended_with_the_server_still_respond(count):
+    """Their connections were closed without an answer."""
+    causes = []
+
+    async def wait(request, responder):
+        try:
+            await asyncio.sleep(READ_TIMEOUT_S if not causes else 0.0)
+            responder.send_response(503, [], b"end")
+        except asyncio.CancelledError as error:
+            causes.append(error.args)
+            responder.send_response(502, [], b"end")
+            raise
+
+    async def scenario():
+        async with RecordingServer(wait) as recorder:
+            reader, writer = await recorder.connect()
+            writer.write(VALID_REQUEST * count)
+            await asyncio.sleep(0.1)
+            recorder.server.is_draining = True
+            recorder.server.stop_accepting()
+            recorder.server.end_requests()
+            return await read_all(reader)
+
+    data = run(scenario())
+    assert causes == [(async_http_server.HOST_STOPPED,)]
+    statuses = [int(part[:3]) for part in data.split(b"HTTP/1.1 ")[1:]]
+    assert statuses == [502, 503][:count]
