Streams: only what follows the last event is joined to a stream

What callers saw: a stream broke off after 4 events, and the next server answered with 2xx: HTML, JSON, a second head in the body (blank lines in them count as ends of events), 204, nothing at all, or the events from 1 on. The caller got its bytes in the middle of the stream, or a stream that ended as if it were whole.

Fix: only 200 with the type of an event stream (or none) is a stream. Where one goes on, within one answer or as its caller resumes it, its first event must have an id behind the last one; comments may precede it. Anything else is a failed attempt: the next server is tried, else the stream is broken off, or its caller gets 502. A continuation without an event ends a stream if two servers say so: it may have broken off behind its last event, and a caller whose stream is broken off asks again. Streams without ids are not sent again, as the next server would begin them. A new request's answer of another kind is passed on whole.

Two tests were wrong: in silent_server_test a server went on with the event that the caller had already (now with the next one, the whole stream is checked); event_stream_test's model resumed behind event 7 with events 5 and 6 (it starts at the beginning now; a table of its own has what may follow).

--- a/sequoiapoint/node/planned_stop_requests_test.py
+++ b/sequoiapoint/node/planned_stop_requests_test.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 from dataclasses import replace
 
 import pytest
@@ -131,7 +132,9 @@
         request = asyncio.ensure_future(site.request(budget_s=30.0))
         await asyncio.sleep(0.1)
         request.cancel(cause)
-        return await request
+        with contextlib.suppress(asyncio.CancelledError):
+            await request
+        return site.answer
 
     answer = asyncio.run(run())
     is_told = cause == HOST_STOPPED
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -34,7 +34,7 @@
 )
 from sequoiapoint.protocol.detours import DetourRequest, ServerReply
 from sequoiapoint.protocol.errors import Failure
-from sequoiapoint.protocol.event_stream import EventSplitter
+from sequoiapoint.protocol.event_stream import EventSplitter, is_event_stream
 from sequoiapoint.protocol.gateway import (
     CallerRequest,
     Incarnation,
@@ -77,6 +77,14 @@
 ANSWERED_EVENTS = 2
 """Events of a stream after which its engine counts as having answered.  An engine that
 crashes as it begins to write may have sent the first one."""
+CONFIRMED_ENDS = 2
+"""Number of servers that must say that a broken stream was complete, by going on with
+it without an event: one may say so without knowing the stream."""
+NOT_A_STREAM_REASON = "not_a_stream"
+OUT_OF_ORDER_REASON = "out_of_order"
+ENDED_AT_ONCE_REASON = "ended_without_event"
+"""Failure reasons of servers that do not go on with a stream: a response of another
+kind, events that do not follow the last one, or none."""
 PROBE_RETRY_AFTER_S = 1.0
 """Time after which callers of a request that another one probes should come back."""
 LEFT_REASON = "left_before_sending"
@@ -214,6 +222,7 @@
         self._is_helper_sought = not is_on_detour
         self._unreached: set[str] = set()
         self._has_begun_elsewhere = False
+        self._ends_at_once = 0
         self._origins = exchange.origins
         self._request = request
         self._route = route
@@ -465,10 +474,13 @@
         if result is None or result.outcome is DetourOutcome.NO_HELPER:
             return self._handle_missing_helper()
         self._record.attempts += result.reply.attempts if result.reply else 1
+        reason = result.reason
         if result.outcome is DetourOutcome.ANSWERED:
-            self._deliver_detoured(result)
-            return True
-        self._selector.reason = result.reason
+            reason = self._detour_failure(result.reply)
+            if not reason:
+                self._deliver_detoured(result)
+                return True
+        self._selector.reason = reason
         if result.outcome is DetourOutcome.REFUSED:
             self._selector.back_off_s = result.reply.retry_after_s
             if self._responder.is_started or self._has_unknown_outcome:
@@ -488,6 +500,12 @@
         self._send_failure()
         return True
 
+    def _detour_failure(self, reply: ServerReply) -> str:
+        """Return why a response from a helper is not the caller's; "" if it is."""
+        if reply.is_stream:
+            return self._broken_reason(ExchangeOutcome.COMPLETE)
+        return NOT_A_STREAM_REASON if self._responder.is_started else ""
+
     def _handle_missing_helper(self) -> bool:
         """Refuse the request, or try servers if they may be reached after all.
 
@@ -537,7 +555,7 @@
             lambda: connection.pause(exchange), lambda: connection.resume(exchange)
         )
         events = splitter.feed(data)
-        if splitter.is_too_large:
+        if splitter.is_too_large or splitter.is_out_of_order:
             connection.close()
         if not events:
             return
@@ -878,9 +896,45 @@
             connection.close()
             return _AttemptOutcome.UNKNOWN, "not_the_servers_answer"
         if is_success and self._route.is_stream:
-            return await self._forward_stream(head, connection, exchange, entry, pace)
+            if is_event_stream(head.status, head.headers):
+                return await self._forward_stream(
+                    head, connection, exchange, entry, pace
+                )
+            if self._goes_on:
+                return _AttemptOutcome.UNKNOWN, NOT_A_STREAM_REASON
         return await self._forward_complete_response(head, exchange, entry)
 
+    @property
+    def _goes_on(self) -> bool:
+        """Tell whether a server is to go on with a stream that has begun."""
+        return self._responder.is_started or bool(self._request.last_event_id)
+
+    @property
+    def _can_resume(self) -> bool:
+        """Tell whether another server can go on with the stream.
+
+        Without ids of its events it would begin again.
+        """
+        has_position = not self._splitter.count or bool(self._splitter.last_id)
+        return self._route.is_resumable and has_position
+
+    def _is_end_believed(self) -> bool:
+        """Tell whether a stream that goes on without an event was complete before.
+
+        The caller of a stream that is broken off instead resumes it, and learns the
+        same from the next server.
+        """
+        self._ends_at_once += 1
+        if self._ends_at_once >= CONFIRMED_ENDS:
+            return True
+        if self._responder.is_started:
+            return False
+        may_ask = self._can_resume and self._has_attempts_left()
+        has_time = waiting.may_send_again(self._remaining_s())
+        if may_ask and has_time and self._try_acquire_retry():
+            self._has_reserved_retry = True
+        return not self._has_reserved_retry
+
     async def _forward_complete_response(
         self, head: ResponseHead, exchange: Exchange, entry: ServerEntry
     ) -> tuple[_AttemptOutcome, str]:
@@ -924,7 +978,7 @@
             load.note_received(now)
             reachability.note_received(server, connected_at, now)
             events = splitter.feed(data)
-            if splitter.is_too_large:
+            if splitter.is_too_large or splitter.is_out_of_order:
                 connection.close()
             if not events:
                 return
@@ -954,7 +1008,8 @@
         if buffered:
             forward_events(buffered)
         exchange_outcome = await self._await_stream(exchange, received, entry)
-        if exchange_outcome is ExchangeOutcome.COMPLETE and not splitter.has_partial:
+        reason = self._broken_reason(exchange_outcome)
+        if not reason:
             if not responder.is_started:
                 responder.start_stream(head.status, list(head.headers))
             responder.end_stream()
@@ -967,11 +1022,6 @@
             )
             return _AttemptOutcome.DELIVERED, ""
         splitter.drop_partial()
-        reason = (
-            exchange_outcome.value
-            if exchange_outcome is not ExchangeOutcome.COMPLETE
-            else "partial_event"
-        )
         return (
             _AttemptOutcome.BROKEN_STREAM
             if responder.is_started
@@ -979,6 +1029,18 @@
             reason,
         )
 
+    def _broken_reason(self, outcome: ExchangeOutcome) -> str:
+        """Return why a stream is incomplete, "" if it is complete."""
+        if self._splitter.is_out_of_order:
+            return OUT_OF_ORDER_REASON
+        if outcome is not ExchangeOutcome.COMPLETE:
+            return outcome.value
+        if self._splitter.has_partial:
+            return "partial_event"
+        if self._splitter.is_resuming and not self._is_end_believed():
+            return ENDED_AT_ONCE_REASON
+        return ""
+
     async def _await_stream(
         self, exchange: Exchange, received: asyncio.Event, entry: ServerEntry
     ) -> ExchangeOutcome:
@@ -992,7 +1054,7 @@
         """
         ended = exchange.outcome
         idle_timeout_s = max(STREAM_IDLE_TIMEOUT_S, 8 * self._route.max_event_gap_s)
-        may_resume = self._route.is_resumable and self._has_attempts_left()
+        may_resume = self._can_resume and self._has_attempts_left()
         silence_s = idle_timeout_s
         while not ended.done():
             timeout_s = self._remaining_s() + SERVER_RESPONSE_GRACE_S
@@ -1183,7 +1245,7 @@
             self._has_unknown_outcome = True
             if not self._route.may_repeat:
                 return False
-        if outcome is _AttemptOutcome.BROKEN_STREAM and not self._route.is_resumable:
+        if outcome is _AttemptOutcome.BROKEN_STREAM and not self._can_resume:
             return False
         if not self._has_attempts_left():
             return False
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -227,7 +227,8 @@
         try:
             await self.forwarder.run()
         except asyncio.CancelledError as error:
-            self.forwarder.end_cancelled(*error.args)
+            self.forwarder.end_cancelled(error.args[0] if error.args else "")
+            raise
         return self.answer
 
 
--- a/sequoiapoint/node/silent_server_test.py
+++ b/sequoiapoint/node/silent_server_test.py
@@ -368,11 +368,11 @@
 
 def test_a_stream_that_was_taken_over_may_go_back_to_its_first_server(monkeypatch):
     site = silent_site(monkeypatch, "s-2")
-    site.responses["s-1"] *= 2
+    site.responses["s-1"].append((200, [SIGNED]))
     site.responses["s-2"] = [CRASH]
     asyncio.run(request(site, silence_s=2.5))
     assert site.sent == ["s-1", "s-2", "s-1"]
-    assert site.streamed[-1] == END
+    assert site.streamed == [FIRST, event_from("s-1"), END]
 
 
 @pytest.mark.parametrize("third", [None, "s-3"])
--- a/sequoiapoint/protocol/event_stream.py
+++ b/sequoiapoint/protocol/event_stream.py
@@ -3,16 +3,26 @@
 This code runs for every event of every stream, so it scans each byte only a few times
 and parses nothing but the last event id.  The cost of an event is proportional to its
 size, in however many chunks it arrives.
+
+A stream that goes on at another server must go on behind its last event: a server that
+starts again, or that sends something else with a successful status, would be joined to
+what the caller has already.
 """
 
+import http
 import re
 
+from sequoiapoint.protocol.ports import Headers
+
 MAX_EVENT_BYTES = 1_048_576
 """Maximum size of an event; thousands of tokens."""
 _EVENT_END = b"\n\n"
 _ANY_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r|\r\n\n|\n\r\n")
 _MAX_EVENT_END_BYTES = 4
 _ID = re.compile(rb"(?:\A|[\r\n])id: ?([^\r\n]*)")
+_LINE_END = re.compile(rb"\r\n|\r|\n")
+_NUMBER = re.compile("[0-9]+")
+_MEDIA_TYPE = b"text/event-stream"
 
 
 class EventSplitter:
@@ -21,6 +31,10 @@
     :param last_id: The id of the event after which the stream resumes; "" if it starts
         at the first event.
     :ivar count: The number of events returned so far.
+    :ivar is_resuming: Whether the stream is to go on behind an event, and no further
+        one has arrived.
+    :ivar is_out_of_order: Whether the server that was to go on with the stream has sent
+        something that does not follow its last event; nothing of that is returned.
     """
 
     def __init__(self, last_id: str = "") -> None:
@@ -28,6 +42,8 @@
         self._events = b""
         self._last_id = last_id
         self.count = 0
+        self.is_out_of_order = False
+        self.is_resuming = bool(last_id)
 
     @property
     def has_partial(self) -> bool:
@@ -63,6 +79,11 @@
             partial.clear()
         if end < len(data):
             partial += data[end:]
+        if self.is_resuming and events:
+            self._check_first_event(events)
+        if self.is_out_of_order:
+            partial.clear()
+            return b""
         self.count += count
         if events.startswith(b"id:") or b"id:" in events and _ID.search(events):
             self._events = events
@@ -71,6 +92,49 @@
     def drop_partial(self) -> None:
         """Discard the buffered bytes before the stream is resumed."""
         self._partial.clear()
+        self.is_out_of_order = False
+        self.is_resuming = bool(self.last_id)
+
+    def _check_first_event(self, events: bytes) -> None:
+        """Check that the first event of a resumed stream follows the last one."""
+        has_fields, first_id = _first_id(events)
+        if has_fields:
+            self.is_resuming = False
+            self.is_out_of_order = not _is_later(first_id, self.last_id)
+
+
+def is_event_stream(status: int, headers: Headers) -> bool:
+    """Tell whether a response is a stream of events; not all servers name its type.
+
+    :param headers: Headers with names in lower case.
+    """
+    value = next((v for name, v in headers if name == b"content-type"), _MEDIA_TYPE)
+    media_type = value.partition(b";")[0].strip().lower()
+    return status == http.HTTPStatus.OK and media_type == _MEDIA_TYPE
+
+
+def _first_id(events: bytes) -> tuple[bool, str]:
+    """Return whether there is an event, and the id of the first one, "" for none.
+
+    Comments are no events; a server may send some before the first event.
+    """
+    has_fields = False
+    for line in _LINE_END.split(events):
+        if not line and has_fields:
+            break
+        if line and not line.startswith(b":"):
+            has_fields = True
+            if line.startswith(b"id:"):
+                return True, line.removeprefix(b"id:").strip().decode("latin-1")
+    return has_fields, ""
+
+
+def _is_later(event_id: str, last_id: str) -> bool:
+    """Tell whether an event may follow another one; ids that are numbers increase."""
+    if not _NUMBER.fullmatch(last_id):
+        return bool(event_id) and event_id != last_id
+    first, last = event_id.lstrip("0"), last_id.lstrip("0")
+    return bool(_NUMBER.fullmatch(event_id)) and (len(first), first) > (len(last), last)
 
 
 def _find_last_end(data: bytes) -> tuple[int, int]:
--- a/sequoiapoint/protocol/event_stream_test.py
+++ b/sequoiapoint/protocol/event_stream_test.py
@@ -94,7 +94,7 @@
 
     The model examines all data received so far.
     """
-    data, splitter, position, known = b"".join(events), EventSplitter("7"), 0, 0
+    data, splitter, position, known = b"".join(events), EventSplitter(), 0, 0
     for size in [*sizes, len(data)]:
         returned = splitter.feed(data[position : position + size])
         position += size
@@ -102,8 +102,44 @@
         assert returned == data[known:end]
         known = max(known, end)
         ids = re.findall(rb"^id: ?(.*)$", data[:known], re.MULTILINE)
-        last_id = ids[-1].decode() if ids else "7"
+        last_id = ids[-1].decode() if ids else ""
         count = data.count(b"\n\n", 0, known)
         has_partial = known < min(position, len(data))
         assert (splitter.count, splitter.last_id) == (count, last_id)
         assert splitter.has_partial == has_partial
+
+
+@pytest.mark.parametrize(
+    ("last_id", "data", "follows"),
+    [
+        ("7", b"id: 8\ndata: a\n\n", True),
+        ("7", b"id:10\n\n", True),
+        ("7", b"versions: 2\r\nid: 8\r\n\r\n", True),
+        ("7", b"id: 07\n\n", False),
+        ("7", b"id: 6\n\nid: 8\n\n", False),
+        ("7", b"data: a\n\nid: 8\n\n", False),
+        ("7", b"HTTP/1.1 200 OK\r\n\r\nid: 8\r\n\r\n", False),
+        ("7", b"id: b\n\n", False),
+        ("7", b"id: \xb2\n\n", False),
+        ("a", b"id: b\n\n", True),
+        ("a", b"id: a\n\n", False),
+        ("9" * 5000, b"id: 1" + b"0" * 5000 + b"\n\n", True),
+    ],
+)
+@pytest.mark.parametrize("size", [1, 5, 10_000])
+def test_only_events_that_follow_the_last_one_are_returned(
+    last_id, data, follows, size
+):
+    splitter = EventSplitter(last_id)
+    parts = [data[i : i + size] for i in range(0, len(data), size)]
+    assert b"".join(map(splitter.feed, parts)) == (data if follows else b"")
+    assert splitter.is_out_of_order is not follows
+    assert splitter.is_resuming is False
+
+
+def test_comments_before_the_first_event_are_returned():
+    splitter = EventSplitter("7")
+    assert splitter.feed(b": ping\n\n") == b": ping\n\n"
+    assert splitter.is_resuming
+    assert splitter.feed(b"id: 7\n\n") == b""
+    assert splitter.is_out_of_order
