Kept connections: kernel times that cannot be true are not used

Fix: the time since data was last sent stands beside it, and cannot be shorter than the connection has been idle. Where it is, nothing is known, and the connection is not used again after 1.5 s, as before that figure was used.

The unit test's two cases failed before.

--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -53,8 +53,11 @@
 """Maximum idle time of a connection on which the peer's kernel still acknowledges the
 keep-alive probes, whatever timeout the peer states."""
 _TCP_INFO_BYTES = 60
-_LAST_ACK_OFFSET = 56
-"""Offset of the time since the last acknowledgement, in ms, in ``struct tcp_info``."""
+_LAST_SENT_OFFSET, _LAST_ACK_OFFSET = 44, 56
+"""Offsets in ``struct tcp_info`` of the times since data was last sent and since the
+last acknowledgement, in ms."""
+_CLOCK_TOLERANCE_S = 0.1
+"""Difference between the kernel's clock and ours that shows no error."""
 MAX_HEAD_BYTES = 65_536
 """Maximum size of a response head, and of what lies between two parts of a body or
 behind the last one; a larger one is treated as malformed."""
@@ -230,14 +233,21 @@
     def _unheard_s(self) -> float:
         """Return the time since the peer's kernel last acknowledged anything.
 
-        The keep-alive probes of an idle connection are acknowledged every second.
+        The keep-alive probes of an idle connection are acknowledged every second.  Not
+        every system fills in these times: one that says that data was sent while the
+        connection was idle does not, and nothing is known.
+
+        :return: The time in seconds; infinity if it is not known.
         """
         sock = self._transport.get_extra_info("socket")
         try:
             info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
-            return struct.unpack_from("=I", info, _LAST_ACK_OFFSET)[0] / 1000
+            (sent_ms,) = struct.unpack_from("=I", info, _LAST_SENT_OFFSET)
+            (heard_ms,) = struct.unpack_from("=I", info, _LAST_ACK_OFFSET)
         except (OSError, struct.error):
             return math.inf
+        is_true = sent_ms / 1000 > self.idle_s(monotonic_s()) - _CLOCK_TOLERANCE_S
+        return heard_ms / 1000 if is_true else math.inf
 
     @property
     def has_unread(self) -> bool:
--- a/sequoiapoint/transport/async_http_client_test.py
+++ b/sequoiapoint/transport/async_http_client_test.py
@@ -3,6 +3,7 @@
 import functools
 import socket
 import struct
+from types import SimpleNamespace
 
 import pytest
 
@@ -280,6 +281,30 @@
     assert 0.5 < later_s < 1.5
 
 
+@pytest.mark.parametrize("sent_ms", [0, 1500])
+def test_a_system_without_the_kernels_times_keeps_no_idle_connection(
+    monkeypatch, sent_ms
+):
+    """Guards against bytes that reach a server long after it has left.
+
+    All times were zero, so a connection that a network partition had cut seemed alive.
+    """
+    info = struct.pack("=11I4I", *[0] * 11, sent_ms, 0, 0, 0)
+    sock = SimpleNamespace(getsockopt=lambda *arguments: info)
+
+    async def scenario():
+        async with Peer(KEPT_RESPONSE) as peer:
+            await peer.send()
+            connection = await peer.pool.acquire(1.0)
+            connection._idle_since = monotonic_s() - 2.0
+            transport = connection._transport
+            with monkeypatch.context() as patch:
+                patch.setattr(transport, "get_extra_info", lambda name: sock)
+                return connection.is_reusable(monotonic_s())
+
+    assert asyncio.run(scenario()) is False
+
+
 @pytest.mark.parametrize(("idle_s", "kept"), [(1.0, 3), (2.0, 1)])
 def test_connections_beyond_the_share_of_a_host_are_not_kept(monkeypatch, idle_s, kept):
     """Guards against idle connections of many hosts that fill a server's limit."""
