Cut heads: a response that ends in its head is a failure in libcurl's clients

In `serve`, a request to a plain service ended with 200 and an empty body when the server stopped in the head of its response and closed; the host sends that on as a whole response. Requests that may run once were among them. One cut behind X-Not-Executed, before the end of its head, was sent to another server.

Cause: libcurl reports success for a response that ends anywhere behind its status line if the connection is closed with FIN; it takes what it has for a head. Our callback stored the status and looked for nothing else.

The callback now notes the empty line that ends a head which isn't informational, and both clients return a failure of unknown outcome if it has not come. An unended line does not count: libcurl passes on a single CR as well when the connection ends.

--- a/sequoiapoint/transport/bound_connection.py
+++ b/sequoiapoint/transport/bound_connection.py
@@ -12,6 +12,7 @@
 
 from sequoiapoint.protocol.errors import Failure
 from sequoiapoint.transport.http_client import (
+    CUT_HEAD,
     HttpResponse,
     SingleSendGuard,
     configure_handle,
@@ -66,6 +67,8 @@
         curl.setopt(pycurl.OPENSOCKETFUNCTION, self._socket_factory())
         try:
             curl.perform()
+            if not response.has_whole_head:
+                raise pycurl.error(*CUT_HEAD)
         except pycurl.error as error:
             error_code, message = error.args
             timed_out = error_code == pycurl.E_OPERATION_TIMEDOUT
--- a/sequoiapoint/transport/http_client.py
+++ b/sequoiapoint/transport/http_client.py
@@ -4,6 +4,7 @@
 peer may have acted on the request.
 """
 
+import http
 import json
 import threading
 from collections.abc import Callable, Iterator, Mapping
@@ -19,6 +20,15 @@
 """Maximum idle time of a connection; servers must keep idle connections for longer."""
 SELECT_TIMEOUT_S = 0.25
 NOT_EXECUTED_HEADER = "x-not-executed"
+CUT_HEAD = (pycurl.E_GOT_NOTHING, "connection closed within the head of the response")
+"""Error code and message of a response that ends within its head; libcurl itself takes
+it for a response without a body."""
+
+OK = int(http.HTTPStatus.OK)
+"""The lowest status of a response that is not informational."""
+
+_EMPTY_LINES = (b"\r\n", b"\n")
+"""libcurl also passes on a line without its end if the connection closes within it."""
 
 _local = threading.local()
 
@@ -30,11 +40,13 @@
     :param status: The HTTP status; 0 until it is received.
     :param headers: The headers, with names in lower case.
     :param body: The body of a complete response; a stream yields it in chunks instead.
+    :ivar has_whole_head: Whether the empty line at the end of the head has arrived.
     """
 
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
+    has_whole_head: bool = field(default=False, init=False)
 
     def json(self) -> Any:
         """Return the decoded JSON body, or None if the body is not JSON."""
@@ -154,6 +166,8 @@
                 return
             self._multi.select(SELECT_TIMEOUT_S)
         result = _local.results.pop(self._curl)
+        if result is None and not self.response.has_whole_head:
+            result = CUT_HEAD
         if result is not None:
             self.failure = self._make_failure(*result)
 
@@ -243,12 +257,15 @@
 
 
 def parse_header_line(raw: bytes, response: HttpResponse) -> None:
-    """Add a header line or the status line to a response."""
+    """Add a line of a head to a response: the status line, a header or the end."""
     line = raw.decode("latin-1").strip()
     if line.startswith("HTTP/"):
         response.status = int(line.split(" ", 2)[1])
         response.headers.clear()
         return
+    if raw in _EMPTY_LINES:
+        response.has_whole_head = response.status >= OK
+        return
     name, colon, value = line.partition(":")
     if colon:
         response.headers[name.strip().lower()] = value.strip()
