Stops: a silent server is left for another one also late in a stop

What callers saw: a repeatable request that a host had sent before it was told to stop, or early in the stop, and whose server fell silent, was not taken over from 2.7 s after the signal on, although another server was free. It got 502 or 504 at the end of the stop or at its deadline.

Cause: a successor's connection passes the check before sending, which holds back requests that may not begin so late. This one has been sent, but that counts (_has_unknown_outcome) only once the attempt has ended.

Evidence: planned_stop_requests_test, two new cases (a request and a stream before its first event) fail before with 504 and one attempt.

Fix: the check at the stop is for what is chosen as the next attempt, not for a server that takes over.

--- a/sequoiapoint/node/planned_stop_requests_test.py
+++ b/sequoiapoint/node/planned_stop_requests_test.py
@@ -24,6 +24,8 @@
     Site,
     refusal,
 )
+from sequoiapoint.node.silent_server_test import event_from, silent_site
+from sequoiapoint.node.silent_server_test import request as silent_request
 from sequoiapoint.protocol.gateway import Repeatability
 from sequoiapoint.transport.async_http_client import Exchange
 from sequoiapoint.transport.async_http_server import CALLER_CLOSED, HOST_STOPPED
@@ -146,3 +148,18 @@
         assert (answer and answer[0]) == (status if is_told else None)
         reasons = [o for name, o, _ in site.logged if name == "request_refused"]
         assert reasons == [HOST_STOPPED] * is_told
+
+
+@pytest.mark.parametrize("is_stream", [False, True])
+def test_a_request_at_a_silent_server_is_taken_over_late_in_a_stop(
+    monkeypatch, is_stream
+):
+    """It stayed at the silent server until the host ended: it had been sent before."""
+    site = silent_site(monkeypatch, "s-2", is_stream=is_stream, timeout_s=3.0)
+    site.state.stop = PlannedStop(monotonic_s() - 2.6, 5.0)
+    if not is_stream:
+        site.responses["s-2"] = [(200, [SIGNED], b"answer")]
+    (status, _), _ = asyncio.run(silent_request(site, silence_s=8.0, has_begun=False))
+    assert (status, site.sent) == (200, ["s-1", "s-2"])
+    if is_stream:
+        assert site.streamed == [event_from("s-2"), END]
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -698,7 +698,8 @@
             return _AttemptOutcome.SERVER_LEFT, LEFT_REASON
         if not selector.is_permitted(entry, now):
             return _AttemptOutcome.NOT_PERMITTED, "no_permit_before_sending"
-        if not self._may_begin():
+        # What is taken over from a silent server has been sent already.
+        if selector is self._selector and not self._may_begin():
             return _AttemptOutcome.HOST_STOPPING, planned_stop.STOPPING_REASON
         if self._rejected_part() is not None:
             return _AttemptOutcome.PROMPT_REJECTED, "rejected_before_sending"
