Streams: one that broke off behind a comment begins at another server

What callers saw: a resumable stream whose server sent a comment and then broke off before its first event was broken off, although another server was free and no event had been passed on.

Evidence: stream_continuation_test, two of three new cases fail before (aborted behind the comment).

Fix: whether a stream has begun is asked of its events, not of its comments.

--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -916,7 +916,7 @@
 
         Without ids of its events it would begin again.
         """
-        has_position = not self._splitter.count or bool(self._splitter.last_id)
+        has_position = not self._splitter.has_begun or bool(self._splitter.last_id)
         return self._route.is_resumable and has_position
 
     def _is_end_believed(self) -> bool:
--- a/sequoiapoint/node/stream_continuation_test.py
+++ b/sequoiapoint/node/stream_continuation_test.py
@@ -49,15 +49,15 @@
 """Second responses to a stream that broke off after its second event."""
 
 
-def broken_site(monkeypatch, second, attempts=2, **route):
-    """Return a site whose first server breaks a stream off after two events."""
+def broken_site(monkeypatch, second, attempts=2, first=BEGUN + b"id: 3\nda", **route):
+    """Return a site whose first server breaks a stream off, after two events."""
     others = [replace(ENTRY, server=f"s-{n}") for n in range(1, 4)]
     site = Site(monkeypatch, *others)
     site.route = replace(
         site.route, is_stream=True, is_resumable=True, attempts=attempts, **route
     )
     site.state.retry_window("web")._allowance = 100
-    responses = [(200, [SIGNED, STREAM], BEGUN + b"id: 3\nda"), *second]
+    responses = [(200, [SIGNED, STREAM], first), *second]
     send = site._send
 
     def send_next(entry, accepts):
@@ -197,3 +197,15 @@
     )
     asyncio.run(site.request())
     assert site.streamed == [BEGUN, ABORTED]
+
+
+@pytest.mark.parametrize("first", [b"", b": ping\n\n", b": ping\n\n: ping\n\n"])
+def test_a_stream_that_broke_off_before_its_first_event_begins_at_another_server(
+    monkeypatch, first
+):
+    """Comments counted as events without ids, and the stream was given up."""
+    site = broken_site(
+        monkeypatch, [(200, [SIGNED, STREAM], BEGUN)], first=first + b"id: 1\nda"
+    )
+    asyncio.run(site.request())
+    assert site.streamed == [first] * bool(first) + [BEGUN, END]
--- a/sequoiapoint/protocol/event_stream.py
+++ b/sequoiapoint/protocol/event_stream.py
@@ -31,6 +31,7 @@
     :param last_id: The id of the event after which the stream resumes; "" if it starts
         at the first event.
     :ivar count: The number of events returned so far.
+    :ivar has_begun: Whether one of them was an event; comments count as well.
     :ivar is_resuming: Whether the stream is to go on behind an event, and no further
         one has arrived.
     :ivar is_out_of_order: Whether the server that was to go on with the stream has sent
@@ -42,6 +43,7 @@
         self._events = b""
         self._last_id = last_id
         self.count = 0
+        self.has_begun = False
         self.is_out_of_order = False
         self.is_resuming = bool(last_id)
 
@@ -85,6 +87,8 @@
             partial.clear()
             return b""
         self.count += count
+        if events and not self.has_begun:
+            self.has_begun, _ = _first_id(events)
         if events.startswith(b"id:") or b"id:" in events and _ID.search(events):
             self._events = events
         return events
