Streams: one without ids is not taken from a server that pauses

What callers saw: a resumable stream whose events have no ids was broken off when its server paused for longer than the idle timeout and another server was free.

Cause: whether it can be resumed was asked once, before its first event. The silent server was left for another one, which the stream then could not go on at.

Evidence: stream_continuation_test, one of two new cases (the first event comes behind the head) fails before: aborted behind the first event.

Fix: it is asked before each wait.

--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -1055,9 +1055,9 @@
         """
         ended = exchange.outcome
         idle_timeout_s = max(STREAM_IDLE_TIMEOUT_S, 8 * self._route.max_event_gap_s)
-        may_resume = self._can_resume and self._has_attempts_left()
         silence_s = idle_timeout_s
         while not ended.done():
+            may_resume = self._can_resume and self._has_attempts_left()
             timeout_s = self._remaining_s() + SERVER_RESPONSE_GRACE_S
             if timeout_s <= 0:
                 return ExchangeOutcome.TIMED_OUT
--- a/sequoiapoint/node/stream_continuation_test.py
+++ b/sequoiapoint/node/stream_continuation_test.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from sequoiapoint.node import silent_server_test
 from sequoiapoint.node.detour_exchange import DetourOutcome, DetourResult
 from sequoiapoint.node.request_detour_test import cut_off_site, stream_part
 from sequoiapoint.node.request_forwarder_test import (
@@ -18,6 +19,7 @@
     SIGNED,
     Site,
 )
+from sequoiapoint.node.silent_server_test import silent_site
 from sequoiapoint.protocol.detours import ServerReply
 
 STREAM = (b"content-type", b"text/event-stream; charset=utf-8")
@@ -209,3 +211,29 @@
     )
     asyncio.run(site.request())
     assert site.streamed == [first] * bool(first) + [BEGUN, END]
+
+
+@pytest.mark.parametrize("head_lead_s", [0.0, 0.05])
+def test_a_stream_without_ids_stays_at_a_server_that_is_silent_for_a_while(
+    monkeypatch, head_lead_s
+):
+    """It was taken away, could not go on elsewhere, and was broken off."""
+    parts = [b"data: x\n\n", b"data: y\n\n"]
+    site = silent_site(monkeypatch, "s-2")
+    site.responses["s-1"] = [(200, [SIGNED])]
+    monkeypatch.setattr(silent_server_test, "event_from", lambda server: parts[1])
+    send = site._send
+
+    def send_head_first(entry, accepts):
+        exchange = send(entry, accepts)
+        if entry.server == "s-1" and head_lead_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(head_lead_s, exchange.receive, parts[0])
+        elif entry.server == "s-1":
+            exchange.receive(parts[0])
+        return exchange
+
+    site._send = send_head_first
+    asyncio.run(silent_server_test.request(site, silence_s=3.0))
+    assert site.streamed == [*parts, END]
+    assert site.sent == ["s-1"]
