Stops: nothing is accepted or begun behind the end of a short drain timeout

What callers would see: with a drain timeout under 3.3 s the time in which any request is begun outlasts the time at which requests are ended. The listener stays open, and requests that arrive then are sent to servers and cut 0.4 s later.

Cause: the 2.7 s for the load balancer were not bounded by the end of the stop, and the listener closed only inside the wait for it.

Evidence: read, and shown by tests only: planned_stop_test and gateway_host_test with drain timeouts of 0.1, 1 and 3 s, six new cases fail before. No deployment is known to have so short a timeout.

Fix: the time in which requests are begun ends with the requests at the latest, and the listener is closed before they are ended.

--- a/sequoiapoint/coordination/planned_stop.py
+++ b/sequoiapoint/coordination/planned_stop.py
@@ -41,7 +41,7 @@
     @property
     def listens_until(self) -> float:
         """Return when new connections and requests are no longer accepted."""
-        return self.started_at + LISTENING_S
+        return min(self.started_at + LISTENING_S, self.requests_end_at)
 
     @property
     def queue_deadline(self) -> float:
@@ -51,7 +51,7 @@
     @property
     def requests_end_at(self) -> float:
         """Return when requests that are still in progress are ended."""
-        return self.started_at + self.drain_timeout_s - ANSWER_MARGIN_S
+        return self.started_at + max(0.0, self.drain_timeout_s - ANSWER_MARGIN_S)
 
     @property
     def connections_end_at(self) -> float:
--- a/sequoiapoint/coordination/planned_stop_test.py
+++ b/sequoiapoint/coordination/planned_stop_test.py
@@ -36,3 +36,11 @@
         STOP.started_at + STOP.drain_timeout_s,
     ]
     assert steps == sorted(set(steps))
+
+
+@pytest.mark.parametrize("drain_timeout_s", [0.1, 1.0, 3.0])
+def test_no_request_is_begun_once_requests_are_ended(drain_timeout_s):
+    """Under a short drain timeout they were sent to servers as the process ended."""
+    stop = PlannedStop(100.0, drain_timeout_s)
+    assert not stop.may_begin(stop.requests_end_at, 112.0)
+    assert stop.started_at <= stop.listens_until <= stop.requests_end_at
--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -178,6 +178,8 @@
 
     async def _end_requests(self, stop: PlannedStop) -> None:
         """Answer the requests that are still in progress, and send what is unsent."""
+        if not self._caller_server.is_closed:
+            self._caller_server.stop_accepting()
         self._caller_server.end_requests()
         self._detour_server.end_requests()
         while self._busy_count and monotonic_s() < stop.connections_end_at:
--- a/sequoiapoint/node/gateway_host_test.py
+++ b/sequoiapoint/node/gateway_host_test.py
@@ -20,24 +20,21 @@
 """Time by which a busy host may be late: a wake-up and the signal itself."""
 
 
-@pytest.mark.parametrize("lag_s", [0.0, 0.03, MAX_LAG_S])
-def test_a_stopping_host_takes_no_request_that_it_may_have_to_cut(
-    monkeypatch, tmp_path, lag_s
-):
-    """A request that was sent 3.004 s after the signal was cut at the drain timeout."""
+def run_stop(monkeypatch, tmp_path, lag_s, bounds):
+    """Stop a busy host; return the time of the signal and of each step."""
     loop = VirtualTimeLoop()
     monkeypatch.setattr(gateway_host, "monotonic_s", lambda: loop.now)
     path = tmp_path / "settings.json"
     path.write_text(json.dumps({}))
-    settings = SimpleNamespace(bounds=Bounds(), host="h")
+    settings = SimpleNamespace(bounds=bounds, host="h")
     host = GatewayHost(settings, str(path), None)
     host._state = SimpleNamespace(log=SimpleNamespace(event=lambda *a, **f: None))
     host._detour_server = SimpleNamespace(busy_count=0, end_requests=lambda: None)
-    closed_at = []
+    closed_at, ended_at = [], []
     host._caller_server = SimpleNamespace(
         is_closed=False,
         busy_count=1,
-        end_requests=lambda: None,
+        end_requests=lambda: ended_at.append(loop.now),
         stop_accepting=lambda: (
             closed_at.append(loop.now),
             setattr(host._caller_server, "is_closed", True),
@@ -57,5 +54,25 @@
         signalled_at = loop.run_until_complete(run())
     finally:
         loop.close()
+    return signalled_at, closed_at, ended_at
+
+
+@pytest.mark.parametrize("lag_s", [0.0, 0.03, MAX_LAG_S])
+def test_a_stopping_host_takes_no_request_that_it_may_have_to_cut(
+    monkeypatch, tmp_path, lag_s
+):
+    """A request that was sent 3.004 s after the signal was cut at the drain timeout."""
+    signalled_at, closed_at, _ = run_stop(monkeypatch, tmp_path, lag_s, Bounds())
     assert len(closed_at) == 1
     assert BALANCER_S < closed_at[0] - signalled_at < LAST_REQUEST_S
+
+
+@pytest.mark.parametrize("drain_timeout_s", [0.1, 1.0, 3.0, 8.0])
+def test_a_host_accepts_nothing_when_it_ends_its_requests(
+    monkeypatch, tmp_path, drain_timeout_s
+):
+    """Under a short drain timeout it accepted connections until the process ended."""
+    bounds = Bounds(drain_timeout_s=drain_timeout_s)
+    _, closed_at, ended_at = run_stop(monkeypatch, tmp_path, 0.0, bounds)
+    assert len(closed_at) == len(ended_at) == 1
+    assert closed_at <= ended_at
