Stops: a request that arrives as handlers are ended is answered

What callers would see: a request whose last byte is read in the turn of the event loop in which the host ends its handlers is closed without an answer.

Cause: its handler's task was cancelled before its first step. Such a task runs no line of its coroutine, so neither the refusal nor the abort of an unanswered response ran, and the connection stayed busy until the end.

Evidence: lost_responses_test, two new cases fail before (no byte until the end of the test). Not seen with real processes: it needs a turn of the loop to match.

Fix: only handlers that have begun are cancelled, as DetourServer does; one that begins later is refused at once, as nothing may be begun then.

--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -543,6 +543,8 @@
         self.unanswered = 0
         self._listener: asyncio.Server | None = None
         self._socket: socket.socket | None = None
+        # Handlers that have begun; one that has not cannot respond once cancelled.
+        self._running: set[asyncio.Task] = set()
         # Connections that were accepted as the listener closed.
         self._accepting: set[asyncio.Task] = set()
         self._timeout_task: asyncio.Task | None = None
@@ -564,9 +566,12 @@
 
     async def run_handler(self, request: InboundRequest, responder: Responder) -> None:
         """Run the handler; abort a response that it leaves incomplete."""
+        task = asyncio.current_task()
+        self._running.add(task)
         try:
             await self._handler(request, responder)
         finally:
+            self._running.discard(task)
             if not responder.is_ended:
                 responder.abort()
 
@@ -620,12 +625,10 @@
     def end_requests(self) -> None:
         """Cancel the handlers in progress; they may still respond.
 
-        Handlers of requests that are queued behind them are started as usual.
+        Handlers that have not begun yet are started as usual.
         """
-        for connection in list(self.connections):
-            task = connection.task
-            if task is not None and not task.done():
-                task.cancel(HOST_STOPPED)
+        for task in list(self._running):
+            task.cancel(HOST_STOPPED)
 
     async def stop(self) -> None:
         """Stop listening and abort the remaining connections."""
--- a/sequoiapoint/transport/lost_responses_test.py
+++ b/sequoiapoint/transport/lost_responses_test.py
@@ -314,3 +314,23 @@
     assert causes == [(async_http_server.HOST_STOPPED,)]
     statuses = [int(part[:3]) for part in data.split(b"HTTP/1.1 ")[1:]]
     assert statuses == [502, 503][:count]
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_a_request_that_arrives_as_handlers_are_ended_is_answered(count):
+    """Its handler was cancelled before it had begun, and could not respond."""
+
+    async def refuse(request, responder):
+        responder.send_response(503, [], b"end")
+
+    async def scenario():
+        async with RecordingServer(refuse) as recorder:
+            reader, _ = await recorder.connect()
+            await recorder.server.has_connections.wait()
+            (connection,) = recorder.server.connections
+            connection.data_received(VALID_REQUEST * count)
+            recorder.server.is_draining = True
+            recorder.server.end_requests()
+            return await read_all(reader)
+
+    assert run(scenario()).count(b"HTTP/1.1 503 ") == count
