Stops: a host waits until other hosts have been sent their responses

Cause: the same as for slow callers (what is unsent is discarded at the end). DetourServer counts a request until its response is written, not until it is sent, and the connections of other hosts were counted nowhere.

Not seen with real processes.

--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -150,8 +150,12 @@
 
     @property
     def _busy_count(self) -> int:
-        """Return the number of requests in progress, of callers and other hosts."""
-        return self._caller_server.busy_count + self._detour_server.busy_count
+        """Return the number of requests in progress, of callers and other hosts.
+
+        Responses of which not all has been sent count as well.
+        """
+        of_others = self._detour_server.busy_count + self._exchange.server.unsent_count
+        return self._caller_server.busy_count + of_others
 
     async def _drain(self, placement: PlacementController) -> None:
         """Complete the requests in progress and release the lease.
--- a/sequoiapoint/node/gateway_host_test.py
+++ b/sequoiapoint/node/gateway_host_test.py
@@ -20,8 +20,23 @@
 """Time by which a busy host may be late: a wake-up and the signal itself."""
 
 
-def run_stop(monkeypatch, tmp_path, lag_s, bounds):
-    """Stop a busy host; return the time of the signal and of each step."""
+class _SendingServer:
+    """A server for other hosts that has sent all at a given time."""
+
+    def __init__(self, loop, sent_at):
+        self._loop, self._sent_at = loop, sent_at
+
+    @property
+    def unsent_count(self):
+        return int(self._loop.now < self._sent_at)
+
+
+def run_stop(monkeypatch, tmp_path, lag_s, bounds, peers_sent_at=None):
+    """Stop a busy host; return the time of the signal and of each step.
+
+    :param peers_sent_at: When the last byte for another host is sent, in seconds; the
+        host has no requests of callers.  None if there are only those.
+    """
     loop = VirtualTimeLoop()
     monkeypatch.setattr(gateway_host, "monotonic_s", lambda: loop.now)
     path = tmp_path / "settings.json"
@@ -30,10 +45,11 @@
     host = GatewayHost(settings, str(path), None)
     host._state = SimpleNamespace(log=SimpleNamespace(event=lambda *a, **f: None))
     host._detour_server = SimpleNamespace(busy_count=0, end_requests=lambda: None)
+    host._exchange = SimpleNamespace(server=_SendingServer(loop, peers_sent_at or 0.0))
     closed_at, ended_at = [], []
     host._caller_server = SimpleNamespace(
         is_closed=False,
-        busy_count=1,
+        busy_count=int(peers_sent_at is None),
         end_requests=lambda: ended_at.append(loop.now),
         stop_accepting=lambda: (
             closed_at.append(loop.now),
@@ -76,3 +92,13 @@
     _, closed_at, ended_at = run_stop(monkeypatch, tmp_path, 0.0, bounds)
     assert len(closed_at) == len(ended_at) == 1
     assert closed_at <= ended_at
+
+
+@pytest.mark.parametrize("sent_s", [0.0, 4.0, 7.6, 20.0])
+def test_a_host_stops_when_other_hosts_have_been_sent_all_or_time_is_up(
+    monkeypatch, tmp_path, sent_s
+):
+    """What another host had not read of its caller's response was discarded."""
+    bounds = Bounds()
+    _, _, ended_at = run_stop(monkeypatch, tmp_path, 0.0, bounds, sent_s)
+    assert min(sent_s, 7.3) <= ended_at[0] < bounds.drain_timeout_s - 0.5
--- a/sequoiapoint/node/peer_server.py
+++ b/sequoiapoint/node/peer_server.py
@@ -26,6 +26,11 @@
         self._server = AsyncHttpServer(self._serve, self._log_malformed)
         self._server.limits = CallerLimits(max_body_bytes=MAX_REQUEST_BYTES)
 
+    @property
+    def unsent_count(self) -> int:
+        """Return the number of connections with unsent bytes of responses."""
+        return self._server.unsent_count
+
     def add_handler(self, path: str, handler: Handler) -> None:
         """Serve the calls whose targets begin with a path."""
         self._handlers[path] = handler
--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -191,7 +191,7 @@
             and not self._is_reading
             and not self._is_expectant
             and not self._ignores_input
-            and not self._has_unsent
+            and not self.has_unsent
         )
 
     @property
@@ -200,7 +200,8 @@
         return self._task
 
     @property
-    def _has_unsent(self) -> bool:
+    def has_unsent(self) -> bool:
+        """Tell whether bytes of responses have been written and not sent."""
         return (
             self._transport is not None and self._transport.get_write_buffer_size() > 0
         )
@@ -224,7 +225,7 @@
             return
         self._end_cause = cause
         if cause == HOST_STOPPED:
-            is_unfinished = self._active is not None or self._has_unsent
+            is_unfinished = self._active is not None or self.has_unsent
             self._server.unanswered += len(self._queue) + is_unfinished
         if self._active is not None and not self.is_http_11:
             set_discard_on_close(self._transport, True)
@@ -584,6 +585,11 @@
         busy = sum(not connection.is_idle for connection in self.connections)
         return busy + len(self._accepting)
 
+    @property
+    def unsent_count(self) -> int:
+        """Return the number of connections with unsent bytes of responses."""
+        return sum(connection.has_unsent for connection in self.connections)
+
     def stop_accepting(self) -> None:
         """Accept no new requests; those in progress are completed.
 
--- a/sequoiapoint/transport/lost_responses_test.py
+++ b/sequoiapoint/transport/lost_responses_test.py
@@ -334,3 +334,19 @@
             return await read_all(reader)
 
     assert run(scenario()).count(b"HTTP/1.1 503 ") == count
+
+
+def test_a_response_counts_as_unsent_until_its_caller_has_read_it():
+    """A host that stopped discarded what another host had not read yet."""
+
+    async def scenario():
+        async with RecordingServer(answer_large) as recorder:
+            reader, writer = await slow_connection(recorder)
+            counts = [recorder.server.unsent_count]
+            writer.write(VALID_REQUEST)
+            await asyncio.sleep(0.1)
+            counts.append(recorder.server.unsent_count)
+            await read_until(reader, b"end")
+            return [*counts, recorder.server.unsent_count]
+
+    assert run(scenario()) == [0, 1, 0]
