Streams: a connection that another request has taken is not closed

What callers would see: a request that may run once ended with 502 although its server was sound, as another request had closed the connection.

Cause: a response that is whole in one read gives its connection back to the pool before the task that waits for it runs. If that task then found the response out of order, too large, encoded or unsigned, it closed the connection, whoever had it by then.

Fix: ClientConnection.abandon closes only for the exchange that still has the connection, as pause and resume do; a response that is not the server's own lets the connection end behind what is on it.

--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -556,7 +556,7 @@
         )
         events = splitter.feed(data)
         if splitter.is_too_large or splitter.is_out_of_order:
-            connection.close()
+            connection.abandon(exchange)
         if not events:
             return
         if self._origin is None:
@@ -894,7 +894,7 @@
             return _AttemptOutcome.NOT_RUN, f"server_said_{head.status}"
         is_success = 200 <= head.status < 300
         if head.is_encoded or (is_success and not head.is_signed):
-            connection.close()
+            connection.forbid_reuse()
             return _AttemptOutcome.UNKNOWN, "not_the_servers_answer"
         if is_success and self._route.is_stream:
             if is_event_stream(head.status, head.headers):
@@ -980,7 +980,7 @@
             reachability.note_received(server, connected_at, now)
             events = splitter.feed(data)
             if splitter.is_too_large or splitter.is_out_of_order:
-                connection.close()
+                connection.abandon(exchange)
             if not events:
                 return
             if not pace.has_events:
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -138,16 +138,18 @@
             for exchange in exchanges:
                 exchange.finish(ExchangeOutcome.ABANDONED)
 
-        return SimpleNamespace(
+        connection = SimpleNamespace(
             send=send,
             close=close,
             opened_at=monotonic_s(),
             is_unused=True,
             forbid_reuse=lambda: None,
             tolerate_silence=lambda: None,
+            abandon=lambda exchange: exchange.outcome.done() or connection.close(),
             pause=lambda exchange: setattr(exchange, "is_paused", True),
             resume=lambda exchange: setattr(exchange, "is_paused", False),
         )
+        return connection
 
     def _send(self, entry, accepts):
         self.sent.append(entry.server)
@@ -252,7 +254,7 @@
         self.requests.append(build_request())
         result, *parts = self.results.pop(0)
         connection = SimpleNamespace(
-            pause=lambda: None, resume=lambda: None, close=lambda: None
+            pause=lambda: None, resume=lambda: None, abandon=lambda exchange: None
         )
         for part in parts:
             receive_stream(result.reply, connection, None, part)
--- a/sequoiapoint/node/stream_continuation_test.py
+++ b/sequoiapoint/node/stream_continuation_test.py
@@ -21,6 +21,7 @@
 )
 from sequoiapoint.node.silent_server_test import silent_site
 from sequoiapoint.protocol.detours import ServerReply
+from sequoiapoint.protocol.event_stream import MAX_EVENT_BYTES
 
 STREAM = (b"content-type", b"text/event-stream; charset=utf-8")
 HTML, JSON = (b"content-type", b"text/html"), (b"content-type", b"application/json")
@@ -237,3 +238,41 @@
     asyncio.run(silent_server_test.request(site, silence_s=3.0))
     assert site.streamed == [*parts, END]
     assert site.sent == ["s-1"]
+
+
+@pytest.mark.parametrize("is_endless", [False, True])
+@pytest.mark.parametrize(
+    "response",
+    [
+        NO_CONTINUATIONS["from-its-start"],
+        (200, [STREAM], event(3)),
+        (200, [SIGNED, STREAM], b"x" * (MAX_EVENT_BYTES + 1)),
+    ],
+    ids=["out-of-order", "unsigned", "too-large"],
+)
+def test_a_connection_is_closed_only_if_its_response_has_not_ended(
+    monkeypatch, response, is_endless
+):
+    """Another request may have taken the connection, and ended without an answer."""
+    site = broken_site(monkeypatch, [response])
+    connect, send, closed = site._connect, site._send, []
+
+    async def connect_noting(entry):
+        connection = await connect(entry)
+        close = connection.close
+
+        def note_close():
+            closed.append(site.exchange.outcome.done())
+            close()
+
+        connection.close = note_close
+        return connection
+
+    def send_endless(entry, accepts):
+        site.is_endless = is_endless and bool(site.sent)
+        return send(entry, accepts)
+
+    site._connect, site._send = connect_noting, send_endless
+    asyncio.run(site.request())
+    assert site.streamed == [BEGUN, ABORTED]
+    assert closed[:1] == [False] * is_endless
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -293,6 +293,14 @@
         if exchange is not None:
             exchange.finish(ExchangeOutcome.ABANDONED)
 
+    def abandon(self, exchange: Exchange) -> None:
+        """Close the connection, unless the exchange has ended.
+
+        Another request may have the connection by then.
+        """
+        if self._exchange is exchange:
+            self.close()
+
     def forbid_reuse(self) -> None:
         """Close the connection after the response that is awaited or being received."""
         self._may_reuse = False
--- a/sequoiapoint/transport/async_http_client_test.py
+++ b/sequoiapoint/transport/async_http_client_test.py
@@ -506,3 +506,26 @@
     is_kept, size = asyncio.run(scenario())
     assert is_kept is bool(header)
     assert size == (0 if header else 1)
+
+
+@pytest.mark.parametrize("has_ended", [True, False])
+def test_a_connection_is_not_closed_for_an_exchange_that_has_ended(has_ended):
+    """Another request had taken it meanwhile, and ended without a response."""
+
+    async def scenario():
+        response = COMPLETE_RESPONSE if has_ended else b""
+        async with Peer(response, COMPLETE_RESPONSE) as peer:
+            first = await peer.pool.acquire(1.0)
+            exchange = first.send(REQUEST, b"", lambda status, headers: True)
+            if has_ended:
+                await exchange.outcome
+            second = await peer.pool.acquire(1.0)
+            other = second.send(REQUEST, b"", lambda status, headers: True)
+            first.abandon(exchange)
+            outcomes = exchange.outcome.result(), await other.outcome
+            return outcomes, first is second
+
+    outcomes, is_same = asyncio.run(scenario())
+    ended = ExchangeOutcome.COMPLETE if has_ended else ExchangeOutcome.ABANDONED
+    assert outcomes == (ended, ExchangeOutcome.COMPLETE)
+    assert is_same is has_ended
