--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -150,8 +150,12 @@
 
     @property
     def _busy_count(self) -> int:
-        """Return the number of requests in progress, of callers and other hosts."""
-        return self._caller_server.busy_count + self._detour_server.busy_count
+        """Return the number of requests in progress, of callers and other hosts.
+
+        Responses of which not all has been sent count as well.
+        """
+        of_others = self._detour_server.busy_count + self._exchange.server.unsent_count
+        return self._caller_server.busy_count + of_others
 
     async def _drain(self, placement: PlacementController) -> None:
         """Complete the requests in progress and release the lease.
@@ -178,6 +182,8 @@
 
     async def _end_requests(self, stop: PlannedStop) -> None:
         """Answer the requests that are still in progress, and send what is unsent."""
+        if not self._caller_server.is_closed:
+            self._caller_server.stop_accepting()
         self._caller_server.end_requests()
         self._detour_server.end_requests()
         while self._busy_count and monotonic_s() < stop.connections_end_at:
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -556,7 +556,7 @@
         )
         events = splitter.feed(data)
         if splitter.is_too_large or splitter.is_out_of_order:
-            connection.close()
+            connection.abandon(exchange)
         if not events:
             return
         if self._origin is None:
@@ -698,7 +698,8 @@
             return _AttemptOutcome.SERVER_LEFT, LEFT_REASON
         if not selector.is_permitted(entry, now):
             return _AttemptOutcome.NOT_PERMITTED, "no_permit_before_sending"
-        if not self._may_begin():
+        # What is taken over from a silent server has been sent already.
+        if selector is self._selector and not self._may_begin():
             return _AttemptOutcome.HOST_STOPPING, planned_stop.STOPPING_REASON
         if self._rejected_part() is not None:
             return _AttemptOutcome.PROMPT_REJECTED, "rejected_before_sending"
@@ -893,7 +894,7 @@
             return _AttemptOutcome.NOT_RUN, f"server_said_{head.status}"
         is_success = 200 <= head.status < 300
         if head.is_encoded or (is_success and not head.is_signed):
-            connection.close()
+            connection.forbid_reuse()
             return _AttemptOutcome.UNKNOWN, "not_the_servers_answer"
         if is_success and self._route.is_stream:
             if is_event_stream(head.status, head.headers):
@@ -915,7 +916,7 @@
 
         Without ids of its events it would begin again.
         """
-        has_position = not self._splitter.count or bool(self._splitter.last_id)
+        has_position = not self._splitter.has_begun or bool(self._splitter.last_id)
         return self._route.is_resumable and has_position
 
     def _is_end_believed(self) -> bool:
@@ -979,7 +980,7 @@
             reachability.note_received(server, connected_at, now)
             events = splitter.feed(data)
             if splitter.is_too_large or splitter.is_out_of_order:
-                connection.close()
+                connection.abandon(exchange)
             if not events:
                 return
             if not pace.has_events:
@@ -1054,9 +1055,9 @@
         """
         ended = exchange.outcome
         idle_timeout_s = max(STREAM_IDLE_TIMEOUT_S, 8 * self._route.max_event_gap_s)
-        may_resume = self._can_resume and self._has_attempts_left()
         silence_s = idle_timeout_s
         while not ended.done():
+            may_resume = self._can_resume and self._has_attempts_left()
             timeout_s = self._remaining_s() + SERVER_RESPONSE_GRACE_S
             if timeout_s <= 0:
                 return ExchangeOutcome.TIMED_OUT
--- a/sequoiapoint/node/stream_continuation_test.py
+++ b/sequoiapoint/node/stream_continuation_test.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from sequoiapoint.node import silent_server_test
 from sequoiapoint.node.detour_exchange import DetourOutcome, DetourResult
 from sequoiapoint.node.request_detour_test import cut_off_site, stream_part
 from sequoiapoint.node.request_forwarder_test import (
@@ -18,7 +19,9 @@
     SIGNED,
     Site,
 )
+from sequoiapoint.node.silent_server_test import silent_site
 from sequoiapoint.protocol.detours import ServerReply
+from sequoiapoint.protocol.event_stream import MAX_EVENT_BYTES
 
 STREAM = (b"content-type", b"text/event-stream; charset=utf-8")
 HTML, JSON = (b"content-type", b"text/html"), (b"content-type", b"application/json")
@@ -49,15 +52,15 @@
 """Second responses to a stream that broke off after its second event."""
 
 
-def broken_site(monkeypatch, second, attempts=2, **route):
-    """Return a site whose first server breaks a stream off after two events."""
+def broken_site(monkeypatch, second, attempts=2, first=BEGUN + b"id: 3\nda", **route):
+    """Return a site whose first server breaks a stream off, after two events."""
     others = [replace(ENTRY, server=f"s-{n}") for n in range(1, 4)]
     site = Site(monkeypatch, *others)
     site.route = replace(
         site.route, is_stream=True, is_resumable=True, attempts=attempts, **route
     )
     site.state.retry_window("web")._allowance = 100
-    responses = [(200, [SIGNED, STREAM], BEGUN + b"id: 3\nda"), *second]
+    responses = [(200, [SIGNED, STREAM], first), *second]
     send = site._send
 
     def send_next(entry, accepts):
@@ -197,3 +200,79 @@
     )
     asyncio.run(site.request())
     assert site.streamed == [BEGUN, ABORTED]
+
+
+@pytest.mark.parametrize("first", [b"", b": ping\n\n", b": ping\n\n: ping\n\n"])
+def test_a_stream_that_broke_off_before_its_first_event_begins_at_another_server(
+    monkeypatch, first
+):
+    """Comments counted as events without ids, and the stream was given up."""
+    site = broken_site(
+        monkeypatch, [(200, [SIGNED, STREAM], BEGUN)], first=first + b"id: 1\nda"
+    )
+    asyncio.run(site.request())
+    assert site.streamed == [first] * bool(first) + [BEGUN, END]
+
+
+@pytest.mark.parametrize("head_lead_s", [0.0, 0.05])
+def test_a_stream_without_ids_stays_at_a_server_that_is_silent_for_a_while(
+    monkeypatch, head_lead_s
+):
+    """It was taken away, could not go on elsewhere, and was broken off."""
+    parts = [b"data: x\n\n", b"data: y\n\n"]
+    site = silent_site(monkeypatch, "s-2")
+    site.responses["s-1"] = [(200, [SIGNED])]
+    monkeypatch.setattr(silent_server_test, "event_from", lambda server: parts[1])
+    send = site._send
+
+    def send_head_first(entry, accepts):
+        exchange = send(entry, accepts)
+        if entry.server == "s-1" and head_lead_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(head_lead_s, exchange.receive, parts[0])
+        elif entry.server == "s-1":
+            exchange.receive(parts[0])
+        return exchange
+
+    site._send = send_head_first
+    asyncio.run(silent_server_test.request(site, silence_s=3.0))
+    assert site.streamed == [*parts, END]
+    assert site.sent == ["s-1"]
+
+
+@pytest.mark.parametrize("is_endless", [False, True])
+@pytest.mark.parametrize(
+    "response",
+    [
+        NO_CONTINUATIONS["from-its-start"],
+        (200, [STREAM], event(3)),
+        (200, [SIGNED, STREAM], b"x" * (MAX_EVENT_BYTES + 1)),
+    ],
+    ids=["out-of-order", "unsigned", "too-large"],
+)
+def test_a_connection_is_closed_only_if_its_response_has_not_ended(
+    monkeypatch, response, is_endless
+):
+    """Another request may have taken the connection, and ended without an answer."""
+    site = broken_site(monkeypatch, [response])
+    connect, send, closed = site._connect, site._send, []
+
+    async def connect_noting(entry):
+        connection = await connect(entry)
+        close = connection.close
+
+        def note_close():
+            closed.append(site.exchange.outcome.done())
+            close()
+
+        connection.close = note_close
+        return connection
+
+    def send_endless(entry, accepts):
+        site.is_endless = is_endless and bool(site.sent)
+        return send(entry, accepts)
+
+    site._connect, site._send = connect_noting, send_endless
+    asyncio.run(site.request())
+    assert site.streamed == [BEGUN, ABORTED]
+    assert closed[:1] == [False] * is_endless
--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -191,7 +191,7 @@
             and not self._is_reading
             and not self._is_expectant
             and not self._ignores_input
-            and not self._has_unsent
+            and not self.has_unsent
         )
 
     @property
@@ -200,7 +200,8 @@
         return self._task
 
     @property
-    def _has_unsent(self) -> bool:
+    def has_unsent(self) -> bool:
+        """Tell whether bytes of responses have been written and not sent."""
         return (
             self._transport is not None and self._transport.get_write_buffer_size() > 0
         )
@@ -224,7 +225,7 @@
             return
         self._end_cause = cause
         if cause == HOST_STOPPED:
-            is_unfinished = self._active is not None or self._has_unsent
+            is_unfinished = self._active is not None or self.has_unsent
             self._server.unanswered += len(self._queue) + is_unfinished
         if self._active is not None and not self.is_http_11:
             set_discard_on_close(self._transport, True)
@@ -543,6 +544,8 @@
         self.unanswered = 0
         self._listener: asyncio.Server | None = None
         self._socket: socket.socket | None = None
+        # Handlers that have begun; one that has not cannot respond once cancelled.
+        self._running: set[asyncio.Task] = set()
         # Connections that were accepted as the listener closed.
         self._accepting: set[asyncio.Task] = set()
         self._timeout_task: asyncio.Task | None = None
@@ -564,9 +567,12 @@
 
     async def run_handler(self, request: InboundRequest, responder: Responder) -> None:
         """Run the handler; abort a response that it leaves incomplete."""
+        task = asyncio.current_task()
+        self._running.add(task)
         try:
             await self._handler(request, responder)
         finally:
+            self._running.discard(task)
             if not responder.is_ended:
                 responder.abort()
 
@@ -579,6 +585,11 @@
         busy = sum(not connection.is_idle for connection in self.connections)
         return busy + len(self._accepting)
 
+    @property
+    def unsent_count(self) -> int:
+        """Return the number of connections with unsent bytes of responses."""
+        return sum(connection.has_unsent for connection in self.connections)
+
     def stop_accepting(self) -> None:
         """Accept no new requests; those in progress are completed.
 
@@ -620,12 +631,10 @@
     def end_requests(self) -> None:
         """Cancel the handlers in progress; they may still respond.
 
-        Handlers of requests that are queued behind them are started as usual.
+        Handlers that have not begun yet are started as usual.
         """
-        for connection in list(self.connections):
-            task = connection.task
-            if task is not None and not task.done():
-                task.cancel(HOST_STOPPED)
+        for task in list(self._running):
+            task.cancel(HOST_STOPPED)
 
     async def stop(self) -> None:
         """Stop listening and abort the remaining connections."""
--- a/sequoiapoint/transport/lost_responses_test.py
+++ b/sequoiapoint/transport/lost_responses_test.py
@@ -314,3 +314,39 @@
     assert causes == [(async_http_server.HOST_STOPPED,)]
     statuses = [int(part[:3]) for part in data.split(b"HTTP/1.1 ")[1:]]
     assert statuses == [502, 503][:count]
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_a_request_that_arrives_as_handlers_are_ended_is_answered(count):
+    """Its handler was cancelled before it had begun, and could not respond."""
+
+    async def refuse(request, responder):
+        responder.send_response(503, [], b"end")
+
+    async def scenario():
+        async with RecordingServer(refuse) as recorder:
+            reader, _ = await recorder.connect()
+            await recorder.server.has_connections.wait()
+            (connection,) = recorder.server.connections
+            connection.data_received(VALID_REQUEST * count)
+            recorder.server.is_draining = True
+            recorder.server.end_requests()
+            return await read_all(reader)
+
+    assert run(scenario()).count(b"HTTP/1.1 503 ") == count
+
+
+def test_a_response_counts_as_unsent_until_its_caller_has_read_it():
+    """A host that stopped discarded what another host had not read yet."""
+
+    async def scenario():
+        async with RecordingServer(answer_large) as recorder:
+            reader, writer = await slow_connection(recorder)
+            counts = [recorder.server.unsent_count]
+            writer.write(VALID_REQUEST)
+            await asyncio.sleep(0.1)
+            counts.append(recorder.server.unsent_count)
+            await read_until(reader, b"end")
+            return [*counts, recorder.server.unsent_count]
+
+    assert run(scenario()) == [0, 1, 0]
