Streams: a silent server is left only while one more could be tried

Callers saw a stream broken off before its deadline: its server fell silent for a while, the next one turned the stream away, and no other was tried any more.

Cause: a silent server was left by the bound by which a request is sent again (250 ms). With less than twice that time left, a successor that turned the stream away left no time to try another one, and the silent server had lost the stream by then, though it might go on.

Fix: a stream that has begun leaves a silent server only while 700 ms remain: 250 ms for the successor's answer, the pause between two searches, and 250 ms for one more. Later it stays there, as it does if no other server can take it. A request without a response so far is left as before, since its caller is answered whatever the successor says. That the silent server keeps the stream until the successor answers was not chosen: both would work on it at once.

With 650 ms the stream was moved and completed before; it stays now.

--- a/sequoiapoint/coordination/waiting.py
+++ b/sequoiapoint/coordination/waiting.py
@@ -135,6 +135,18 @@
     return remaining_s >= MIN_RETRY_TIME_S
 
 
+def may_leave_silent_server(remaining_s: float, search_interval_s: float) -> bool:
+    """Tell whether a stream that has begun may be taken from a silent server.
+
+    Answers servers that turn away what they are to take over: the silent one has lost
+    the stream by then, so that it is cut off if no other one can be tried.
+
+    :param remaining_s: Time until its caller's deadline.
+    :param search_interval_s: Pause between two searches for a server, in seconds.
+    """
+    return may_send_again(remaining_s - MIN_RETRY_TIME_S - search_interval_s)
+
+
 def is_too_late(predicted_wait_s: float, remaining_s: float) -> bool:
     """Tell whether a request should be rejected at once, rather than wait for a slot.
 
--- a/sequoiapoint/coordination/waiting_test.py
+++ b/sequoiapoint/coordination/waiting_test.py
@@ -176,6 +176,20 @@
     assert waiting.may_send_again(remaining_s) is expected
 
 
+@pytest.mark.parametrize("refusal_s", [0.01, waiting.MIN_RETRY_TIME_S])
+@pytest.mark.parametrize("pause_s", [0.0, 0.2])
+@pytest.mark.parametrize("remaining_s", [0.1, 0.3, 0.6, 0.71, 3.0])
+def test_a_stream_that_leaves_a_silent_server_can_be_tried_at_two_others(
+    remaining_s, pause_s, refusal_s
+):
+    """The first one turned it away when none could be tried any more: cut off."""
+    if waiting.may_leave_silent_server(remaining_s, pause_s):
+        assert waiting.may_send_again(remaining_s)
+        assert waiting.may_send_again(remaining_s - refusal_s - pause_s)
+    else:
+        assert remaining_s < 2 * waiting.MIN_RETRY_TIME_S + pause_s
+
+
 @pytest.mark.parametrize(
     ("until", "expected"),
     [([], None), ([0.0], None), ([12.0, 9.0], None), ([12.0, 11.5], 1.5)],
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -1125,7 +1125,7 @@
         if not search.done() or search.cancelled() or not search.result():
             return False
         has_resumed = received.is_set() or ended.done()
-        has_time = waiting.may_send_again(self._remaining_s())
+        has_time = self._may_leave_silent()
         if has_resumed or not has_time or not self._try_acquire_retry():
             self._discard_successor()
             return False
@@ -1133,18 +1133,28 @@
         self._has_left_silent = True
         return True
 
+    def _may_leave_silent(self) -> bool:
+        """Tell whether enough time remains to take the request from a silent server.
+
+        One whose response has not begun is answered whatever the next server says.
+        """
+        remaining_s = self._remaining_s()
+        if self._responder.is_started:
+            return waiting.may_leave_silent_server(remaining_s, SEARCH_INTERVAL_S)
+        return waiting.may_send_again(remaining_s)
+
     def _can_run_elsewhere(self) -> bool:
         """Tell whether a request may leave a silent server for another host."""
         return (
             self._is_helper_sought
             and self._is_cut_off()
-            and waiting.may_send_again(self._remaining_s())
+            and self._may_leave_silent()
             and self._detours.has_proven_helper()
         )
 
     async def _find_successor(self, entry: ServerEntry) -> bool:
         """Prepare a server to take the request over; tell whether there is one now."""
-        if not waiting.may_send_again(self._remaining_s()):
+        if not self._may_leave_silent():
             return False
         if not self._is_retry_available():
             return False
--- a/sequoiapoint/node/silent_server_test.py
+++ b/sequoiapoint/node/silent_server_test.py
@@ -21,6 +21,8 @@
 
 SILENCE_S = STREAM_IDLE_TIMEOUT_S + 0.3
 BUDGET_S = 8.0
+REFUSAL_S = 0.2
+"""Time in which a server turns a request away."""
 FIRST, SECOND = b"id: 1\ndata: x\n\n", b"id: 2\ndata: y\n\n"
 
 
@@ -398,3 +400,64 @@
     assert site.sent[:2] == ["s-1", "s-2"]
     assert len(site.sent) == 3
     assert site.streamed == [FIRST, event_from(site.sent[2]), END]
+
+
+@pytest.mark.parametrize("has_third", [False, True])
+@pytest.mark.parametrize(
+    ("left_s", "is_left"), [(0.35, False), (0.65, False), (0.9, True)]
+)
+def test_a_begun_stream_leaves_a_silent_server_only_if_one_more_could_be_tried(
+    monkeypatch, left_s, is_left, has_third
+):
+    """It was cut before its deadline: the next server turned it away too late.
+
+    :param left_s: The time that remains when the server counts as silent, in seconds.
+    """
+    others = ["s-2", "s-3"] if has_third else ["s-2"]
+    timeout_s = STREAM_IDLE_TIMEOUT_S + left_s
+    site = silent_site(monkeypatch, *others, timeout_s=timeout_s)
+    if has_third:
+        site.state.loads.get_or_create(("s-3", 1)).note_sent(-2, monotonic_s())
+    site.responses["s-2"].insert(0, (503, [(b"not-run", b"1")]))
+    send = site._send
+
+    def remove_first(server):
+        if server == "s-2":
+            site.state.fleet.remove("s-1")
+
+    site.on_connect = remove_first
+
+    def send_late(entry, accepts):
+        if entry.server != "s-2" or "s-2" in site.sent:
+            return send(entry, accepts)
+        site.sent.append(entry.server)
+        exchange = Exchange(asyncio.get_running_loop(), accepts)
+        asyncio.get_running_loop().call_later(REFUSAL_S, turn_away, exchange, accepts)
+        return exchange
+
+    def turn_away(exchange, accepts):
+        head = site.responses["s-2"].pop(0)
+        accepts(*head)
+        exchange.head.set_result(head)
+        exchange.finish(ExchangeOutcome.COMPLETE)
+
+    site._send = send_late
+    goes_on_s = STREAM_IDLE_TIMEOUT_S + 0.25 if not is_left else BUDGET_S
+    (status, _), _ = asyncio.run(request(site, silence_s=goes_on_s))
+    assert (status, site.streamed[0], site.streamed[-1]) == (200, FIRST, END)
+    assert site.streamed[1:-1] == [event_from(site.sent[-1])]
+    assert site.sent[:2] == (["s-1", "s-2"] if is_left else ["s-1"])
+
+
+@pytest.mark.parametrize(("left_s", "sent"), [(0.5, 2), (0.15, 1)])
+def test_a_request_without_a_response_leaves_a_silent_server_while_one_can_be_tried(
+    monkeypatch, left_s, sent
+):
+    """Its caller is answered whatever the next server says, so nothing can be cut.
+
+    :param left_s: The time that remains when the server counts as silent, in seconds.
+    """
+    timeout_s = STREAM_IDLE_TIMEOUT_S + left_s
+    site = silent_site(monkeypatch, "s-2", timeout_s=timeout_s)
+    asyncio.run(request(site, silence_s=BUDGET_S, has_begun=False))
+    assert len(site.sent) == sent
