Peers: an aggregator without a digest is not asked for its topics

Cause: the totals of an aggregator that drains list the host itself. It counts as restarted by that and its digest is dropped, while its totals are recent. The reader of the store, which is determined without a digest, is kept for 20 ms; a fetch of a lagging topic in that time read the end of the missing digest.

Fix: Peers.aggregator returns None while the aggregator has no digest. That the fetch met the dropped digest by this way and not by a new address is read from the code, not from the log; both are covered.

Test that failed before (2 of 3 cases): peers_test::test_an_aggregator_is_known_only_with_its_digest.

--- a/sequoiapoint/node/topic_exchange.py
+++ b/sequoiapoint/node/topic_exchange.py
@@ -157,7 +157,7 @@
         if self._peers.is_aggregator(now):
             return ZoneView(is_aggregator=True)
         aggregator = self._peers.aggregator(now, MAX_AGGREGATOR_AGE_S)
-        if aggregator is None or aggregator.digest is None:
+        if aggregator is None:
             return ZoneView(is_aggregator=False)
         return ZoneView(
             is_aggregator=False,
--- a/sequoiapoint/state/peers.py
+++ b/sequoiapoint/state/peers.py
@@ -466,11 +466,15 @@
     def aggregator(self, now: float, max_age_s: float) -> Peer | None:
         """Return the aggregator of this host's zone, None if its totals are too old.
 
+        It is also None while the host has no digest: its last one was dropped with its
+        former address, or as the host is listed as live although it was draining.
+
         :param max_age_s: The maximum age of its last cluster totals, in seconds.
         """
         if self._cluster_totals is None or now - self._cluster_totals[0] >= max_age_s:
             return None
-        return self._peers.get(self._cluster_totals[1].host)
+        peer = self._peers.get(self._cluster_totals[1].host)
+        return None if peer is None or peer.digest is None else peer
 
     # Totals
 
--- a/sequoiapoint/state/peers_test.py
+++ b/sequoiapoint/state/peers_test.py
@@ -92,3 +92,22 @@
         known = peers.own_relays(now)
         peers._own_relays = None
         assert known == peers.own_relays(now)
+
+
+@pytest.mark.parametrize(
+    ("is_leaving", "new_address", "is_known"),
+    [(False, "", True), (True, "", False), (False, "10.0.0.7:2", False)],
+)
+def test_an_aggregator_is_known_only_with_its_digest(is_leaving, new_address, is_known):
+    """A host's exchange with all others failed as its zone's aggregator stopped.
+
+    The totals of a host that drains list the host itself as live.
+    """
+    peers, listed = Peers(OWN), (digest("a").sender, OWN)
+    totals = digest("a", scope=Scope.FLEET, members=listed, is_leaving=is_leaving)
+    peers.merge(totals, 0.0)
+    if new_address:
+        peers.add(Member("a", "z", new_address), 0.0)
+    aggregator = peers.aggregator(0.1, 1.0)
+    assert (aggregator is not None) is is_known
+    assert aggregator is None or aggregator.digest is totals
