Kept connections: late bodies, requests behind others, slow readers at stops

Beside the callers of kept_connections there are now three more for each host: one sends the last bytes of a body up to 5.6 s late, one sends a second request behind the first one, at once or after the first response has begun, and one does not read 3 MB for 0.5 to 4 s. Each has a generator of its own, so that the draws of the other callers, the disturbances and the changes stay as they were; routes with a timeout of 20 s are added as the configuration is written. Planned stops happen among them.

Responses with status 200 must be the server's body, or the events of the stream in order and nothing else. What was refused must not have run, what may run once must not run twice, and a body without a pause over the limit must not time out. A late request, or one behind another, that is closed without an answer 0.2 s after its last byte counts as read, with or without a line in the log.

The soak has a group of faults with a generator of its own: streams break off, and the next continuation is answered with 200 and a page, with no event, or with events from the first one on. Its check also reports what a stream holds behind its events.

--- a/standins/site/backends.py
+++ b/standins/site/backends.py
@@ -14,6 +14,8 @@
 from standins.site.store import JSON, Store
 
 EVENT_INTERVAL_S = 0.02
+PAGE = b"<p>id: 98\n\ndata: none\n\n</p>\n"
+"""A body that is no stream, with blank lines like those behind events."""
 ADAPTER_LOAD_S = 0.01
 MODEL_LOAD_S = 0.2
 CREDENTIAL_HEADERS = (b"tenant", b"authorization", b"request-prio")
@@ -38,6 +40,8 @@
     :param fail_next: The number of next requests that are run and answered with 500.
     :param cut_stream_after: The number of events after which the next stream is reset
         in the middle of an event; 0 for never.
+    :param continuation: What the next continuation of a stream is answered with:
+        ``no_stream``, ``no_events`` or ``begin_again``; "" for the events that follow.
     :param turn_away_s: The time for which it turns all requests away, named in the
         response; 0 for none.  It begins with the next request.
     :param poison: A request body that crashes the process that begins to run it; empty
@@ -48,6 +52,7 @@
     reset_next: int = 0
     fail_next: int = 0
     cut_stream_after: int = 0
+    continuation: str = ""
     turn_away_s: float = 0.0
     poison: bytes = b""
     poison_sender: str = ""
@@ -369,6 +374,19 @@
         first = int(header(request, b"last-event-id") or 0) + 1
         _, _, events = header(request, b"token-count").partition(",")
         content_type = (b"Content-Type", b"text/event-stream")
+        fault = ""
+        if first > 1:
+            fault, self.faults.continuation = self.faults.continuation, ""
+        if fault == "no_stream":
+            headers = self._response_headers(
+                request, seal, (b"Content-Type", b"text/html")
+            )
+            responder.send_response(200, headers, PAGE)
+            return
+        if fault == "no_events":
+            events = "0"
+        elif fault == "begin_again":
+            first = 1
         responder.start_stream(200, self._response_headers(request, seal, content_type))
         for number in range(first, int(events) + 1):
             event = f"id: {number}\ndata: {self.server} {self.version}\n\n"
--- a/standins/site/kept_connections.py
+++ b/standins/site/kept_connections.py
@@ -4,10 +4,14 @@
 bodies arrive in parts, while the configuration and the settings change and hosts are
 stopped.  A request that was sent completely must end with a complete response, unless
 its server broke off, or its deadline or its route's timeout was reached.
+
+Further callers send the last byte of a body seconds late, send a request behind another
+one, or do not read for seconds, also around a planned stop of their host.
 """
 
 import argparse
 import http.client
+import io
 import json
 import random
 import re
@@ -16,12 +20,13 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
 
 from standins.site.deployment import Gateway, configuration, route
 from standins.site.linked_deployment import LinkedDeployment
+from standins.soak.judge import MAX_RUNS, NOT_RUN, unknown_stream_data
 from standins.soak.link import Cut
 
 GATEWAYS, ENGINES, PLAIN = 4, 3, 3
@@ -43,15 +48,33 @@
 """Maximum time for which a slow caller does not read."""
 LATE_S = 0.5
 """Time after the end of the budget until which a host must have given a request up."""
+LATE_SIZE_BYTES = 3_000_000
+"""Size of the responses that some callers do not read for seconds; more than the
+buffers of their connections hold."""
+LATE_TIMEOUT_MS = 20_000
+HABITS = ("late", "behind", "paused")
+MAX_PAUSE_S, ALLOWED_PAUSE_S = 1.4, 2.0
+"""Longest pause within a body, and the one that hosts allow."""
+LOSS_SLACK_S = 0.2
+"""Time after the last byte of a request from which its host has read it."""
+STOP_END_RANGE_S = (8.0 * 5 / 6, 8.5)
+"""Time from a stop signal in which a host may cut requests on which servers still work,
+if they were sent within ``STOP_SENT_S``: the last sixth of its drain timeout."""
+STOP_SENT_S = 3.0
 BROKEN_OFF = ("reset", "closed")
 """Errors of attempts in a host's log that show that the server broke off."""
 
 
+Stops = Iterable[tuple[str, float]]
+
+
 class KeptConnectionsSite(LinkedDeployment):
     """A deployment whose engines all hold the same model."""
 
     def __init__(self) -> None:
-        super().__init__(gateways=GATEWAYS, engines=ENGINES, plain=PLAIN)
+        first = with_late_routes(configuration())
+        counts = {"gateways": GATEWAYS, "engines": ENGINES, "plain": PLAIN}
+        super().__init__(**counts, first_configuration=first)
 
     async def _start_platform(self, engines: int, plain: int) -> None:
         await super()._start_platform(engines, plain)
@@ -68,6 +91,11 @@
     :param sent_at: When its last byte was sent, 0 if the connection failed before.
     :param is_whole: Whether a complete response was received.
     :param received_bytes: The size of the received part of the body.
+    :param wrong: What is wrong with the response, "" for nothing.
+    :param budget_s: The time budget that it states.
+    :param pause_s: Time for which its caller did not read, or the longest pause in it.
+    :param habit: What its caller does, one of ``HABITS``; "" for a usual one.
+    :param before: The request before it on its connection, if it was sent behind it.
     """
 
     request_id: str
@@ -81,12 +109,31 @@
     is_whole: bool = False
     received_bytes: int = 0
     error: str = ""
+    wrong: str = ""
+    budget_s: float = BUDGET_S
+    pause_s: float = 0.0
+    habit: str = ""
+    before: "SentRequest | None" = field(default=None, repr=False)
+
+    def check(self, data: bytes, body: bytes, events: int) -> None:
+        """Check the data of a response with status 200."""
+        if self.kind not in ("talk", "once"):
+            if self.is_whole and data.partition(b":")[2] != body:
+                self.wrong = f"body {data[:50]!r}"
+            return
+        ids = [int(n) for n in re.findall(rb"id: (\d+)\ndata: [^\n]*\n\n", data)]
+        unknown = unknown_stream_data(data, self.is_whole)
+        is_short = self.is_whole and len(ids) != events
+        if ids != list(range(1, len(ids) + 1)) or unknown or is_short:
+            self.wrong = f"events {ids} of {events}, and {unknown[:50]!r}"
 
 
 class KeptCaller(threading.Thread):
     """Sends requests to one gateway and keeps its connection until that ends."""
 
-    def __init__(self, number: int, seed: int, gateway: Gateway, until: float) -> None:
+    def __init__(
+        self, number: int | str, seed: int, gateway: Gateway, until: float
+    ) -> None:
         super().__init__(daemon=True)
         self._rng = random.Random(f"{number}/{seed}/{gateway.name}")
         self._gateway = gateway
@@ -165,11 +212,121 @@
             self._close()
 
 
+class _SharedFile(io.BufferedReader):
+    """Reads the responses of a connection, each of which tries to close it."""
+
+    def makefile(self, *_: object) -> "_SharedFile":
+        """Return this file, as sockets do."""
+        return self
+
+    def close(self) -> None:
+        """Stay open for the next response."""
+
+
+class LateCaller(KeptCaller):
+    """Sends late, sends behind another request, or reads late.
+
+    :param habit: Which of these it does, one of ``HABITS``.
+    """
+
+    def __init__(self, habit: str, seed: int, gateway: Gateway, until: float) -> None:
+        super().__init__(habit, seed, gateway, until)
+        self._is_slow = habit == "paused"
+
+    def _send(self, request: SentRequest) -> None:
+        requests = [request]
+        if self._number == "behind":
+            name, kind = f"{request.request_id}-2", self._rng.choice(tuple(MAX_RUNS))
+            behind = SentRequest(name, kind, request.gateway, False, before=request)
+            requests.append(behind)
+            self.requests.append(behind)
+        try:
+            self._exchange(requests)
+        finally:
+            for each in requests:
+                each.ended_at = each.ended_at or time.monotonic()
+
+    def _exchange(self, requests: list[SentRequest]) -> None:
+        connection = self._connection = self._connection or self._open()
+        if connection.sock is None:
+            connection.connect()
+        connection.sock.settimeout(LATE_TIMEOUT_MS / 1000)
+        file = _SharedFile(socket.SocketIO(connection.sock, "rb"))
+        sends_at_once = self._rng.random() < 0.5
+        contents, closes = [], False
+        for number, request in enumerate(requests):
+            request.habit = self._number
+            request.budget_s = self._rng.uniform(3.0, 12.0)
+            if number == 0 or sends_at_once:
+                contents.append(self._write(connection.sock, request))
+        for number, request in enumerate(requests):
+            if number == len(contents):
+                break
+            if request.is_slow:
+                request.pause_s = self._rng.uniform(0.5, 4.0)
+                time.sleep(request.pause_s)
+            response = http.client.HTTPResponse(file, method="POST")
+            response.begin()
+            request.status = response.status
+            closes |= response.getheader("Connection") == "close"
+            if len(contents) < len(requests) and not closes:
+                time.sleep(self._rng.uniform(0.0, 1.0))
+                contents.append(self._write(connection.sock, requests[-1]))
+            self._read(request, response, *contents[number])
+        if closes:
+            self._close()
+
+    def _write(self, sock: socket.socket, request: SentRequest) -> tuple[bytes, int]:
+        """Send a request, and return its body and the number of events asked for."""
+        size = LATE_SIZE_BYTES if request.is_slow else 100
+        body = request.request_id.encode() + b"x" * size
+        events = self._rng.randint(1, 200)
+        head = (
+            f"POST /late-{request.kind}/x HTTP/1.1\r\nHost: site.example\r\n"
+            f"Request-Id: {request.request_id}\r\nContent-Length: {len(body)}\r\n"
+            f"Deadline-Ms: {int(1000 * request.budget_s)}\r\n"
+        )
+        if request.kind in ("talk", "once"):
+            head += f"Model: {MODEL}\r\nToken-Count: 10,{events}\r\n"
+        data = head.encode() + b"\r\n" + body
+        request.begun_at = time.monotonic()
+        if request.habit == "late":
+            for left in range(self._rng.randint(1, 4), 0, -1):
+                sock.sendall(data[:-left])
+                data, paused_at = data[-left:], time.monotonic()
+                time.sleep(self._rng.uniform(0.3, MAX_PAUSE_S))
+                paused_s = time.monotonic() - paused_at
+                request.pause_s = max(request.pause_s, paused_s)
+        sock.sendall(data)
+        request.sent_at = time.monotonic()
+        return body, events
+
+    @staticmethod
+    def _read(
+        request: SentRequest,
+        response: http.client.HTTPResponse,
+        body: bytes,
+        events: int,
+    ) -> None:
+        data = bytearray()
+        try:
+            while chunk := response.read1(65_536):
+                data += chunk
+            length = response.getheader("Content-Length")
+            request.is_whole = length is None or len(data) == int(length)
+        finally:
+            request.ended_at = time.monotonic()
+            request.received_bytes = len(data)
+            if request.status == 200:
+                request.check(bytes(data), body, events)
+
+
 @dataclass
 class Result:
     """What a run showed.
 
-    :param lost: The requests without a complete response that nothing excuses.
+    :param lost: The requests without a complete response that nothing excuses, or with
+        a wrong one.
     :param excused: The numbers of excused ones, by reason.
     :param actions: The disturbances and changes, in order.
     """
@@ -183,10 +340,13 @@
     def summary(self) -> str:
         """Return the figures in one line."""
         statuses = Counter(request.status for request in self.requests)
+        habits = Counter((r.habit, r.status) for r in self.requests if r.habit)
+        by_habit = {f"{h}/{status}": n for (h, status), n in sorted(habits.items())}
         return (
             f"requests={len(self.requests)} "
             f"unsent={sum(not request.sent_at for request in self.requests)} "
             f"statuses={dict(sorted(statuses.items()))} "
+            f"by_habit={by_habit} "
             f"lost={len(self.lost)} excused={dict(self.excused)} "
             f"failures={len(self.failures)} actions={dict(Counter(self.actions))}"
         )
@@ -230,6 +390,7 @@
         self._configuration = configuration()
         self._next_stop_at = time.monotonic() + STOP_INTERVAL_S / 2
         self.actions: list[str] = []
+        self.stops: list[tuple[str, float]] = []
 
     def run(self) -> None:
         while time.monotonic() < self._until:
@@ -241,7 +402,8 @@
             if name != "hangup":
                 self._version += 1
                 self._configuration["version"] = self._version
-                self._site.store.write("keyed.op", "config", self._configuration)
+                written = with_late_routes(self._configuration)
+                self._site.store.write("keyed.op", "config", written)
             has_time = self._until - time.monotonic() > STOP_TIMEOUT_S / 2
             if time.monotonic() > self._next_stop_at and has_time:
                 self._stop_one()
@@ -273,6 +435,7 @@
         """Stop a host as planned, and start it again."""
         self.actions.append("stop")
         gateway = self._rng.choice(self._site.gateways)
+        self.stops.append((gateway.name, time.monotonic()))
         gateway.signal(signal.SIGTERM)
         gateway.process.wait(STOP_TIMEOUT_S)
         gateway.start()
@@ -280,8 +443,34 @@
         self._next_stop_at = time.monotonic() + STOP_INTERVAL_S
 
 
-def _judge(site: KeptConnectionsSite, requests: list[SentRequest]) -> Result:
-    """Find the requests that were sent and lost."""
+def with_late_routes(written: dict) -> dict:
+    """Return a configuration with the routes of the late callers behind the others."""
+    late = [
+        each | {"name": name, "prefix": f"/{name}/", "timeout-ms": LATE_TIMEOUT_MS}
+        for each in written["routes"][: len(MAX_RUNS)]
+        for name in [f"late-{each['name']}"]
+    ]
+    limits = written["limits"] | {"max-body-bytes": 2 * LATE_SIZE_BYTES}
+    return written | {"routes": written["routes"] + late, "limits": limits}
+
+
+def _is_cut_at_a_stop(request: SentRequest, stops: Stops) -> bool:
+    """Tell whether a request was in progress in the last part of a stop."""
+    return any(
+        name == request.gateway
+        and request.sent_at <= at + STOP_SENT_S
+        and at + STOP_END_RANGE_S[0] <= request.ended_at <= at + STOP_END_RANGE_S[1]
+        for name, at in stops
+    )
+
+
+def _judge(
+    site: KeptConnectionsSite, requests: list[SentRequest], stops: Stops = ()
+) -> Result:
+    """Find the requests that were sent and lost.
+
+    :param stops: The hosts that were stopped, and when.
+    """
     lines_by_request: dict[str, list[str]] = {}
     for gateway in site.gateways:
         for line in gateway.log.read_text().splitlines():
@@ -292,20 +481,46 @@
         runs.update(backend.runs)
     result = Result(requests, [], Counter())
     for request in requests:
-        if request.is_whole or not request.sent_at:
-            continue
         lines = lines_by_request.get(request.request_id, [])
+        ran = runs[request.request_id]
+        if request.status in NOT_RUN and ran:
+            request.wrong = f"said not to have run, and ran {ran} times"
+        elif request.status == 408 and request.pause_s < ALLOWED_PAUSE_S - LOSS_SLACK_S:
+            request.wrong = "timed out without a pause that is too long"
+        elif ran > MAX_RUNS[request.kind]:
+            request.wrong = f"ran {ran} times"
+        if not request.wrong and (request.is_whole or not request.sent_at):
+            continue
         elapsed_s = request.ended_at - request.begun_at
-        late_s = LATE_S + (SLOW_PAUSE_S if request.is_slow else 0.0)
-        if not lines and not runs[request.request_id]:
-            result.excused["closed before it was read"] += 1
-        elif BUDGET_S - GRACE_S <= elapsed_s <= BUDGET_S + late_s:
-            result.excused["deadline"] += 1
+        pause_s = max(request.pause_s, SLOW_PAUSE_S) if request.is_slow else 0.0
+        late_s = LATE_S + pause_s
+        budget_s = request.budget_s
+        was_read = request.habit in ("late", "behind") and (
+            request.ended_at - request.sent_at > LOSS_SLACK_S
+        )
+        if request.wrong:
+            excuse = ""
+        elif request.before is not None and not request.before.is_whole and not ran:
+            excuse = "behind another one without an answer"
+        elif not lines and not ran and not was_read:
+            excuse = "closed before it was read"
+        elif budget_s - GRACE_S <= elapsed_s <= budget_s + late_s:
+            excuse = "deadline"
         elif any(f"error={error} " in line for line in lines for error in BROKEN_OFF):
-            result.excused["server broke off"] += 1
+            excuse = "server broke off"
+        elif ran and _is_cut_at_a_stop(request, stops):
+            excuse = "in progress at the end of a stop"
         else:
-            fields = json.dumps(request.__dict__)
-            result.lost.append(f"{fields} {elapsed_s:.2f} s\n  " + "\n  ".join(lines))
+            excuse = ""
+        if excuse:
+            result.excused[excuse] += 1
+        else:
+            fields = request.__dict__ | {"before": repr(request.before)}
+            described = f"{json.dumps(fields)} {elapsed_s:.2f} s"
+            if request.before is not None:
+                lines += lines_by_request.get(request.before.request_id, [])
+            lines += [f"stop of {name} at {at:.3f}" for name, at in stops]
+            result.lost.append("\n  ".join([described, *lines]))
     return result
 
 
@@ -322,6 +537,11 @@
             for gateway in site.gateways
             for number in range(CALLERS_PER_GATEWAY)
         ]
+        callers += [
+            LateCaller(habit, seed, gateway, until)
+            for gateway in site.gateways
+            for habit in HABITS
+        ]
         changes = _Changes(site, seed, until)
         threads = [*callers, changes] if has_changes else callers
         for thread in threads:
@@ -340,7 +560,9 @@
         for thread in threads:
             thread.join()
         time.sleep(0.5)
-        result = _judge(site, [r for caller in callers for r in caller.requests])
+        result = _judge(
+            site, [r for caller in callers for r in caller.requests], changes.stops
+        )
         result.actions = actions + changes.actions
         result.failures = site.failures()
     return result
--- a/standins/soak/judge.py
+++ b/standins/soak/judge.py
@@ -16,6 +16,7 @@
 LIMIT_ALLOWANCE = 5
 """What a server with a limit may get in a window: the factor on what its limit allows,
 and some more requests."""
+EVENTS = re.compile(rb"(?:id: \d+\ndata: [^\n]*\n\n)*")
 EVENT_VERSION = re.compile(rb"data: \S+ (\S+)\n\n")
 NOT_RUN = (408, 421, 429, 503)
 """Statuses which state that the request has not run and never will."""
@@ -92,9 +93,18 @@
             yield f"events of versions {sorted(versions)}"
         if ids != list(range(1, len(ids) + 1)):
             yield f"events {ids}"
+        if unknown := unknown_stream_data(request.response_body, request.is_complete):
+            yield f"no event of the stream: {unknown!r}"
         if request.is_complete and len(ids) != request.events:
             yield f"ended as complete after {len(ids)} of {request.events} events"
     elif (
         request.is_complete and request.response_body.partition(b":")[2] != request.body
     ):
         yield f"body {request.response_body!r}"
+
+
+def unknown_stream_data(body: bytes, is_complete: bool) -> bytes:
+    """Return what a stream holds behind its events, except for a part of the next."""
+    rest = body[EVENTS.match(body).end() :]
+    is_part = b"id: ".startswith(rest[:4]) and b"\n\n" not in rest
+    return b"" if is_part and not is_complete else rest
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -41,6 +41,15 @@
 MIN_CUT_S, MAX_CUT_S = 1.0, 6.0
 MAX_CUTS = 2
 """The largest number of such faults in a run."""
+CONTINUATION_KINDS = (
+    ("backend", "no_stream"),
+    ("backend", "no_events"),
+    ("backend", "begin_again"),
+)
+"""Streams that break off, and whose continuations are answered with 200 and a page,
+with nothing, or with events from the first one on."""
+MAX_CONTINUATION_FAULTS = 2
+"""The largest number of such faults in a run."""
 MAX_FURTHER_FAULTS = 3
 """The largest number of such faults in a run."""
 
@@ -97,6 +106,12 @@
     faults += _generate_group(
         f"{seed} cuts", CUT_KINDS, (MIN_CUT_S, MAX_CUT_S), MAX_CUTS
     )
+    faults += _generate_group(
+        f"{seed} continuations",
+        CONTINUATION_KINDS,
+        (MIN_DURATION_S, MAX_DURATION_S),
+        MAX_CONTINUATION_FAULTS,
+    )
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
--- a/standins/soak/site.py
+++ b/standins/soak/site.py
@@ -17,7 +17,7 @@
     route,
 )
 from standins.soak.link import Cut, Link
-from standins.soak.plan import Fault
+from standins.soak.plan import CONTINUATION_KINDS, Fault
 
 GATEWAYS = 4
 STOP_TIMEOUT_S = 10.0
@@ -231,6 +231,11 @@
             backend.faults.reset_next = 2
         elif fault.kind == "fail":
             backend.faults.fail_next = 2
+        elif ("backend", fault.kind) in CONTINUATION_KINDS:
+            for engine in self.engines:
+                engine.faults.continuation = fault.kind
+            engine = self.engines[fault.target % len(self.engines)]
+            engine.faults.cut_stream_after = 2
         elif fault.kind == "cut_streams":
             backend.faults.cut_stream_after = 2
         else:
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from standins.site import backends
 from standins.site.deployment import free_port
 from standins.soak import plan, run
 from standins.soak.callers import ABORTED, ObservedRequest
@@ -68,6 +69,16 @@
             1,
             "events",
         ),
+        (
+            observed("talk", 200, TWO_EVENTS + backends.PAGE, is_complete=False),
+            1,
+            "no event",
+        ),
+        (
+            observed("talk", 200, TWO_EVENTS + b"id: 3\nda", is_complete=False),
+            1,
+            None,
+        ),
     ],
 )
 def test_find_violations_reports_each_violation_and_nothing_else(
