Callers that read each response late, as a failing test

Cause: TCP_USER_TIMEOUT, 30 s for callers. The kernel notes when its first probe of a full window is sent, and forgets this only when the window takes the whole next segment, which a small buffer rarely offers. The times that a caller does not read are so counted from the first one on, over all responses of its connection.

--- a/sequoiapoint/transport/async_http_server_test.py
+++ b/sequoiapoint/transport/async_http_server_test.py
@@ -390,6 +390,7 @@
 
 
 LONG_BODY = b"x" * 20_000_000
+LATE_BODY = b"y" * 1_000_000 + b"z"
 
 
 async def respond_at_length(request, responder):
@@ -416,6 +417,37 @@
     assert (busy_before, busy_after) == (1, 0)
 
 
+def test_a_caller_that_reads_each_response_late_but_in_time_gets_all_of_them(
+    monkeypatch,
+):
+    """The kernel counted the time not read over all responses of a connection."""
+    monkeypatch.setattr(async_http_server, "CALLER_TIMEOUT_MS", 2_500)
+    pause_s, responses = 1.0, 5
+
+    def read_late(port):
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            sock.connect(("127.0.0.1", port))
+            for number in range(responses):
+                sock.sendall(VALID_REQUEST)
+                time.sleep(pause_s)
+                received = b""
+                while not received.endswith(b"z"):
+                    data = sock.recv(1 << 20)
+                    assert data, number
+                    received += data
+
+    async def respond(request, responder):
+        responder.send_response(200, [], LATE_BODY)
+
+    async def scenario():
+        async with RecordingServer(respond) as recorder:
+            recorder.server.limits = replace(LIMITS, idle_timeout_s=5.0)
+            await asyncio.to_thread(read_late, recorder.port)
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("sent", [VALID_REQUEST[:9], VALID_REQUEST[:-1]])
 def test_a_request_is_not_rejected_for_a_suspension_of_the_process(sent):
     """Guards against a 408 to a caller that has sent its request in time."""
