Streams: a test with a host suspended while a new version joins

One of four hosts is suspended for 4 and 6 s; three servers of a new version join meanwhile, streams begin on them through the other hosts, their callers leave and take them up at the suspended host, from 0.2 s before it goes on.

--- a/tests/stream_version_test.py
+++ b/tests/stream_version_test.py
@@ -201,6 +201,57 @@
     assert streams.mixed <= MAX_MIXED
 
 
+@pytest.mark.parametrize("suspended_s", [4.0, 6.0])
+def test_streams_are_not_joined_at_a_host_that_was_suspended_as_a_version_joined(
+    suspended_s,
+):
+    """Digests that had waited made its old list of servers look complete until now.
+
+    Streams of unknown origin are refused in any case by hosts as young as these.
+    """
+    with deployment(4) as site:
+        old, new = site.engines[::2], site.engines[1::2]
+        for engine in new:
+            site.run(engine.leave())
+        for engine in old:
+            engine.held, engine.slots = {"oak": set()}, 64
+            site.call(engine.register)
+        time.sleep(1.5)
+        suspended, others = site.gateways[0], site.gateways[1:]
+        suspended.signal(signal.SIGSTOP)
+        resumes_at = time.monotonic() + suspended_s
+        time.sleep(1.0)
+        for engine in new:
+            engine.held, engine.slots, engine.version = {"oak": set()}, 64, VERSIONS[1]
+            site.run(engine.restart())
+        seen = {True: [], False: []}
+
+        def run(number):
+            """Begin a stream elsewhere and take it up at the suspended host."""
+            time.sleep(max(0.0, resumes_at - 1.0 + 0.02 * number - time.monotonic()))
+            host = others[number % len(others)]
+            request_id, _, began = read_stream(host, 60, leave_after=8)
+            if set(began.values()) != {VERSIONS[1]}:
+                return
+            time.sleep(max(0.0, resumes_at - 0.2 - time.monotonic()))
+            names_origin = number // len(others) % 2 == 0
+            resumes = request_id if names_origin else "unknown"
+            _, _, found = read_stream(suspended, 60, max(began), resumes)
+            seen[names_origin].append(set(found.values()))
+
+        with concurrent.futures.ThreadPoolExecutor(80) as pool:
+            futures = [pool.submit(run, number) for number in range(80)]
+            time.sleep(max(0.0, resumes_at - time.monotonic()))
+            suspended.signal(signal.SIGCONT)
+            for future in futures:
+                future.result()
+        assert site.failures() == []
+    print({known: Counter(map(tuple, found)) for known, found in seen.items()})
+    assert min(len(found) for found in seen.values()) >= 10
+    assert not [found for found in seen[True] + seen[False] if VERSIONS[0] in found]
+    assert sum(map(bool, seen[True])) >= MIN_RESUMED_SHARE * len(seen[True])
+
+
 class LostStreams:
     """Streams that break off as all hosts are killed, and that callers take up again.
 
