Stops: requests that begin while the others are ended are ended as well

What callers would see: a request behind another one, or one whose last byte comes in the last 0.6 s before the kill, is closed without an answer if it waits for its organisation's credit.

Cause: handlers were ended once. One that begins after that is refused at once as it would be sent, but it is admitted before, and that may wait for another host.

Not seen with real processes.

Fix: handlers are ended until none is left or the connections are closed.

--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -181,12 +181,17 @@
         await self._end_requests(stop)
 
     async def _end_requests(self, stop: PlannedStop) -> None:
-        """Answer the requests that are still in progress, and send what is unsent."""
+        """Answer the requests that are still in progress, and send what is unsent.
+
+        Those that begin meanwhile, behind another one, may wait to be admitted.
+        """
         if not self._caller_server.is_closed:
             self._caller_server.stop_accepting()
-        self._caller_server.end_requests()
-        self._detour_server.end_requests()
-        while self._busy_count and monotonic_s() < stop.connections_end_at:
+        while True:
+            self._caller_server.end_requests()
+            self._detour_server.end_requests()
+            if not self._busy_count or monotonic_s() >= stop.connections_end_at:
+                return
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
     def _on_reload_signal(self) -> None:
