Streams that are joined to another answer, as a test with real processes

A stream breaks off, and the next server answers with something else; the caller finds the error's text, a second head or another run's events in its stream, or a false end.

The caller reads each byte, also what follows the last chunk. Controls: what goes on with a stream is passed on, and a stream that broke off behind its last event can be completed.

--- a/standins/site/backends.py
+++ b/standins/site/backends.py
@@ -1,6 +1,7 @@
 """Simulated plain servers and model engines of the users' platform."""
 
 import asyncio
+import http
 import json
 import time
 from collections import Counter, defaultdict, deque
@@ -53,6 +54,39 @@
     poison_sender: str = ""
 
 
+@dataclass(frozen=True)
+class ScriptedResponse:
+    """A response that a server sends as it is, before it closes the connection.
+
+    :param content_type: The type of the body; "" for a response that names none.
+    :param sent_head_bytes: The number of bytes of its head after which the server
+        closes; None to send all.
+    :param sent_body_bytes: The same for the body.
+    """
+
+    status: int
+    content_type: str = ""
+    body: bytes = b""
+    sent_head_bytes: int | None = None
+    sent_body_bytes: int | None = None
+
+    def encode(self, headers: list[tuple[bytes, bytes]]) -> bytes:
+        """Return what is sent.
+
+        :param headers: The headers of all the server's responses.
+        """
+        if self.content_type:
+            headers = [*headers, (b"Content-Type", self.content_type.encode())]
+        if self.status != http.HTTPStatus.NO_CONTENT:
+            headers = [*headers, (b"Content-Length", b"%d" % len(self.body))]
+        lines = [b"HTTP/1.1 %d Scripted" % self.status]
+        lines += [name + b": " + value for name, value in headers]
+        head = b"\r\n".join(lines) + b"\r\n\r\n"
+        if self.sent_head_bytes is not None:
+            return head[: self.sent_head_bytes]
+        return head + self.body[: self.sent_body_bytes]
+
+
 @dataclass(frozen=True)
 class Brittleness:
     """What a brittle server stands.
@@ -100,6 +134,8 @@
     :param falls: The times at which it fell over for want of room.
     :param version: The version of its software, which each event of a stream names.
     :param public_address: The address in its entry, "" for the one it listens at.
+    :param scripts: What is sent to the next attempts of a request, by its id, in place
+        of this server's own response; several servers may share them.
     """
 
     store: Store
@@ -134,6 +170,7 @@
     waiting: deque[asyncio.Future[None]] = field(default_factory=deque)
     version: str = "v1"
     public_address: str = ""
+    scripts: dict[str, deque[ScriptedResponse]] = field(default_factory=dict)
     is_down: bool = False
 
     async def start(self, port: int) -> None:
@@ -357,6 +394,11 @@
             responder.send_response(
                 500, self._response_headers(request, seal), b"failed"
             )
+        elif script := self.scripts.get(header(request, b"request-id")):
+            response = script.popleft()
+            # Bytes sent before a stream is started are written as they are.
+            responder.send(response.encode(self._response_headers(request, seal)))
+            responder.abort()
         elif self.is_engine:
             await self._stream(request, responder, seal)
         else:
