--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -901,13 +901,13 @@
                 return await self._forward_stream(
                     head, connection, exchange, entry, pace
                 )
-            if self._goes_on:
+            if self._is_continuation:
                 return _AttemptOutcome.UNKNOWN, NOT_A_STREAM_REASON
         return await self._forward_complete_response(head, exchange, entry)
 
     @property
-    def _goes_on(self) -> bool:
-        """Tell whether a server is to go on with a stream that has begun."""
+    def _is_continuation(self) -> bool:
+        """Tell whether a server is asked for a continuation of a stream."""
         return self._responder.is_started or bool(self._request.last_event_id)
 
     @property
