Slow callers: a caller that reads late but in time keeps its connection

Cause: TCP_USER_TIMEOUT for callers counts the time in which a caller does not read, over all responses of its connection.

Fix: the kernel has no such limit for callers. It still ends a connection whose probes are not answered for 30 s. That a caller takes nothing of a response for 30 s is checked by the host: by its own buffer and by what the kernel holds.

--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -544,17 +544,20 @@
 
 
 def set_liveness_options(
-    sock: socket.socket, timeout_ms: int = DEAD_PEER_TIMEOUT_MS
+    sock: socket.socket,
+    timeout_ms: int = DEAD_PEER_TIMEOUT_MS,
+    probes: int = KEEPALIVE_PROBES,
 ) -> None:
     """Make the kernel close a connection whose peer no longer responds.
 
     :param timeout_ms: The maximum time that bytes may stay unacknowledged or unread, in
-        milliseconds.
+        milliseconds; 0 for no limit on it.
+    :param probes: The number of unanswered keep-alive probes, if there is no timeout.
     """
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    _set_silence_limits(sock, timeout_ms, KEEPALIVE_PROBES)
+    _set_silence_limits(sock, timeout_ms, probes)
 
 
 def _set_silence_limits(sock: socket.socket, timeout_ms: int, probes: int) -> None:
--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -5,9 +5,12 @@
 connection is closed.  When a caller disconnects, its handler is cancelled immediately.
 """
 
+import array
 import asyncio
+import fcntl
 import http
 import socket
+import termios
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
@@ -36,8 +39,11 @@
 """Size of an incomplete head, or of a trailer, relative to the maximum size of headers,
 from which on it is rejected; the delimiters between headers count too."""
 CALLER_TIMEOUT_MS = 30_000
-"""Maximum time for which a caller may take no bytes of a response, or be out of reach.
-The kernel also counts the time in which a caller is alive but does not read."""
+"""Maximum time for which a caller may take no bytes of a response."""
+CALLER_KEEPALIVE_PROBES = 30
+"""Number of keep-alive probes, one a second, that a caller out of reach may miss.  A
+timeout of the kernel would count the time in which a caller with a small buffer does
+not read over all responses of its connection."""
 CALLER_CLOSED = "closed"
 """Why a handler is cancelled if the caller has closed its connection.  Otherwise it is
 the error with which the connection ended."""
@@ -137,6 +143,17 @@
         self._connection.finish_request(self._keep_alive)
 
 
+def _queued_bytes(transport: asyncio.Transport) -> int:
+    """Return the bytes that the kernel holds for the peer, 0 if it does not tell."""
+    queued = array.array("i", [0])
+    try:
+        descriptor = transport.get_extra_info("socket").fileno()
+        fcntl.ioctl(descriptor, termios.TIOCOUTQ, queued)
+    except OSError:
+        return 0
+    return queued[0]
+
+
 def _reason_phrase(status: int) -> bytes:
     try:
         return http.HTTPStatus(status).phrase.encode()
@@ -167,6 +184,10 @@
         self._pause: Callable[[], None] | None = None
         self._resume: Callable[[], None] | None = None
         self._end_cause = ""
+        self._written_bytes = 0
+        # Bytes of them that had been sent when a check last found more of them sent.
+        self._sent_bytes = 0
+        self._sent_at = self._last_progress_s
         self.is_http_11 = True
         self._begin_message()
 
@@ -211,6 +232,7 @@
     def write(self, data: bytes) -> None:
         """Write bytes to the caller."""
         if self._transport is not None and not self._transport.is_closing():
+            self._written_bytes += len(data)
             self._transport.write(data)
 
     def abort(self, cause: str = "") -> None:
@@ -287,6 +309,9 @@
             self._head_started_at += late_s
         if self._last_progress_s <= due_at:
             self._last_progress_s += late_s
+        if self._is_caller_stuck(now, late_s):
+            self.abort()
+            return
         if self._ignores_input or self._active is not None:
             return
         limits = self._server.limits
@@ -303,6 +328,24 @@
             self._server.idle_closed += 1
             self._transport.close()
 
+    def _is_caller_stuck(self, now: float, late_s: float) -> bool:
+        """Tell whether the caller has taken no bytes for ``CALLER_TIMEOUT_MS``.
+
+        :param late_s: Time by which the check is late, in seconds.
+        """
+        if not self.has_unsent:
+            self._sent_bytes, self._sent_at = self._written_bytes, now
+            return False
+        unsent = self._transport.get_write_buffer_size() + _queued_bytes(
+            self._transport
+        )
+        sent = self._written_bytes - unsent
+        if sent > self._sent_bytes:
+            self._sent_bytes, self._sent_at = sent, now
+        else:
+            self._sent_at += late_s
+        return now - self._sent_at > CALLER_TIMEOUT_MS / 1000
+
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -312,7 +355,8 @@
         """
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        set_liveness_options(transport.get_extra_info("socket"), CALLER_TIMEOUT_MS)
+        sock = transport.get_extra_info("socket")
+        set_liveness_options(sock, timeout_ms=0, probes=CALLER_KEEPALIVE_PROBES)
         self._server.connections.add(self)
         self._server.has_connections.set()
         if self._server.is_closed:
--- a/sequoiapoint/transport/lost_responses_test.py
+++ b/sequoiapoint/transport/lost_responses_test.py
@@ -350,3 +350,22 @@
             return [*counts, recorder.server.unsent_count]
 
     assert run(scenario()) == [0, 1, 0]
+
+
+@pytest.mark.parametrize("reads", [False, True])
+def test_only_a_caller_that_takes_no_bytes_is_given_up(monkeypatch, reads):
+    """Guards against connections that are kept for callers that never read."""
+    monkeypatch.setattr(async_http_server, "CALLER_TIMEOUT_MS", 1_000)
+
+    async def scenario():
+        async with RecordingServer(answer_large) as recorder:
+            reader, writer = await slow_connection(recorder)
+            writer.write(VALID_REQUEST)
+            for _ in range(10):
+                await asyncio.sleep(0.25)
+                if reads:
+                    await reader.read(200_000)
+                    await reader.read(200_000)
+            return len(recorder.server.connections)
+
+    assert run(scenario()) == int(reads)
