Stand-ins: two test processes never use the same ports

Cause: each process took its slice of ports by its number modulo 16, so two of some six test processes side by side often share one. Failures of tests beside other runs may have had this cause before; none of those listed was traced to it.

Fix: a process listens on the first port of its slice for as long as it lives, and takes the next slice if another one does. deployment_test, one of two cases fails before (the other depends on process numbers).

--- a/standins/site/deployment.py
+++ b/standins/site/deployment.py
@@ -32,13 +32,38 @@
 finds its own port free.  Each test process uses its own slice of them."""
 
 _ports = itertools.count()
+_claims: dict[int, tuple[int, socket.socket]] = {}
+"""By process, as one may be forked: the first port of its slice, on which it listens
+for as long as it lives, so that no other one uses the slice."""
+
+
+def _first_port() -> int:
+    """Return the first port of this process's slice.
+
+    :raises RuntimeError: If all slices are in use.
+    """
+    process = os.getpid()
+    if process in _claims:
+        return _claims[process][0]
+    for number in range(SLICE_COUNT):
+        first = FIRST_PORT + (process + number) % SLICE_COUNT * PORTS_PER_SLICE
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", first))
+            claim.listen()
+        except OSError:
+            claim.close()
+            continue
+        _claims[process] = first, claim
+        return first
+    raise RuntimeError(f"all {SLICE_COUNT} slices of ports are in use")
 
 
 def free_port() -> int:
     """Return a port that nothing listens on and that was not returned recently."""
-    first = FIRST_PORT + os.getpid() % SLICE_COUNT * PORTS_PER_SLICE
+    first = _first_port()
     while True:
-        port = first + next(_ports) % PORTS_PER_SLICE
+        port = first + 1 + next(_ports) % (PORTS_PER_SLICE - 1)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
             return port
