Streams: one server's word that a resumed stream has ended is not believed

Cause, by the code: an answer without an event was believed if no other server could be asked, also if it was only that no retry was left in the budget just then.

Fix: it is an attempt with an unknown outcome, which is tried again or answered 502, so that the caller asks again. Only on a route with one attempt is it believed, as nothing could ever confirm it. No retry is reserved any more for it, which could have been lost.

Evidence: stream_continuation_test with a retry budget of 0 failed before.

--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -923,18 +923,13 @@
         """Tell whether a stream that goes on without an event was complete before.
 
         The caller of a stream that is broken off instead resumes it, and learns the
-        same from the next server.
+        same from the next server, unless its route allows one attempt only.
         """
         self._ends_at_once += 1
-        if self._ends_at_once >= CONFIRMED_ENDS:
+        is_only_attempt = self._route.attempts < CONFIRMED_ENDS
+        if is_only_attempt and not self._responder.is_started:
             return True
-        if self._responder.is_started:
-            return False
-        may_ask = self._can_resume and self._has_attempts_left()
-        has_time = waiting.may_send_again(self._remaining_s())
-        if may_ask and has_time and self._try_acquire_retry():
-            self._has_reserved_retry = True
-        return not self._has_reserved_retry
+        return self._ends_at_once >= CONFIRMED_ENDS
 
     async def _forward_complete_response(
         self, head: ResponseHead, exchange: Exchange, entry: ServerEntry
--- a/sequoiapoint/node/stream_continuation_test.py
+++ b/sequoiapoint/node/stream_continuation_test.py
@@ -150,6 +150,28 @@
         assert site.streamed == []
 
 
+@pytest.mark.parametrize("has_retry", [True, False])
+def test_an_end_that_one_server_states_to_a_resuming_caller_is_not_believed(
+    monkeypatch, has_retry
+):
+    """It was, if no retry was left in the budget: the stream seemed to be whole."""
+    site = broken_site(monkeypatch, [])
+    if not has_retry:
+        site.state.retry_window("web")._allowance = 0
+
+    async def version_of(service, stream, arrived_s):
+        return ENTRY.version
+
+    site.origins.version_of = version_of
+    responses = [NO_CONTINUATIONS["nothing"], (200, [SIGNED, STREAM], event(3))]
+    site._send = lambda entry, accepts: scripted(site, entry, accepts, responses.pop(0))
+    asyncio.run(site.request(last_event_id="2", resumes="first"))
+    if has_retry:
+        assert site.streamed == [event(3), END]
+    else:
+        assert (site.answer[0], site.streamed) == (502, [])
+
+
 def scripted(site, entry, accepts, response):
     site.responses[entry.server] = [response]
     return Site._send(site, entry, accepts)
