--- a/sequoiapoint/node/detour_exchange.py
+++ b/sequoiapoint/node/detour_exchange.py
@@ -68,6 +68,8 @@
     }
 )
 """Reasons for which a helper refuses a request that another one may run."""
+BROKEN_OFF_REASON = "broken_off"
+"""Reason for which a stream is incomplete whose helper still runs."""
 
 
 class DetourOutcome(enum.Enum):
@@ -87,6 +89,8 @@
     :param reply: The helper's reply, None without one.
     :param body: The body of a response that is not a stream.
     :param reason: Why it was not answered.
+    :param has_helper_failed: Whether the helper cannot help for now, as opposed to a
+        server that it asked.
     """
 
     outcome: DetourOutcome
@@ -94,6 +98,7 @@
     reply: DetourReply | None = None
     body: bytes = b""
     reason: str = ""
+    has_helper_failed: bool = False
 
 
 StreamReceiver = Callable[[ServerReply, ClientConnection, Exchange, bytes], None]
@@ -152,7 +157,7 @@
                 self._choice.note_ended(helper)
             if result.outcome is DetourOutcome.ANSWERED:
                 self._choice.note_success(helper)
-            elif result.outcome is not DetourOutcome.REFUSED:
+            elif result.has_helper_failed:
                 self._choice.note_failure(helper, monotonic_s())
             if result.outcome is not DetourOutcome.ANSWERED:
                 self._log_failure(request, result)
@@ -194,7 +199,10 @@
         )
         if isinstance(connection, Failure):
             return DetourResult(
-                DetourOutcome.NO_HELPER, helper.host, reason=connection.reason
+                DetourOutcome.NO_HELPER,
+                helper.host,
+                reason=connection.reason,
+                has_helper_failed=True,
             )
         body = encode_detour_request(request)
         head = encode_request_head(
@@ -233,9 +241,12 @@
                 helper.host,
                 reply,
                 reason=reply.reason,
+                has_helper_failed=is_unable,
             )
         if isinstance(reply, UnknownReply):
-            return _unknown(helper, reply.reason, reply)
+            return DetourResult(
+                DetourOutcome.UNKNOWN, helper.host, reply, reason=reply.reason
+            )
         self._responded_at = monotonic_s()
         if reply.is_stream:
 
@@ -251,6 +262,10 @@
             return _unknown(helper, "helper_silent", reply)
         outcome = exchange.outcome.result()
         if outcome is not ExchangeOutcome.COMPLETE:
+            if await self.still_runs(helper):
+                return DetourResult(
+                    DetourOutcome.UNKNOWN, helper.host, reply, reason=BROKEN_OFF_REASON
+                )
             return _unknown(helper, f"helper_{outcome.value}", reply)
         return DetourResult(
             DetourOutcome.ANSWERED, helper.host, reply, exchange.take_body()
@@ -315,4 +330,7 @@
 def _unknown(
     helper: Member, reason: str, reply: DetourReply | None = None
 ) -> DetourResult:
-    return DetourResult(DetourOutcome.UNKNOWN, helper.host, reply, reason=reason)
+    """Return the result of a request whose helper failed."""
+    return DetourResult(
+        DetourOutcome.UNKNOWN, helper.host, reply, b"", reason, has_helper_failed=True
+    )
