--- a/sequoiapoint/node/detour_exchange.py
+++ b/sequoiapoint/node/detour_exchange.py
@@ -36,6 +36,7 @@
     call,
     encode_request_head,
 )
+from sequoiapoint.transport.async_http_server import HOST_STOPPED
 from sequoiapoint.transport.clock import monotonic_s
 
 MAX_HELPERS_ASKED = 4
@@ -65,6 +66,7 @@
         "older_configuration",
         "configuration_too_old",
         "no_route",
+        HOST_STOPPED,
     }
 )
 """Reasons for which a helper refuses a request that another one may run."""
--- a/sequoiapoint/node/detour_exchange_test.py
+++ b/sequoiapoint/node/detour_exchange_test.py
@@ -23,7 +23,7 @@
 )
 from sequoiapoint.protocol.digests import Member
 from sequoiapoint.protocol.gateway import CallerRequest
-from sequoiapoint.transport.async_http_server import AsyncHttpServer
+from sequoiapoint.transport.async_http_server import HOST_STOPPED, AsyncHttpServer
 from sequoiapoint.transport.clock import monotonic_s
 
 REQUEST = CallerRequest("id", "POST", "h", "/r/x", ((b"a", b"b"),), b"body")
@@ -90,6 +90,8 @@
 UNABLE = [
     reply(RefusalReply(503, reason, None)) for reason in detour_exchange.UNABLE_REASONS
 ]
+STOPPED = reply(RefusalReply(503, HOST_STOPPED, None))
+"""How a helper gives back a request that it has not sent when its stop ends."""
 
 
 class Helper:
@@ -175,7 +177,7 @@
     return result, helpers, received
 
 
-@pytest.mark.parametrize("unable", [None, not_found, *UNABLE])
+@pytest.mark.parametrize("unable", [None, not_found, STOPPED, *UNABLE])
 def test_another_host_is_asked_if_the_first_one_has_not_run_the_request(unable):
     result, helpers, _ = asyncio.run(run(unable, ANSWERED))
     assert result.outcome is DetourOutcome.ANSWERED
