HTTP server: callers behind another request are told to continue in turn

A caller that sends `Expect: 100-continue` behind another request on its connection got the interim response before the response to that request, if both arrived together, so that it was taken for the head of that one; or never, if the first was in progress, so that its body never came.

Cause: the interim response was written when a head was parsed, and only if no handler was running at that moment.

Now it is written once no response precedes it, and not to a caller that has sent a part of the body already or that speaks HTTP/1.0.

Tests: async_http_server_test, 4 new cases, all fail before; sequoiapoint/transport passes with them (303 tests).

--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -294,6 +294,7 @@
             self._close_after_delay()
         else:
             self._transport.resume_reading()
+            self._tell_to_continue()
 
     def check_timeouts(self, now: float, late_s: float = 0.0) -> None:
         """Close an idle connection; reject a request that arrives too slowly.
@@ -426,6 +427,13 @@
             self._start_next()
         if self._active is not None and self._queue and self._transport is not None:
             self._transport.pause_reading()
+        self._tell_to_continue()
+
+    def _tell_to_continue(self) -> None:
+        """Ask for the body that a caller holds back, once no response precedes it."""
+        if self._awaits_continue and self._active is None and not self._queue:
+            self._awaits_continue = False
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     # httptools callbacks
 
@@ -468,12 +476,15 @@
                 )
             if name == b"transfer-encoding" and value.strip().lower() != b"chunked":
                 raise _RejectionError(http.HTTPStatus.BAD_REQUEST)
-            if name == b"expect" and self._active is None:
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._awaits_continue = self.is_http_11 and any(
+            name == b"expect" and value.strip().lower() == b"100-continue"
+            for name, value in self._headers
+        )
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
         self._overhead_bytes = 0
+        self._awaits_continue = False
         self._body_bytes += len(data)
         if self._body_bytes > self._server.limits.max_body_bytes:
             raise _RejectionError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -485,6 +496,7 @@
         One that has been read is also answered if the server accepts no requests.
         """
         self._is_reading = False
+        self._awaits_continue = False
         self._overhead_bytes = 0
         request = InboundRequest(
             self._parser.get_method().decode("latin-1"),
@@ -498,6 +510,8 @@
     def _begin_message(self) -> None:
         self._arrived_s = self._head_started_at = monotonic_s()
         self._is_head_complete = False
+        # Whether the caller waits for an interim response before it sends the body.
+        self._awaits_continue = False
         self._target = b""
         self._headers: Headers = []
         self._head_bytes = 0
--- a/sequoiapoint/transport/async_http_server_test.py
+++ b/sequoiapoint/transport/async_http_server_test.py
@@ -17,6 +17,9 @@
     idle_timeout_s=0.8,
 )
 VALID_REQUEST = b"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+EXPECTANT_HEAD = (
+    b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n"
+)
 CHUNKED_REQUEST = (
     b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n"
 )
@@ -284,10 +287,7 @@
     async def scenario():
         async with RecordingServer() as recorder:
             reader, writer = await recorder.connect()
-            writer.write(
-                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
-                b"Expect: 100-continue\r\n\r\n"
-            )
+            writer.write(EXPECTANT_HEAD)
             first = await reader.readuntil(b"\r\n\r\n")
             writer.write(b"hi")
             rest = await reader.readuntil(b"ok")
@@ -298,6 +298,51 @@
     assert rest.startswith(b"HTTP/1.1 200 ")
 
 
+@pytest.mark.parametrize("pause_s", [0.0, 0.05])
+def test_a_caller_is_told_to_continue_after_the_response_to_the_request_before(
+    pause_s,
+):
+    """It came before that response, or never.
+
+    The second request comes with the first one, or while that is in progress.
+    """
+
+    async def slow(request, responder):
+        await asyncio.sleep(0.1)
+        responder.send_response(200, [], b"ok")
+
+    async def scenario():
+        async with RecordingServer(slow) as recorder:
+            reader, writer = await recorder.connect()
+            parts = [VALID_REQUEST, EXPECTANT_HEAD]
+            if not pause_s:
+                parts = [b"".join(parts)]
+            for part in parts:
+                writer.write(part)
+                await asyncio.sleep(pause_s)
+            first = await reader.readuntil(b"ok")
+            interim = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0)
+            writer.write(b"hi")
+            return first, interim, await reader.readuntil(b"ok"), recorder.received
+
+    first, interim, rest, received = run(scenario())
+    assert first.startswith(b"HTTP/1.1 200 ")
+    assert interim == b"HTTP/1.1 100 Continue\r\n\r\n"
+    assert rest.startswith(b"HTTP/1.1 200 ")
+    assert len(received) == 2
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [(EXPECTANT_HEAD + b"hi",), (EXPECTANT_HEAD.replace(b"/1.1", b"/1.0"), b"hi")],
+    ids=["body_sent", "http_1_0"],
+)
+def test_a_caller_that_does_not_wait_is_not_told_to_continue(parts):
+    data, recorder = run(_send_parts(*parts))
+    assert data.startswith(b"HTTP/1.1 200 ")
+    assert len(recorder.received) == 1
+
+
 def test_a_stopping_server_completes_responses_and_accepts_no_new_request():
     """Guards against a response in progress being lost in a planned stop.
 
