Revert "Detours: the host that a request is from counts its attempts"

To mend it, a detour needs the servers that were tried, and the budget has to move to the host that a request is from: more than this fault is worth.

--- a/sequoiapoint/node/detour_exchange.py
+++ b/sequoiapoint/node/detour_exchange.py
@@ -70,8 +70,6 @@
     }
 )
 """Reasons for which a helper refuses a request that another one may run."""
-BROKEN_OFF_REASON = "broken_off"
-"""Reason for which a stream is incomplete whose helper still runs."""
 
 
 class DetourOutcome(enum.Enum):
@@ -91,8 +89,6 @@
     :param reply: The helper's reply, None without one.
     :param body: The body of a response that is not a stream.
     :param reason: Why it was not answered.
-    :param has_helper_failed: Whether the helper cannot help for now, as opposed to a
-        server that it asked.
     """
 
     outcome: DetourOutcome
@@ -100,7 +96,6 @@
     reply: DetourReply | None = None
     body: bytes = b""
     reason: str = ""
-    has_helper_failed: bool = False
 
 
 StreamReceiver = Callable[[ServerReply, ClientConnection, Exchange, bytes], None]
@@ -159,7 +154,7 @@
                 self._choice.note_ended(helper)
             if result.outcome is DetourOutcome.ANSWERED:
                 self._choice.note_success(helper)
-            elif result.has_helper_failed:
+            elif result.outcome is not DetourOutcome.REFUSED:
                 self._choice.note_failure(helper, monotonic_s())
             if result.outcome is not DetourOutcome.ANSWERED:
                 self._log_failure(request, result)
@@ -201,10 +196,7 @@
         )
         if isinstance(connection, Failure):
             return DetourResult(
-                DetourOutcome.NO_HELPER,
-                helper.host,
-                reason=connection.reason,
-                has_helper_failed=True,
+                DetourOutcome.NO_HELPER, helper.host, reason=connection.reason
             )
         body = encode_detour_request(request)
         head = encode_request_head(
@@ -243,12 +235,9 @@
                 helper.host,
                 reply,
                 reason=reply.reason,
-                has_helper_failed=is_unable,
             )
         if isinstance(reply, UnknownReply):
-            return DetourResult(
-                DetourOutcome.UNKNOWN, helper.host, reply, reason=reply.reason
-            )
+            return _unknown(helper, reply.reason, reply)
         self._responded_at = monotonic_s()
         if reply.is_stream:
 
@@ -264,10 +253,6 @@
             return _unknown(helper, "helper_silent", reply)
         outcome = exchange.outcome.result()
         if outcome is not ExchangeOutcome.COMPLETE:
-            if await self.still_runs(helper):
-                return DetourResult(
-                    DetourOutcome.UNKNOWN, helper.host, reply, reason=BROKEN_OFF_REASON
-                )
             return _unknown(helper, f"helper_{outcome.value}", reply)
         return DetourResult(
             DetourOutcome.ANSWERED, helper.host, reply, exchange.take_body()
@@ -332,7 +317,4 @@
 def _unknown(
     helper: Member, reason: str, reply: DetourReply | None = None
 ) -> DetourResult:
-    """Return the result of a request whose helper failed."""
-    return DetourResult(
-        DetourOutcome.UNKNOWN, helper.host, reply, b"", reason, has_helper_failed=True
-    )
+    return DetourResult(DetourOutcome.UNKNOWN, helper.host, reply, reason=reason)
--- a/sequoiapoint/node/detour_server.py
+++ b/sequoiapoint/node/detour_server.py
@@ -1,9 +1,8 @@
 """Runs requests for hosts that are cut off from servers.
 
 Each request is run as if its caller had sent it to this host, with the time and the
-attempts that are left, but by one server only: the host that it is from counts attempts
-and decides on the next one.  It never goes on to a third host.  This host looks its key
-up again in its own configuration, which is not older than that of the other host.
+attempts that are left.  It never goes on to a third host.  This host looks its key up
+again in its own configuration, which is not older than that of the other host.
 """
 
 import asyncio
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -923,11 +923,8 @@
         """Tell whether a stream that goes on without an event was complete before.
 
         The caller of a stream that is broken off instead resumes it, and learns the
-        same from the next server, unless its route allows one attempt only.  On a
-        detour the host that the request is from decides.
+        same from the next server, unless its route allows one attempt only.
         """
-        if self._is_on_detour:
-            return True
         self._ends_without_event += 1
         is_only_attempt = self._route.attempts < CONFIRMED_ENDS
         if is_only_attempt and not self._responder.is_started:
@@ -945,7 +942,8 @@
         is_error = head.status >= 500
         may_repeat = self._route.may_repeat and self._has_attempts_left()
         has_time = waiting.may_send_again(self._remaining_s())
-        if is_error and may_repeat and has_time and self._reserve_retry():
+        if is_error and may_repeat and has_time and self._try_acquire_retry():
+            self._has_reserved_retry = True
             return _AttemptOutcome.UNKNOWN, f"server_error_{head.status}"
         if self._responder.is_started:
             return _AttemptOutcome.UNKNOWN, f"server_error_{head.status}"
@@ -1107,7 +1105,8 @@
         :return: Whether another server is ready.
         """
         if self._can_run_elsewhere():
-            return self._reserve_retry()
+            self._has_reserved_retry = self._try_acquire_retry()
+            return self._has_reserved_retry
         search = asyncio.ensure_future(self._find_successor(entry))
         resumed = asyncio.ensure_future(received.wait())
         try:
@@ -1123,9 +1122,10 @@
             return False
         has_resumed = received.is_set() or ended.done()
         has_time = self._may_leave_silent()
-        if has_resumed or not has_time or not self._reserve_retry():
+        if has_resumed or not has_time or not self._try_acquire_retry():
             self._discard_successor()
             return False
+        self._has_reserved_retry = True
         self._has_left_silent = True
         return True
 
@@ -1186,8 +1186,6 @@
         """
         if not (self._has_left_silent and self._responder.is_started):
             return False
-        if self._is_on_detour:
-            return False
         if not self._has_attempts_left():
             return False
         if not waiting.may_send_again(self._remaining_s()):
@@ -1242,13 +1240,6 @@
             monotonic_s(), state.recent_max_host_count
         )
 
-    def _reserve_retry(self) -> bool:
-        """Reserve the next attempt; the one after a detour counts where that began."""
-        if self._is_on_detour:
-            return self._is_retry_available()
-        self._has_reserved_retry = self._try_acquire_retry()
-        return self._has_reserved_retry
-
     def _is_retry_available(self) -> bool:
         state = self._state
         return state.retry_window(self._selector.service).is_available(
@@ -1258,9 +1249,7 @@
     def _may_retry(self, outcome: _AttemptOutcome) -> bool:
         if outcome is not _AttemptOutcome.NOT_RUN:
             self._has_unknown_outcome = True
-            # The host that the request is from counts its attempts: it may lose this
-            # one at any moment, and would not know of a second one here.
-            if self._is_on_detour or not self._route.may_repeat:
+            if not self._route.may_repeat:
                 return False
         if outcome is _AttemptOutcome.BROKEN_STREAM and not self._can_resume:
             return False
