--- a/sequoiapoint/node/detour_exchange.py
+++ b/sequoiapoint/node/detour_exchange.py
@@ -8,7 +8,7 @@
 import asyncio
 import enum
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from sequoiapoint.coordination.helper_choice import HelperChoice
 from sequoiapoint.node.gateway_state import GatewayState
@@ -205,12 +205,29 @@
         exchange = connection.send(head, body, lambda status, headers: True)
         waiter = _Waiter(self, helper, deadline + REPLY_GRACE_S, may_leave)
         try:
-            return await self._receive(
+            result = await self._receive(
                 helper, connection, exchange, waiter, receive_stream
             )
         finally:
             if not exchange.outcome.done():
                 connection.close()
+        return await self._with_all_attempts(helper, request, result)
+
+    async def _with_all_attempts(
+        self, helper: Member, request: DetourRequest, result: DetourResult
+    ) -> DetourResult:
+        """Return a result with the attempts that a helper has made at most.
+
+        The head of a response does not tell of attempts that followed it.  A helper
+        that runs breaks a response off when it may make no further one.
+        """
+        is_broken = result.outcome is DetourOutcome.UNKNOWN
+        if not is_broken or not isinstance(result.reply, ServerReply):
+            return result
+        if not await self.still_runs(helper):
+            return result
+        reply = replace(result.reply, attempts=request.attempts_left)
+        return replace(result, reply=reply)
 
     async def _receive(
         self,
--- a/sequoiapoint/node/detour_exchange_test.py
+++ b/sequoiapoint/node/detour_exchange_test.py
@@ -260,6 +260,24 @@
     assert b"".join(received) == EVENT
 
 
+async def die_after_event(helper, request, responder):
+    helper.server.stop_accepting()
+    helper.is_frozen = True
+    await break_stream(helper, request, responder)
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "attempts"), [(break_stream, 2), (die_after_event, 1)]
+)
+def test_a_helper_that_runs_has_used_up_its_attempts_when_a_stream_breaks_off(
+    behaviour, attempts
+):
+    """The head of its reply told of one only, and a third server got the request."""
+    result, _, _ = asyncio.run(run(behaviour, may_leave=True))
+    assert result.outcome is DetourOutcome.UNKNOWN
+    assert result.reply.attempts == attempts
+
+
 @pytest.mark.parametrize(("organisation", "helper"), [("aspen", "h-1"), ("", "h-0")])
 def test_a_helper_of_an_older_build_gets_no_request_of_an_organisation(
     organisation, helper
--- a/standins/site/backends.py
+++ b/standins/site/backends.py
@@ -67,6 +67,7 @@
     :param sent_head_bytes: The number of bytes of its head after which the server
         closes; None to send all.
     :param sent_body_bytes: The same for the body.
+    :param pause_s: The time after which it closes, in seconds.
     """
 
     status: int
@@ -74,6 +75,7 @@
     body: bytes = b""
     sent_head_bytes: int | None = None
     sent_body_bytes: int | None = None
+    pause_s: float = 0.0
 
     def encode(self, headers: list[tuple[bytes, bytes]]) -> bytes:
         """Return what is sent.
@@ -403,6 +405,7 @@
             response = script.popleft()
             # Bytes sent before a stream is started are written as they are.
             responder.send(response.encode(self._response_headers(request, seal)))
+            await asyncio.sleep(response.pause_s)
             responder.abort()
         elif self.is_engine:
             await self._stream(request, responder, seal)
--- a/tests/joined_streams_test.py
+++ b/tests/joined_streams_test.py
@@ -11,7 +11,7 @@
 import socket
 import time
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pytest
 
@@ -24,10 +24,11 @@
 LONG, CUT_AFTER_S = 40, 0.35
 """Events of streams during which their host is cut off, and when that is."""
 BUDGET_MS = 4_000
-CUT_OFF, HELPERS = 5, 4
+CUT_OFF, HELPERS = 3, 2
 """Number of hosts that are cut off, and of those that help them."""
-DETOUR_PAUSE_S = 0.5
-GIVE_UP_S = 15.0
+REJOIN_S = 2.5
+"""Time after which a helper that was killed is asked again."""
+GIVE_UP_S = 60.0
 FOR_THIRD = ("not-found", "html")
 """Answers after which a third server goes on, on a detour."""
 RESPONSE_TIMEOUT_S = 8.0
@@ -79,6 +80,8 @@
     200, STREAM, events(1, EVENTS), None, len(events(1, BROKEN_AFTER)) + 5
 )
 """What the first server sends: it breaks off in the middle of an event."""
+HELD = replace(BEGUN, pause_s=1.5)
+"""The same, but it is silent before."""
 ALL = ScriptedResponse(200, STREAM, events(1, EVENTS + 1), None, -5)
 """What a server sends that breaks off behind the last event."""
 CASES = list(itertools.product(("twice", "thrice"), ANSWERS))
@@ -202,23 +205,38 @@
     return begun, resumed, third
 
 
-def run_on_detour(site, gateway, kind, name):
-    """Run a stream that begins through one helper; the next helper has the answer.
+def run_on_detours(site, pool, cut_off, killed, cases):
+    """Run streams that begin through helpers, of which one is killed meanwhile.
 
-    The first helper uses up its attempts.  A helper is not asked again for two seconds
-    after it has failed, so there may be no second one at once.
+    :param killed: That helper; the next helper of its streams has the answer.
+    :return: What was received of the streams that had another helper, by their case.
     """
-    errors = [ERROR] * (ATTEMPTS[kind] - 1)
-    deadline, is_used = time.monotonic() + GIVE_UP_S, False
-    while not is_used:
-        assert time.monotonic() < deadline
-        received, request_id, is_used = run_stream(
-            site, gateway, kind, BEGUN, *errors, ANSWERS[name]
-        )
-        received.check_stream()
-        time.sleep(DETOUR_PAUSE_S)
-    assert len(set(helpers(site, request_id))) >= 2
-    return received
+    ids = {case: f"{case[0]}-{next(_numbers)}" for case in cases}
+    scripts = {ids[kind, name]: deque([HELD, ANSWERS[name]]) for kind, name in cases}
+    for engine in site.engines:
+        engine.scripts.update(scripts)
+    hosts = itertools.cycle(cut_off)
+    running = {
+        case: pool.submit(request_stream, next(hosts), case[0], request_id)
+        for case, request_id in ids.items()
+    }
+    time.sleep(CUT_AFTER_S)
+    killed.kill()
+    received = {case: task.result() for case, task in running.items()}
+    killed.start()
+    for case, request_id in ids.items():
+        check_runs(site, case[0], request_id)
+    return {
+        case: received[case]
+        for case, request_id in ids.items()
+        if len(set(helpers(site, request_id))) > 1 and not scripts[request_id]
+    }
+
+
+def check_runs(site, kind, request_id):
+    """Check that a stream ran on no more servers than its route allows."""
+    runs = sum(engine.runs[request_id] for engine in site.engines)
+    assert runs <= ATTEMPTS[kind], request_id
 
 
 def helpers(site, request_id):
@@ -269,32 +287,35 @@
 
 
 @pytest.fixture(scope="module")
-def detoured_streams():
-    """Run streams at hosts that are cut off from all servers, one by one at each."""
-    with (
-        LinkedDeployment(CUT_OFF + HELPERS, 3, 0, zones=1, **settings()) as site,
-        concurrent.futures.ThreadPoolExecutor(CUT_OFF) as pool,
-    ):
+def cut_off_site():
+    """Start hosts that are cut off from all servers, and some that help them."""
+    with LinkedDeployment(CUT_OFF + HELPERS, 3, 0, zones=1, **settings()) as site:
         prepare(site)
         cut_off = site.gateways[:CUT_OFF]
         site.cut_off(cut_off, Cut.RESET)
-        list(pool.map(notice_cut, cut_off))
-        results = {case: concurrent.futures.Future() for case in DETOURED}
-
-        def run_at(number):
-            for case in DETOURED[number::CUT_OFF]:
-                try:
-                    received = run_on_detour(site, cut_off[number], *case)
-                    results[case].set_result(received)
-                except Exception as error:
-                    results[case].set_exception(error)
-
-        for number in range(CUT_OFF):
-            pool.submit(run_at, number)
-        yield results
+        with concurrent.futures.ThreadPoolExecutor(CUT_OFF) as pool:
+            list(pool.map(notice_cut, cut_off))
+        yield site
         assert site.failures() == []
 
 
+@pytest.fixture(scope="module")
+def detoured_streams(cut_off_site):
+    """Run streams at hosts that are cut off, until each had a second helper."""
+    site, results = cut_off_site, {}
+    cut_off, others = site.gateways[:CUT_OFF], site.gateways[CUT_OFF:]
+    deadline = time.monotonic() + GIVE_UP_S
+    with concurrent.futures.ThreadPoolExecutor(len(DETOURED)) as pool:
+        for killed in itertools.cycle(others):
+            left = [case for case in DETOURED if case not in results]
+            if not left:
+                break
+            assert time.monotonic() < deadline, left
+            results |= run_on_detours(site, pool, cut_off, killed, left)
+            time.sleep(REJOIN_S)
+    return results
+
+
 @pytest.fixture(scope="module")
 def cut_streams():
     """Cut a host off while its streams run; their rest goes through other hosts.
@@ -360,7 +381,20 @@
 def test_what_a_second_helper_passes_on_is_not_joined_to_a_stream(
     detoured_streams, kind, name
 ):
-    check(detoured_streams[kind, name].result(), kind)
+    check(detoured_streams[kind, name], kind)
+
+
+def test_a_stream_that_its_helper_breaks_off_is_not_sent_again(cut_off_site):
+    """The helper had used up its attempts, and a third server got the stream."""
+    gateway = cut_off_site.gateways[0]
+    for answer in (ERROR, BEGUN):
+        received, request_id, is_used = run_stream(
+            cut_off_site, gateway, "twice", BEGUN, answer
+        )
+        assert is_used, received
+        received.check_stream()
+        assert helpers(cut_off_site, request_id)
+        check_runs(cut_off_site, "twice", request_id)
 
 
 @pytest.mark.parametrize("name", ANSWERS)
