--- a/sequoiapoint/node/detour_exchange.py
+++ b/sequoiapoint/node/detour_exchange.py
@@ -15,6 +15,7 @@
 from sequoiapoint.protocol.detours import (
     DETOUR_PATH,
     REPLY_HEADER,
+    REQUEST_HEADER,
     DetourReply,
     DetourRequest,
     RefusalReply,
@@ -33,6 +34,7 @@
     ConnectionPool,
     Exchange,
     ExchangeOutcome,
+    Response,
     call,
     encode_request_head,
 )
@@ -70,6 +72,8 @@
     }
 )
 """Reasons for which a helper refuses a request that another one may run."""
+BROKEN_OFF_REASONS = ("helper_closed", "helper_reset")
+"""Reasons for which a stream is incomplete that its helper has ended."""
 
 
 class DetourOutcome(enum.Enum):
@@ -211,23 +215,27 @@
         finally:
             if not exchange.outcome.done():
                 connection.close()
-        return await self._with_all_attempts(helper, request, result)
+        if (
+            may_leave
+            and _may_have_gone_on(request, result)
+            and monotonic_s() < deadline
+        ):
+            return await self._with_all_attempts(helper, request, result)
+        return result
 
     async def _with_all_attempts(
         self, helper: Member, request: DetourRequest, result: DetourResult
     ) -> DetourResult:
-        """Return a result with the attempts that a helper has made at most.
-
-        The head of a response does not tell of attempts that followed it.  A helper
-        that runs breaks a response off when it may make no further one.
-        """
-        is_broken = result.outcome is DetourOutcome.UNKNOWN
-        if not is_broken or not isinstance(result.reply, ServerReply):
+        """Return a result with all attempts of a helper that broke a stream off."""
+        request_id = request.request.request_id.encode("latin-1")
+        response = await self._check(helper, [(REQUEST_HEADER, request_id)])
+        if isinstance(response, Failure):
             return result
-        if not await self.still_runs(helper):
+        account = _decode_reply(response.status, response.headers)
+        if not isinstance(account, UnknownReply):
             return result
-        reply = replace(result.reply, attempts=request.attempts_left)
-        return replace(result, reply=reply)
+        attempts = max(result.reply.attempts, account.attempts)
+        return replace(result, reply=replace(result.reply, attempts=attempts))
 
     async def _receive(
         self,
@@ -277,10 +285,14 @@
 
     async def still_runs(self, helper: Member) -> bool:
         """Ask a helper whether it still runs."""
+        return not isinstance(await self._check(helper), Failure)
+
+    async def _check(
+        self, helper: Member, headers: Headers | None = None
+    ) -> Response | Failure:
         pool = self._pool(helper.address)
-        request = HttpCall("GET", DETOUR_PATH)
-        response = await call(pool, helper.address, request, CHECK_TIMEOUT_S)
-        return not isinstance(response, Failure)
+        request = HttpCall("GET", DETOUR_PATH, headers)
+        return await call(pool, helper.address, request, CHECK_TIMEOUT_S)
 
 
 class _Waiter:
@@ -317,6 +329,17 @@
         return True
 
 
+def _may_have_gone_on(request: DetourRequest, result: DetourResult) -> bool:
+    """Tell whether a stream's helper may have made attempts behind its head."""
+    reply = result.reply
+    return (
+        isinstance(reply, ServerReply)
+        and reply.is_stream
+        and reply.attempts < request.attempts_left
+        and result.reason in BROKEN_OFF_REASONS
+    )
+
+
 def _decode_reply(status: int, headers: Headers) -> DetourReply | ValueError:
     """Decode a helper's reply.
 
--- a/sequoiapoint/node/detour_exchange_test.py
+++ b/sequoiapoint/node/detour_exchange_test.py
@@ -13,6 +13,7 @@
 from sequoiapoint.protocol.detours import (
     DETOUR_PATH,
     REPLY_HEADER,
+    REQUEST_HEADER,
     DetourRequest,
     RefusalReply,
     ServerReply,
@@ -98,11 +99,14 @@
 
     :ivar requests: The requests that have reached it, with their times.
     :ivar cancelled: The number of handlers that were cancelled.
+    :ivar account: What it replies when asked for a request that has ended.
+    :ivar asked_for: The ids of these requests.
     """
 
     def __init__(self, name, zone, behaviour):
         self.behaviour = behaviour
         self.requests, self.cancelled, self.is_frozen = [], 0, False
+        self.account, self.asked_for = None, []
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             port = probe.getsockname()[1]
@@ -118,7 +122,12 @@
             if request.method == "GET":
                 if self.is_frozen:
                     await asyncio.sleep(60)
-                responder.send_response(200, [])
+                ids = [v for name, v in request.headers if name == REQUEST_HEADER]
+                self.asked_for += ids
+                headers = []
+                if ids and self.account is not None:
+                    headers = [(REPLY_HEADER, encode_detour_reply(self.account))]
+                responder.send_response(200, headers)
                 return
             self.requests.append((monotonic_s(), decode_detour_request(request.body)))
             await self.behaviour(self, request, responder)
@@ -133,6 +142,7 @@
     budget_s=BUDGET_S,
     cancel_after_s=None,
     request=REQUEST,
+    account=None,
 ):
     """Send a request; the first helper is asked first, as it is in the own zone.
 
@@ -143,6 +153,8 @@
         for number, behaviour in enumerate(behaviours)
     ]
     members = [helper.member for helper in helpers]
+    for helper in helpers:
+        helper.account = account
     state = SimpleNamespace(
         settings=SimpleNamespace(zone="z"),
         rng=random.Random(1),
@@ -266,16 +278,38 @@
     await break_stream(helper, request, responder)
 
 
+async def freeze_after_event(helper, request, responder):
+    message = ServerReply(200, (), True, 1)
+    responder.start_stream(200, [(REPLY_HEADER, encode_detour_reply(message))])
+    responder.send(EVENT)
+    await be_frozen(helper, request, responder)
+
+
 @pytest.mark.parametrize(
-    ("behaviour", "attempts"), [(break_stream, 2), (die_after_event, 1)]
+    ("behaviour", "account", "may_leave", "attempts"),
+    [
+        (break_stream, UnknownReply("ended", 2), True, 2),
+        # It was cut off itself, or had no server left, before its second attempt.
+        (break_stream, UnknownReply("ended", 1), True, 1),
+        (break_stream, UnknownReply("ended", 0), True, 1),
+        # A helper of an older build, and one that has restarted.
+        (break_stream, None, True, 1),
+        (die_after_event, UnknownReply("ended", 2), True, 1),
+        (freeze_after_event, UnknownReply("ended", 2), True, 1),
+        # It is not sent again in any case.
+        (break_stream, UnknownReply("ended", 2), False, 1),
+    ],
 )
-def test_a_helper_that_runs_has_used_up_its_attempts_when_a_stream_breaks_off(
-    behaviour, attempts
+def test_a_helper_is_asked_for_the_attempts_behind_the_head_of_a_stream(
+    behaviour, account, may_leave, attempts
 ):
-    """The head of its reply told of one only, and a third server got the request."""
-    result, _, _ = asyncio.run(run(behaviour, may_leave=True))
+    """The head told of the first one only, and a third server got the request."""
+    result, helpers, _ = asyncio.run(
+        run(behaviour, may_leave=may_leave, account=account, budget_s=4.0)
+    )
     assert result.outcome is DetourOutcome.UNKNOWN
     assert result.reply.attempts == attempts
+    assert set(helpers[0].asked_for) <= {b"id"}
 
 
 @pytest.mark.parametrize(("organisation", "helper"), [("aspen", "h-1"), ("", "h-0")])
--- a/sequoiapoint/node/detour_server.py
+++ b/sequoiapoint/node/detour_server.py
@@ -18,6 +18,7 @@
 from sequoiapoint.node.request_record import Refusal, send_refusal
 from sequoiapoint.protocol.detours import (
     REPLY_HEADER,
+    REQUEST_HEADER,
     DetourReply,
     DetourRequest,
     RefusalReply,
@@ -36,6 +37,8 @@
 )
 
 OK = int(http.HTTPStatus.OK)
+MAX_ENDED_REQUESTS = 1_000
+"""Number of requests, of those that have ended, whose attempts are remembered."""
 UNKNOWN_STATUSES = (http.HTTPStatus.BAD_GATEWAY, http.HTTPStatus.GATEWAY_TIMEOUT)
 """Statuses of the gateway's own responses that do not tell whether a request ran."""
 
@@ -118,6 +121,8 @@
         self._state = state
         self._exchange = exchange
         self._running: set[asyncio.Task] = set()
+        # How often the last requests were sent to servers, by their ids.
+        self._attempts: dict[str, int] = {}
 
     @property
     def busy_count(self) -> int:
@@ -130,9 +135,13 @@
             task.cancel(HOST_STOPPED)
 
     async def handle(self, inbound: InboundRequest, responder: Responder) -> None:
-        """Run a request, or refuse it; a call without one asks whether we run."""
+        """Run a request, or refuse it.
+
+        A call without one asks whether this host runs, or how often it has sent a
+        request that has ended.
+        """
         if inbound.method != "POST":
-            responder.send_response(OK, [])
+            responder.send_response(OK, self._account(inbound.headers))
             return
         try:
             message = decode_detour_request(inbound.body)
@@ -231,3 +240,18 @@
         except asyncio.CancelledError as error:
             forwarder.end_cancelled(error.args[0] if error.args else "")
             raise
+        finally:
+            request_id = message.request.request_id
+            self._note_attempts(request_id, forwarder.count_attempts())
+
+    def _note_attempts(self, request_id: str, attempts: int) -> None:
+        self._attempts.pop(request_id, None)
+        self._attempts[request_id] = attempts
+        if len(self._attempts) > MAX_ENDED_REQUESTS:
+            del self._attempts[next(iter(self._attempts))]
+
+    def _account(self, headers: Headers) -> Headers:
+        """Return how often a request was sent; the head of its reply is too old."""
+        request_id = next((v for name, v in headers if name == REQUEST_HEADER), b"")
+        attempts = self._attempts.get(request_id.decode("latin-1"))
+        return [] if attempts is None else _head(UnknownReply("ended", attempts))
--- a/sequoiapoint/node/detour_server_test.py
+++ b/sequoiapoint/node/detour_server_test.py
@@ -1,6 +1,7 @@
 """Requests that this host runs for another one, with a scripted request forwarder."""
 
 import asyncio
+import contextlib
 import random
 from dataclasses import replace
 from types import SimpleNamespace
@@ -15,6 +16,7 @@
 from sequoiapoint.platform.callers import PlatformCallerCodec
 from sequoiapoint.protocol.api_keys import key_digest
 from sequoiapoint.protocol.detours import (
+    REQUEST_HEADER,
     DetourRequest,
     RefusalReply,
     ServerReply,
@@ -150,6 +152,41 @@
     assert Forwarder.last.options == {"is_on_detour": True, "is_retry": True}
 
 
+@pytest.mark.parametrize("cause", [None, HOST_STOPPED])
+def test_a_helper_tells_the_attempts_of_a_request_that_has_ended(monkeypatch, cause):
+    """The head of a stream's reply cannot tell of those that followed it."""
+    site = Site(monkeypatch)
+
+    async def behave(forwarder):
+        forwarder.responder.start_stream(200, [])
+        forwarder.count_attempts = lambda: 2
+        if cause is not None:
+            raise asyncio.CancelledError(cause)
+
+    async def ask(request_id):
+        headers = [(REQUEST_HEADER, request_id)]
+        inbound = InboundRequest("GET", "/detours", headers, b"", monotonic_s())
+        await site.server.handle(inbound, site.responder)
+        return site.sent[-1]
+
+    Forwarder.behave = staticmethod(behave)
+    with contextlib.suppress(asyncio.CancelledError):
+        asyncio.run(site.handle())
+    asyncio.run(ask(b"id"))
+    assert site.reply() == UnknownReply("ended", 2)
+    assert asyncio.run(ask(b"other")) == (200, [])
+
+
+def test_a_helper_remembers_a_limited_number_of_requests(monkeypatch):
+    site = Site(monkeypatch)
+    monkeypatch.setattr(detour_server, "MAX_ENDED_REQUESTS", 2)
+    Forwarder.behave = staticmethod(answer)
+    for number in range(4):
+        request = replace(REQUEST, request_id=f"id-{number}")
+        asyncio.run(site.handle(replace(MESSAGE, request=request)))
+    assert list(site.server._attempts) == ["id-2", "id-3"]
+
+
 def draining(site):
     site.state.is_draining = True
 
--- a/sequoiapoint/transport/async_http_server_test.py
+++ b/sequoiapoint/transport/async_http_server_test.py
@@ -340,6 +340,7 @@
 def test_a_caller_that_does_not_wait_is_not_told_to_continue(parts):
     data, recorder = run(_send_parts(*parts))
     assert data.startswith(b"HTTP/1.1 200 ")
+    assert b"100 Continue" not in data
     assert len(recorder.received) == 1
 
 
--- a/tests/joined_streams_test.py
+++ b/tests/joined_streams_test.py
@@ -225,6 +225,7 @@
     received = {case: task.result() for case, task in running.items()}
     killed.start()
     for case, request_id in ids.items():
+        received[case].check_stream()
         check_runs(site, case[0], request_id)
     return {
         case: received[case]
@@ -386,8 +387,9 @@
 
 def test_a_stream_that_its_helper_breaks_off_is_not_sent_again(cut_off_site):
     """The helper had used up its attempts, and a third server got the stream."""
-    gateway = cut_off_site.gateways[0]
-    for answer in (ERROR, BEGUN):
+    # A host avoids a helper that has failed, so each stream has its own host.
+    hosts = cut_off_site.gateways[:CUT_OFF]
+    for gateway, answer in zip(hosts, (ERROR, BEGUN, ALL), strict=True):
         received, request_id, is_used = run_stream(
             cut_off_site, gateway, "twice", BEGUN, answer
         )
