Stand-ins: a server that ends a connection says so

Cause: the servers ran these streams twice, the log has a third request, which ended with reason=reset. A scripted response that is whole names a length, not that its connection ends; so the host used the connection again 16 to 28 ms later, before the reset that followed had reached it on a busy machine.

The host's log lines in a failure's message are read once the end of the stream is in them.

--- a/standins/site/backends.py
+++ b/standins/site/backends.py
@@ -86,6 +86,8 @@
             headers = [*headers, (b"Content-Type", self.content_type.encode())]
         if self.status != http.HTTPStatus.NO_CONTENT:
             headers = [*headers, (b"Content-Length", b"%d" % len(self.body))]
+        # Without it, the next request on the connection is reset if it is early.
+        headers = [*headers, (b"Connection", b"close")]
         lines = [b"HTTP/1.1 %d Scripted" % self.status]
         lines += [name + b": " + value for name, value in headers]
         head = b"\r\n".join(lines) + b"\r\n\r\n"
--- a/tests/joined_streams_test.py
+++ b/tests/joined_streams_test.py
@@ -32,6 +32,8 @@
 FOR_THIRD = ("not-found", "html")
 """Answers after which a third server goes on, on a detour."""
 RESPONSE_TIMEOUT_S = 8.0
+LOG_DELAY_S = 0.5
+"""Time after the end of a stream in which its host logs that."""
 NOTICE_S, NOTICE_STREAMS = 5.0, 4
 """Time in which a host must notice that it is cut off, and streams that show it."""
 ATTEMPTS = {"twice": 2, "thrice": 3, "often": 8}
@@ -156,11 +158,22 @@
         if not size or not end.startswith(b"\r\n"):
             break
         body, rest = body + chunk, end[2:]
-    lines = gateway.log.read_text().splitlines()
-    log = [line for line in lines if f"request={request_id} " in line]
+    log = log_lines(gateway, request_id)
     return Received(int(head.split()[1]), body, rest, log)
 
 
+def log_lines(gateway, request_id):
+    """Return a host's log lines on a request, with that on its end if it is soon."""
+    deadline = time.monotonic() + LOG_DELAY_S
+    while True:
+        lines = gateway.log.read_text().splitlines()
+        found = [line for line in lines if f"request={request_id} " in line]
+        is_ended = any(line in found for line in gateway.events("request_ended"))
+        if is_ended or time.monotonic() > deadline:
+            return found
+        time.sleep(0.05)
+
+
 def run_stream(site, gateway, kind, *script, **headers):
     """Request a stream whose first attempts are answered by a script.
 
