--- a/sequoiapoint/node/detour_exchange.py
+++ b/sequoiapoint/node/detour_exchange.py
@@ -217,24 +217,27 @@
                 connection.close()
         if (
             may_leave
-            and _may_have_gone_on(request, result)
+            and _may_have_retried(request, result)
             and monotonic_s() < deadline
         ):
-            return await self._with_all_attempts(helper, request, result)
+            return await self._with_reported_attempts(helper, request, result)
         return result
 
-    async def _with_all_attempts(
+    async def _with_reported_attempts(
         self, helper: Member, request: DetourRequest, result: DetourResult
     ) -> DetourResult:
-        """Return a result with all attempts of a helper that broke a stream off."""
+        """Return a result with the attempts that its helper reports when asked.
+
+        It is unchanged if the helper is gone, or is of a build that does not tell.
+        """
         request_id = request.request.request_id.encode("latin-1")
         response = await self._check(helper, [(REQUEST_HEADER, request_id)])
         if isinstance(response, Failure):
             return result
-        account = _decode_reply(response.status, response.headers)
-        if not isinstance(account, UnknownReply):
+        ended = _decode_reply(response.status, response.headers)
+        if not isinstance(ended, UnknownReply):
             return result
-        attempts = max(result.reply.attempts, account.attempts)
+        attempts = max(result.reply.attempts, ended.attempts)
         return replace(result, reply=replace(result.reply, attempts=attempts))
 
     async def _receive(
@@ -290,6 +293,7 @@
     async def _check(
         self, helper: Member, headers: Headers | None = None
     ) -> Response | Failure:
+        """Make a call to a helper that carries no request to run."""
         pool = self._pool(helper.address)
         request = HttpCall("GET", DETOUR_PATH, headers)
         return await call(pool, helper.address, request, CHECK_TIMEOUT_S)
@@ -329,8 +333,11 @@
         return True
 
 
-def _may_have_gone_on(request: DetourRequest, result: DetourResult) -> bool:
-    """Tell whether a stream's helper may have made attempts behind its head."""
+def _may_have_retried(request: DetourRequest, result: DetourResult) -> bool:
+    """Tell whether a helper may have made attempts after the head of a stream.
+
+    The head of its reply does not count them.
+    """
     reply = result.reply
     return (
         isinstance(reply, ServerReply)
--- a/sequoiapoint/node/detour_exchange_test.py
+++ b/sequoiapoint/node/detour_exchange_test.py
@@ -99,14 +99,14 @@
 
     :ivar requests: The requests that have reached it, with their times.
     :ivar cancelled: The number of handlers that were cancelled.
-    :ivar account: What it replies when asked for a request that has ended.
+    :ivar ended_reply: What it replies when asked for a request that has ended.
     :ivar asked_for: The ids of these requests.
     """
 
     def __init__(self, name, zone, behaviour):
         self.behaviour = behaviour
         self.requests, self.cancelled, self.is_frozen = [], 0, False
-        self.account, self.asked_for = None, []
+        self.ended_reply, self.asked_for = None, []
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             port = probe.getsockname()[1]
@@ -125,8 +125,8 @@
                 ids = [v for name, v in request.headers if name == REQUEST_HEADER]
                 self.asked_for += ids
                 headers = []
-                if ids and self.account is not None:
-                    headers = [(REPLY_HEADER, encode_detour_reply(self.account))]
+                if ids and self.ended_reply is not None:
+                    headers = [(REPLY_HEADER, encode_detour_reply(self.ended_reply))]
                 responder.send_response(200, headers)
                 return
             self.requests.append((monotonic_s(), decode_detour_request(request.body)))
@@ -142,7 +142,7 @@
     budget_s=BUDGET_S,
     cancel_after_s=None,
     request=REQUEST,
-    account=None,
+    ended_reply=None,
 ):
     """Send a request; the first helper is asked first, as it is in the own zone.
 
@@ -154,7 +154,7 @@
     ]
     members = [helper.member for helper in helpers]
     for helper in helpers:
-        helper.account = account
+        helper.ended_reply = ended_reply
     state = SimpleNamespace(
         settings=SimpleNamespace(zone="z"),
         rng=random.Random(1),
@@ -286,7 +286,7 @@
 
 
 @pytest.mark.parametrize(
-    ("behaviour", "account", "may_leave", "attempts"),
+    ("behaviour", "ended_reply", "may_leave", "attempts"),
     [
         (break_stream, UnknownReply("ended", 2), True, 2),
         # It was cut off itself, or had no server left, before its second attempt.
@@ -301,15 +301,16 @@
     ],
 )
 def test_a_helper_is_asked_for_the_attempts_behind_the_head_of_a_stream(
-    behaviour, account, may_leave, attempts
+    behaviour, ended_reply, may_leave, attempts
 ):
     """The head told of the first one only, and a third server got the request."""
     result, helpers, _ = asyncio.run(
-        run(behaviour, may_leave=may_leave, account=account, budget_s=4.0)
+        run(behaviour, may_leave=may_leave, ended_reply=ended_reply, budget_s=4.0)
     )
     assert result.outcome is DetourOutcome.UNKNOWN
     assert result.reply.attempts == attempts
-    assert set(helpers[0].asked_for) <= {b"id"}
+    is_asked = behaviour is break_stream and may_leave
+    assert helpers[0].asked_for == ([b"id"] if is_asked else [])
 
 
 @pytest.mark.parametrize(("organisation", "helper"), [("aspen", "h-1"), ("", "h-0")])
--- a/sequoiapoint/node/detour_server.py
+++ b/sequoiapoint/node/detour_server.py
@@ -121,7 +121,7 @@
         self._state = state
         self._exchange = exchange
         self._running: set[asyncio.Task] = set()
-        # How often the last requests were sent to servers, by their ids.
+        # How often the last requests that have ended were sent, by their ids.
         self._attempts: dict[str, int] = {}
 
     @property
@@ -141,7 +141,7 @@
         request that has ended.
         """
         if inbound.method != "POST":
-            responder.send_response(OK, self._account(inbound.headers))
+            responder.send_response(OK, self._attempts_reply(inbound.headers))
             return
         try:
             message = decode_detour_request(inbound.body)
@@ -235,23 +235,27 @@
             is_retry=message.is_retry,
         )
         responder.count_attempts = forwarder.count_attempts
+        request_id = message.request.request_id
         try:
             await forwarder.run()
         except asyncio.CancelledError as error:
             forwarder.end_cancelled(error.args[0] if error.args else "")
             raise
         finally:
-            request_id = message.request.request_id
             self._note_attempts(request_id, forwarder.count_attempts())
 
     def _note_attempts(self, request_id: str, attempts: int) -> None:
+        """Remember the attempts of a request, and forget the oldest ones."""
         self._attempts.pop(request_id, None)
         self._attempts[request_id] = attempts
         if len(self._attempts) > MAX_ENDED_REQUESTS:
             del self._attempts[next(iter(self._attempts))]
 
-    def _account(self, headers: Headers) -> Headers:
-        """Return how often a request was sent; the head of its reply is too old."""
+    def _attempts_reply(self, headers: Headers) -> Headers:
+        """Return the reply on a request that has ended, empty if none is asked for.
+
+        The head of its first reply may have preceded some of its attempts.
+        """
         request_id = next((v for name, v in headers if name == REQUEST_HEADER), b"")
         attempts = self._attempts.get(request_id.decode("latin-1"))
         return [] if attempts is None else _head(UnknownReply("ended", attempts))
--- a/sequoiapoint/protocol/detours.py
+++ b/sequoiapoint/protocol/detours.py
@@ -25,8 +25,9 @@
 REPLY_HEADER = b"detour-reply"
 """Header of a call's response that carries the reply, in base64."""
 REQUEST_HEADER = b"detour-request"
-"""Header of a call without a request, with the id of one that has ended; its reply
-tells how often that has been sent to servers."""
+"""Header of a call without a request, with the id of one that has ended.  The reply is
+an ``UnknownReply`` with the number of times that it was sent to servers, none if the
+helper does not remember it."""
 MAX_REQUEST_BYTES = 64_000_000
 """Maximum size of an encoded request, far above the largest body of a caller."""
 NO_TIME_MS = -1
--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -294,7 +294,7 @@
             self._close_after_delay()
         else:
             self._transport.resume_reading()
-            self._tell_to_continue()
+            self._send_continue()
 
     def check_timeouts(self, now: float, late_s: float = 0.0) -> None:
         """Close an idle connection; reject a request that arrives too slowly.
@@ -427,9 +427,9 @@
             self._start_next()
         if self._active is not None and self._queue and self._transport is not None:
             self._transport.pause_reading()
-        self._tell_to_continue()
+        self._send_continue()
 
-    def _tell_to_continue(self) -> None:
+    def _send_continue(self) -> None:
         """Ask for the body that a caller holds back, once no response precedes it."""
         if self._awaits_continue and self._active is None and not self._queue:
             self._awaits_continue = False
--- a/sequoiapoint/transport/async_http_server_test.py
+++ b/sequoiapoint/transport/async_http_server_test.py
@@ -17,7 +17,7 @@
     idle_timeout_s=0.8,
 )
 VALID_REQUEST = b"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
-EXPECTANT_HEAD = (
+EXPECT_CONTINUE_HEAD = (
     b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n"
 )
 CHUNKED_REQUEST = (
@@ -287,7 +287,7 @@
     async def scenario():
         async with RecordingServer() as recorder:
             reader, writer = await recorder.connect()
-            writer.write(EXPECTANT_HEAD)
+            writer.write(EXPECT_CONTINUE_HEAD)
             first = await reader.readuntil(b"\r\n\r\n")
             writer.write(b"hi")
             rest = await reader.readuntil(b"ok")
@@ -314,7 +314,7 @@
     async def scenario():
         async with RecordingServer(slow) as recorder:
             reader, writer = await recorder.connect()
-            parts = [VALID_REQUEST, EXPECTANT_HEAD]
+            parts = [VALID_REQUEST, EXPECT_CONTINUE_HEAD]
             if not pause_s:
                 parts = [b"".join(parts)]
             for part in parts:
@@ -334,7 +334,10 @@
 
 @pytest.mark.parametrize(
     "parts",
-    [(EXPECTANT_HEAD + b"hi",), (EXPECTANT_HEAD.replace(b"/1.1", b"/1.0"), b"hi")],
+    [
+        (EXPECT_CONTINUE_HEAD + b"hi",),
+        (EXPECT_CONTINUE_HEAD.replace(b"/1.1", b"/1.0"), b"hi"),
+    ],
     ids=["body_sent", "http_1_0"],
 )
 def test_a_caller_that_does_not_wait_is_not_told_to_continue(parts):
--- a/tests/joined_streams_test.py
+++ b/tests/joined_streams_test.py
@@ -33,7 +33,7 @@
 """Answers after which a third server goes on, on a detour."""
 RESPONSE_TIMEOUT_S = 8.0
 LOG_DELAY_S = 0.5
-"""Time after the end of a stream in which its host logs that."""
+"""Time after a stream's end in which its host logs the end."""
 NOTICE_S, NOTICE_STREAMS = 5.0, 4
 """Time in which a host must notice that it is cut off, and streams that show it."""
 ATTEMPTS = {"twice": 2, "thrice": 3, "often": 8}
@@ -83,7 +83,7 @@
 )
 """What the first server sends: it breaks off in the middle of an event."""
 HELD = replace(BEGUN, pause_s=1.5)
-"""The same, but it is silent before."""
+"""The same, but silent before it breaks off, so that its helper can be killed."""
 ALL = ScriptedResponse(200, STREAM, events(1, EVENTS + 1), None, -5)
 """What a server sends that breaks off behind the last event."""
 CASES = list(itertools.product(("twice", "thrice"), ANSWERS))
@@ -163,7 +163,7 @@
 
 
 def log_lines(gateway, request_id):
-    """Return a host's log lines on a request, with that on its end if it is soon."""
+    """Return a host's log lines on a request; wait for the one on its end."""
     deadline = time.monotonic() + LOG_DELAY_S
     while True:
         lines = gateway.log.read_text().splitlines()
