Detours: attempts of an earlier detour are not told for one that runs

Seen: read, not run.

Now the count is forgotten when the request runs again; without it the head of the reply counts.

Test: detour_server_test, fails before.

--- a/sequoiapoint/node/detour_server.py
+++ b/sequoiapoint/node/detour_server.py
@@ -236,6 +236,8 @@
         )
         responder.count_attempts = forwarder.count_attempts
         request_id = message.request.request_id
+        # It may have ended here before, on an earlier detour.
+        self._attempts.pop(request_id, None)
         try:
             await forwarder.run()
         except asyncio.CancelledError as error:
--- a/sequoiapoint/node/detour_server_test.py
+++ b/sequoiapoint/node/detour_server_test.py
@@ -177,6 +177,22 @@
     assert asyncio.run(ask(b"other")) == (200, [])
 
 
+def test_a_helper_forgets_a_request_that_runs_again(monkeypatch):
+    """The attempts of its earlier detour were told while the later one ran."""
+    site = Site(monkeypatch)
+    remembered = []
+
+    async def behave(forwarder):
+        remembered.append(dict(site.server._attempts))
+        await answer(forwarder)
+
+    Forwarder.behave = staticmethod(behave)
+    for _ in range(2):
+        asyncio.run(site.handle())
+    assert remembered == [{}, {}]
+    assert site.server._attempts == {"id": 1}
+
+
 def test_a_helper_remembers_a_limited_number_of_requests(monkeypatch):
     site = Site(monkeypatch)
     monkeypatch.setattr(detour_server, "MAX_ENDED_REQUESTS", 2)
