Slots: a host takes only what its own process has asked for

Each process numbered its requests for slots from 1, and the allocator repeats a grant to the same host and number; neither it nor the host compared the server with the candidates.

Why this works: numbers begin at the process's start, so no message of a former process names one of this one; and a grant is repeated, and taken, only at a server that was asked for, whatever its number is, which also holds beside hosts of an earlier build.

The late release of a refused grant no longer ends what its number was granted since.

--- a/sequoiapoint/coordination/slot_allocator.py
+++ b/sequoiapoint/coordination/slot_allocator.py
@@ -310,14 +310,16 @@
         """Grant a slot, or queue the request.
 
         A request that was granted a slot before, whose reply may be lost, is granted
-        the same slot again.
+        the same slot again, unless it asks for other servers now.
         """
         host = self._hear(request.host, now)
         grant = host.grants.get(request.number)
-        if grant is not None:
+        if grant is not None and grant.engine[0] in request.candidates:
             return SlotReply(
                 request.host, request.number, SlotOutcome.GRANTED, grant.engine
             )
+        if grant is not None:
+            self._end_grant(host, request.number)
         self._queue.advance(now)
         known = self._queue.pop(request.host, request.number)
         engine = self._best_engine(request, now)
@@ -371,24 +373,33 @@
 
     def release(self, release: SlotRelease, now: float) -> list[SlotReply]:
         """Record the end of a request, and return the grants that this allows."""
-        self._queue.pop(release.host, release.number)
+        is_withdrawal = release.engine == NO_SERVER
+        if is_withdrawal:
+            self._queue.pop(release.host, release.number)
         engine = self._engines.get(release.engine)
         if engine is not None:
             engine.record_quality(release.quality, now)
             self._record_speed(release, now)
         host = self._hosts.get(release.host)
-        grant = None if host is None else host.grants.pop(release.number, None)
-        if grant is None:
+        grant = None if host is None else host.grants.get(release.number)
+        if grant is None or not (is_withdrawal or grant.engine == release.engine):
             return []
-        self._counts[grant.engine] -= 1
-        freed = self._engines.get(grant.engine)
+        freed = self._end_grant(host, release.number)
         if freed is None:
             return []
-        freed.used -= 1
         if release.quality is not SlotQuality.UNUSED:
             freed.record_use(now - grant.granted_at, now)
         return self._grant_queued([freed], now)
 
+    def _end_grant(self, host: _Host, number: int) -> Engine | None:
+        """End a grant; return the engine that it was for, None if it has left."""
+        grant = host.grants.pop(number)
+        self._counts[grant.engine] -= 1
+        engine = self._engines.get(grant.engine)
+        if engine is not None:
+            engine.used -= 1
+        return engine
+
     def _record_speed(self, release: SlotRelease, now: float) -> None:
         """Learn how long work takes at an engine, from the requests of all hosts."""
         if release.slowness is None:
--- a/sequoiapoint/coordination/slot_allocator_test.py
+++ b/sequoiapoint/coordination/slot_allocator_test.py
@@ -101,6 +101,27 @@
     assert slots.request(ask(1), 0.0) == slots.request(ask(1), 0.1)
 
 
+@pytest.mark.parametrize(
+    ("candidates", "outcome"),
+    [(("e-2",), SlotOutcome.GRANTED), (("e-3",), SlotOutcome.QUEUED)],
+)
+def test_an_earlier_grant_is_not_repeated_to_a_request_for_other_servers(
+    candidates, outcome
+):
+    """Guards against requests run by a service that they were not sent to."""
+    slots = allocator(engine("e-1", slots=1), engine("e-2"))
+    earlier = slots.request(ask(1, candidates=("e-1",)), 0.0)
+    reply = slots.request(ask(1, candidates=candidates), 0.1)
+    assert reply.outcome is outcome
+    assert reply.engine[0] != "e-1"
+    # The refused slot is free again, and its late release ends nothing else.
+    slots.release(released(earlier, SlotQuality.UNUSED), 0.2)
+    assert slots.queue_length == (outcome is SlotOutcome.QUEUED)
+    assert slots.request(ask(2, "b", ("e-1",)), 0.2).outcome is SlotOutcome.GRANTED
+    repeated = slots.request(ask(1, candidates=candidates), 0.3)
+    assert repeated.engine == reply.engine
+
+
 def test_a_new_engine_serves_the_requests_that_wait_for_it():
     slots = allocator(engine("e-1"))
     slots.request(ask(1, candidates=("e-2",)), 0.0)
--- a/sequoiapoint/node/allowance_exchange.py
+++ b/sequoiapoint/node/allowance_exchange.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import copy
-import itertools
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -39,6 +38,7 @@
 )
 from sequoiapoint.protocol.digests import Member
 from sequoiapoint.protocol.gateway import Allowance, Organisation
+from sequoiapoint.protocol.message_numbers import message_numbers
 from sequoiapoint.state.peers import Peers
 from sequoiapoint.transport.clock import monotonic_s, since_boot_s
 
@@ -50,8 +50,6 @@
 """Time for which the allocator of an organisation is not determined again."""
 SUMMARY_INTERVAL_S = 1.0
 """Interval of the log lines on denied requests."""
-NUMBER_BITS = 20
-"""Bits of a message's number that count; those above tell processes apart."""
 
 
 @dataclass(frozen=True)
@@ -95,7 +93,7 @@
             bounds.allowance_over_share,
             bounds.allowance_slack,
         )
-        self._numbers = itertools.count(state.started_ms << NUMBER_BITS)
+        self._numbers = message_numbers(state.started_ms)
         self._clients: dict[str, AllowanceClient] = {}
         self._by_number: dict[int, AllowanceClient] = {}
         self._allocators: dict[str, tuple[float, Member | None]] = {}
--- a/sequoiapoint/node/allowance_exchange_test.py
+++ b/sequoiapoint/node/allowance_exchange_test.py
@@ -14,6 +14,7 @@
     Organisation,
 )
 from sequoiapoint.protocol.gateway_settings import Bounds
+from sequoiapoint.protocol.message_numbers import message_numbers
 from standins.virtual.host_network import HostNetwork
 
 RATE_PER_S, BURST, COST = 300.0, 300.0, 15.0
@@ -217,10 +218,7 @@
     requests = Requests(network)
     for host in network.hosts:
         exchange = host.exchange.allowances
-        started_ms = 1_900_000_000_000
-        exchange._numbers = itertools.count(
-            started_ms << allowance_exchange.NUMBER_BITS
-        )
+        exchange._numbers = message_numbers(started_ms=1_900_000_000_000)
     network.run(START_S)
     assert [type(requests.send(host)) for host in network.hosts] == [Granted] * 4
     requests.close()
--- a/sequoiapoint/node/slot_exchange.py
+++ b/sequoiapoint/node/slot_exchange.py
@@ -10,7 +10,6 @@
 """
 
 import asyncio
-import itertools
 from collections.abc import Iterator, Mapping
 from functools import singledispatchmethod
 
@@ -28,6 +27,7 @@
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.protocol.digests import Digest, Member, Scope
 from sequoiapoint.protocol.gateway import Incarnation, ServerEntry
+from sequoiapoint.protocol.message_numbers import message_numbers
 from sequoiapoint.protocol.slots import (
     SlotMessage,
     SlotOutcome,
@@ -82,6 +82,7 @@
     :ivar wait_s: The expected wait that the allocator asked last has named, in seconds;
         0 if it has named none.
     :ivar awaited: The address of the allocator whose reply is awaited.
+    :ivar candidates: The servers that were asked for, which can run the request.
     :ivar grant: The granted slot, None if there is none.
     """
 
@@ -93,6 +94,7 @@
         self.grant: SlotReply | None = None
         self.granted_by: Member | None = None
         self.asked: dict[str, Member] = {}
+        self.candidates: set[str] = set()
         self.asked_at = 0.0
         self.awaited = ""
         self.reply: asyncio.Future[SlotReply] | None = None
@@ -126,7 +128,7 @@
         self._state = state
         self._peers = peers
         self._sender = sender
-        self._numbers = itertools.count(1)
+        self._numbers = message_numbers(state.started_ms)
         self._tickets: dict[int, SlotTicket] = {}
         self._unreachable_until: dict[str, float] = {}
         self._is_aggregator = False
@@ -209,6 +211,7 @@
         if member is None:
             return SlotOutcome.UNAVAILABLE
         ticket.asked[member.address] = member
+        ticket.candidates.update(request.candidates)
         ticket.asked_at = now
         ticket.awaited, ticket.wait_s = member.address, 0.0
         ticket.reply = asyncio.get_running_loop().create_future()
@@ -333,10 +336,10 @@
         if message.outcome is not SlotOutcome.UNAVAILABLE:
             self._unreachable_until.pop(sender.address, None)
         ticket = self._tickets.get(message.number)
+        if message.host != self._own.host:
+            ticket = None
         is_granted = message.outcome is SlotOutcome.GRANTED
-        if is_granted and (ticket is None or ticket.grant is not None):
-            if ticket is None or ticket.grant != message:
-                self._send(released(message, SlotQuality.UNUSED), sender)
+        if is_granted and not self._may_take(ticket, message, sender):
             return
         if ticket is None:
             return
@@ -352,6 +355,23 @@
         elif is_granted:
             self._state.wait_queue.wake(message.number)
 
+    def _may_take(
+        self, ticket: SlotTicket | None, grant: SlotReply, sender: Member
+    ) -> bool:
+        """Tell whether a ticket takes a grant; give back a slot that it does not use.
+
+        A grant must fit what was asked for, whatever its number says.
+        """
+        if ticket is not None and ticket.grant is None:
+            if grant.engine[0] in ticket.candidates:
+                return True
+            self._state.log.event(
+                "slot_allocator", "unfit", peer=sender.host, server=grant.engine[0]
+            )
+        if ticket is None or ticket.grant != grant:
+            self._send(released(grant, SlotQuality.UNUSED), sender)
+        return False
+
     def _reply(self, reply: SlotReply, member: Member) -> None:
         if member == self._own:
             self._handle(reply, self._own)
--- a/sequoiapoint/node/slot_exchange_test.py
+++ b/sequoiapoint/node/slot_exchange_test.py
@@ -5,12 +5,19 @@
 
 import pytest
 
+from sequoiapoint.coordination.slot_allocator import released
 from sequoiapoint.node import slot_exchange
 from sequoiapoint.node.gateway_state import WaitQueue
 from sequoiapoint.node.slot_exchange import ALLOCATOR_WARM_UP_S, SlotExchange
 from sequoiapoint.protocol.digests import Member
 from sequoiapoint.protocol.gateway import HeldModel, ServerEntry, ServerState
-from sequoiapoint.protocol.slots import SlotOutcome, SlotQuality, SlotReply, SlotRequest
+from sequoiapoint.protocol.slots import (
+    SlotOutcome,
+    SlotQuality,
+    SlotReply,
+    SlotRequest,
+    decode_slot_message,
+)
 from sequoiapoint.state.brittle_servers import BrittleServers
 from sequoiapoint.state.fleet import Fleet
 from sequoiapoint.state.server_load import ServerLoads
@@ -29,17 +36,16 @@
         self.unreachable = set()
         self.exchanges = {}
 
-    def add(self, member, slots=1):
+    def add(self, member, slots=1, started_ms=1, servers=("e-1",)):
         fleet = Fleet()
         models = (HeldModel("oak", frozenset()),)
-        fleet.put(
-            ServerEntry(
-                *("e-1", "lm", "10.1.0.1:9", "z", ServerState.READY, 1, slots, models)
-            )
-        )
+        for server in servers:
+            fields = ("lm", "10.1.0.1:9", "z", ServerState.READY, 1, slots, models)
+            fleet.put(ServerEntry(server, *fields))
         log = SimpleNamespace(event=lambda *a, **f: None)
         state = SimpleNamespace(
             settings=SimpleNamespace(host=member.host),
+            started_ms=started_ms,
             fleet=fleet,
             loads=ServerLoads(),
             brittle=BrittleServers(),
@@ -193,6 +199,62 @@
     assert asyncio.run(run()) is is_taken
 
 
+@pytest.mark.parametrize("is_queued", [False, True])
+def test_a_restarted_host_does_not_use_the_slots_of_its_former_process(
+    network, is_queued
+):
+    """Guards against requests run by a service that they were not sent to."""
+    servers = ("e-1", "e-2")
+    allocator = network.add(ALLOCATOR, servers=servers)
+    former = network.add(HOST, servers=servers)
+    allocator.refresh(network.now)
+    network.now += ALLOCATOR_WARM_UP_S + 0.01
+    allocator.refresh(network.now)
+
+    async def run():
+        with allocator.ticket() as other:
+            if is_queued:
+                await ask(allocator, other, ALLOCATOR)
+            before = former.ticket()
+            former.open(before)
+            await ask(former, before)
+            host = network.add(HOST, started_ms=1500, servers=servers)
+            with host.ticket() as ticket:
+                wanted = SlotRequest(HOST.host, ticket.number, ("e-2",), 0, 5.0, 0.3)
+                if is_queued:
+                    allocator.release(other, SlotQuality.ON_TIME)
+                    assert ticket.grant is None
+                assert await host.ask(ticket, "z", wanted) is SlotOutcome.GRANTED
+                assert ticket.grant.engine == ("e-2", 1)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("host", "server"), [(HOST.host, "e-2"), ("another host", "e-1")]
+)
+def test_a_grant_that_does_not_fit_the_request_is_given_back(network, host, server):
+    """An allocator of an earlier build repeats a grant whatever is asked for."""
+    start(network)
+    exchange, sent = network.exchanges[HOST.address], []
+    exchange._sender.forward = lambda data, members: sent.append((data, members))
+
+    async def run():
+        with exchange.ticket() as ticket:
+            asking = asyncio.create_task(ask(exchange, ticket))
+            await asyncio.sleep(0)
+            grant = SlotReply(host, ticket.number, SlotOutcome.GRANTED, (server, 1))
+            exchange._handle(grant, ALLOCATOR)
+            assert ticket.grant is None
+            data, members = sent[-1]
+            expected = released(grant, SlotQuality.UNUSED)
+            assert decode_slot_message(data) == expected
+            assert members == [ALLOCATOR]
+            assert await asking is SlotOutcome.UNAVAILABLE
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("data", [b"\xff", b"\xffnonsense", b"\xff\x00\x00"])
 def test_unreadable_messages_are_dropped(network, data):
     allocator, _ = start(network)
