Permits and origins: take only the reply to what was asked

Each process numbered its questions about permits and the origins of streams from 1, and took any reply with the number. A late reply to the former process was a permit for another server, or the version of another stream. Callers were not seen to be affected: shown in unit tests only.

Evidence: 3 cases of permit_exchange_test and 2 of origin_exchange_test fail before.

Why this works: numbers begin at the start of the process; the reply must name this host and come from the allocator that was asked, or name the stream.

--- a/sequoiapoint/node/origin_exchange.py
+++ b/sequoiapoint/node/origin_exchange.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import itertools
 from functools import singledispatchmethod
 
 from sequoiapoint.coordination import origin_replicas
@@ -20,6 +19,7 @@
 from sequoiapoint.node.version_history import VersionHistoryStore
 from sequoiapoint.protocol.digests import Member
 from sequoiapoint.protocol.gateway import Incarnation
+from sequoiapoint.protocol.message_numbers import message_numbers
 from sequoiapoint.protocol.origins import (
     Origin,
     OriginBatch,
@@ -73,8 +73,9 @@
         self._watch = watch
         self._peers = peers
         self._sender = sender
-        self._numbers = itertools.count(1)
-        self._queries: dict[int, asyncio.Future[Origin]] = {}
+        self._numbers = message_numbers(state.started_ms)
+        # By number: the stream that was asked for, and its origin.
+        self._queries: dict[int, tuple[str, asyncio.Future[Origin]]] = {}
         self._rings: dict[tuple[str, ...], HashRing] = {}
         self._refresh: asyncio.Task[object] | None = None
         self.origins = StreamOrigins()
@@ -116,7 +117,7 @@
     async def _ask(self, stream: str, members: list[Member]) -> Origin | None:
         number = next(self._numbers)
         reply = asyncio.get_running_loop().create_future()
-        self._queries[number] = reply
+        self._queries[number] = stream, reply
         self._sender.forward(
             encode_origin_message(OriginQuery(stream, number)), members
         )
@@ -207,8 +208,8 @@
 
     @_handle.register
     def _(self, message: OriginReply, sender: Member) -> None:
-        reply = self._queries.get(message.number)
-        if reply is not None and not reply.done():
+        stream, reply = self._queries.get(message.number, ("", None))
+        if stream and message.stream == stream and not reply.done():
             reply.set_result(message.origin)
 
     @_handle.register
--- a/sequoiapoint/node/origin_exchange_test.py
+++ b/sequoiapoint/node/origin_exchange_test.py
@@ -10,6 +10,7 @@
 from sequoiapoint.node.origin_exchange import REGISTRATION_S, OriginExchange
 from sequoiapoint.protocol.digests import Member
 from sequoiapoint.protocol.gateway import ServerEntry, ServerState
+from sequoiapoint.protocol.origins import Origin, OriginReply
 from sequoiapoint.state.fleet import Fleet
 from sequoiapoint.state.stored_origins import StoredOrigin
 from sequoiapoint.state.stream_origins import StreamOrigin
@@ -94,6 +95,28 @@
     assert max(counts) <= 3.0
 
 
+@pytest.mark.parametrize(
+    ("stream", "is_former"), [("stream-1", True), ("stream-2", False)]
+)
+def test_a_reply_about_another_stream_is_not_taken(
+    monkeypatch, short_timeout, stream, is_former
+):
+    """Guards against a stream that goes on at the version of another one."""
+    network = HostNetwork(monkeypatch, 2, 2)
+    network.run(5.0)
+    origins = network.hosts[0].exchange.origins
+
+    async def run():
+        task = asyncio.ensure_future(origins.find("stream-1"))
+        await asyncio.sleep(0)
+        (asked,) = origins._queries
+        reply = OriginReply(stream, 1 if is_former else asked, Origin("v9", "s", 0.0))
+        origins._handle(reply, Member("", "", "10.0.9.9:1"))
+        return await task
+
+    assert asyncio.run(run()) is None
+
+
 class Host:
     """One host whose list of servers changes at given times, in virtual time."""
 
@@ -104,7 +127,7 @@
         self.is_store_lost = False
         self.reads, self.changes = 0, []
         watch = SimpleNamespace(servers=SimpleNamespace(refresh=self._refresh))
-        state = SimpleNamespace(fleet=self.fleet)
+        state = SimpleNamespace(fleet=self.fleet, started_ms=1)
         sender = SimpleNamespace(local_member=Member("h", "z", "10.0.0.1:1"))
         stored = SimpleNamespace(find=self._find_stored)
         self.stored, self.searches = None, 0
--- a/sequoiapoint/node/permit_exchange.py
+++ b/sequoiapoint/node/permit_exchange.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import itertools
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
@@ -20,6 +19,7 @@
 from sequoiapoint.node.gateway_state import GatewayState
 from sequoiapoint.protocol.digests import Member
 from sequoiapoint.protocol.gateway import Incarnation, ServerEntry
+from sequoiapoint.protocol.message_numbers import message_numbers
 from sequoiapoint.protocol.permits import (
     PermitMessage,
     PermitOutcome,
@@ -71,8 +71,9 @@
         self._state = state
         self._peers = peers
         self._sender = sender
-        self._numbers = itertools.count(1)
-        self._replies: dict[int, asyncio.Future[PermitReply]] = {}
+        self._numbers = message_numbers(state.started_ms)
+        # By number: the allocator that was asked, and its reply.
+        self._replies: dict[int, tuple[Member, asyncio.Future[PermitReply]]] = {}
         self._unreachable_until: dict[str, float] = {}
         self._denied_until: dict[Incarnation, float] = {}
         self._is_allocating = False
@@ -143,7 +144,7 @@
 
     async def _call(self, request: PermitRequest, member: Member) -> PermitReply | None:
         reply = asyncio.get_running_loop().create_future()
-        self._replies[request.number] = reply
+        self._replies[request.number] = member, reply
         self._sender.forward(encode_permit_message(request), [member])
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
@@ -183,8 +184,10 @@
 
     @_handle.register
     def _(self, message: PermitReply, sender: Member) -> None:
-        reply = self._replies.get(message.number)
-        if reply is not None and not reply.done():
+        member, reply = self._replies.get(message.number, (None, None))
+        if member is None or message.host != self._own.host:
+            return
+        if sender.address == member.address and not reply.done():
             reply.set_result(message)
 
     # Allocation
--- a/sequoiapoint/node/permit_exchange_test.py
+++ b/sequoiapoint/node/permit_exchange_test.py
@@ -7,6 +7,8 @@
 
 from sequoiapoint.node import permit_exchange
 from sequoiapoint.node.permit_exchange import Denial, Permit
+from sequoiapoint.protocol.digests import Member
+from sequoiapoint.protocol.permits import PermitOutcome, PermitReply
 from standins.virtual.host_network import SERVER, STEP_S, HostNetwork
 
 TOLD_AFTER_S = 3.0
@@ -260,3 +262,34 @@
     assert isinstance(server.acquire(second), Denial)
     assert isinstance(server.acquire(second, caller=7, asks_anew=True), Permit)
     server.close()
+
+
+@pytest.mark.parametrize(
+    ("is_former", "is_other_host", "is_other_sender"),
+    [(True, False, False), (False, True, False), (False, False, True)],
+)
+def test_a_reply_to_something_else_is_no_permit(
+    monkeypatch, is_former, is_other_host, is_other_sender
+):
+    """Guards against a request beyond the limit of a server with a permit for another.
+
+    A host that is started again gets late replies to its former process.
+    """
+    network = HostNetwork(monkeypatch, 2, 2)
+    network.run(START_S)
+    host = next(h for h in network.hosts if h.zone == "z1")
+    host.state.note_server_limit(SERVER, 3.0, "test", network.now)
+    permits = host.exchange.permits
+    allocator = permits.reachable_allocator("z0", network.now)
+
+    async def run():
+        task = asyncio.ensure_future(permits.acquire(host.entry(), caller=7))
+        await asyncio.sleep(0)
+        (asked,) = permits._replies
+        name = "another" if is_other_host else host.state.settings.host
+        reply = PermitReply(name, 1 if is_former else asked, PermitOutcome.GRANTED)
+        address = "10.0.9.9:1" if is_other_sender else allocator.address
+        permits._handle(reply, Member("", "", address))
+        return await task
+
+    assert isinstance(asyncio.run(run()), Denial)
