HTTP clients: a number that is no status makes no response

Callers got a server's response with the status 600, 700 or 999 as their answer (MIXED), and waited to their deadline after a head with 000 to 099, or a 1xx with a body, on a connection that stays open.

Why this works: the transfer ends at the head, with an unknown outcome as after other malformed bytes, before anything of the response can be passed on.

--- a/sequoiapoint/node/broken_response_test.py
+++ b/sequoiapoint/node/broken_response_test.py
@@ -41,6 +41,8 @@
             await writer.drain()
             # The caller's end gets the bytes before a reset.
             await asyncio.sleep(0.05)
+        if end == "keep":
+            await reader.read()
         if end == "reset":
             sock = writer.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
@@ -158,3 +160,22 @@
 ):
     result = run(received_by_caller(monkeypatch, response, "fin", is_stream, version))
     assert looks_complete(*result)
+
+
+@pytest.mark.parametrize("is_stream", [False, True])
+@pytest.mark.parametrize("status", [b"000", b"099", b"199", b"600", b"999"])
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"Content-Length: 5\r\n\r\nwhole",
+        b"Transfer-Encoding: chunked\r\n\r\n" + CHUNK + b"0\r\n\r\n",
+    ],
+    ids=["length", "chunked"],
+)
+def test_a_caller_does_not_get_a_status_that_is_none(
+    monkeypatch, rest, status, is_stream
+):
+    """Such a response came through as the answer, or was awaited to the deadline."""
+    response = HEAD.replace(b"200", status) + rest
+    data, _ = run(received_by_caller(monkeypatch, response, "keep", is_stream, b"1.1"))
+    assert data.startswith(b"HTTP/1.1 502")
--- a/sequoiapoint/protocol/detours.py
+++ b/sequoiapoint/protocol/detours.py
@@ -13,6 +13,7 @@
 import capnp
 
 from sequoiapoint.protocol.gateway import CallerRequest
+from sequoiapoint.protocol.http_status import is_final
 from sequoiapoint.protocol.packed import DECODE_ERRORS, read_packed
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("detours.capnp")))
@@ -222,20 +223,25 @@
         kind = message.which()
         if kind == "response":
             group = message.response
-            headers = _decode_headers(group.headers)
-            return ServerReply(group.status, headers, group.isStream, message.attempts)
+            headers, status = _decode_headers(group.headers), _checked(group.status)
+            return ServerReply(status, headers, group.isStream, message.attempts)
         if kind == "refusal":
             group = message.refusal
             ms = group.retryAfterMs
             retry_after_s = None if ms == NO_TIME_MS else ms / 1000
-            return RefusalReply(
-                group.status, group.reason, retry_after_s, message.attempts
-            )
+            status = _checked(group.status)
+            return RefusalReply(status, group.reason, retry_after_s, message.attempts)
         return UnknownReply(message.unknown.reason, message.attempts)
     except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a reply: {error}") from error
 
 
+def _checked(status: int) -> int:
+    if not is_final(status):
+        raise ValueError(f"status {status} of a response")
+    return status
+
+
 def _encode_headers(headers: Headers) -> list[dict[str, bytes]]:
     return [{"name": name, "value": value} for name, value in headers]
 
--- /dev/null
+++ b/sequoiapoint/protocol/http_status.py
@@ -0,0 +1,23 @@
+"""Which numbers in a status line are a status.
+
+A parser accepts any three digits.  A response with another number than those of HTTP is
+no response, for a caller as little as for this host.
+"""
+
+import http
+
+_FINAL = range(http.HTTPStatus.OK, 600)
+_INFORMATIONAL = range(http.HTTPStatus.CONTINUE, http.HTTPStatus.OK)
+
+
+def is_final(status: int) -> bool:
+    """Tell whether a response with a status is the last one to its request."""
+    return status in _FINAL
+
+
+def is_informational(status: int) -> bool:
+    """Tell whether a response with a status precedes the last one.
+
+    No request of this system asks to switch protocols.
+    """
+    return status in _INFORMATIONAL and status != http.HTTPStatus.SWITCHING_PROTOCOLS
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -24,6 +24,7 @@
 import httptools
 
 from sequoiapoint.protocol.errors import Failure, FailureKind
+from sequoiapoint.protocol.http_status import is_final, is_informational
 from sequoiapoint.protocol.ports import Headers, HttpCall
 from sequoiapoint.transport.clock import monotonic_s
 
@@ -89,8 +90,8 @@
     TOO_LARGE = "too_large"
 
 
-class _HeadTooLargeError(Exception):
-    """Raised in a parser callback for a response whose head is too large."""
+class _InvalidHeadError(Exception):
+    """Raised in a parser callback for a head that is too large, or is not HTTP."""
 
 
 @dataclass(frozen=True)
@@ -394,7 +395,7 @@
 
     def _report_failure(self, cause: BaseException | None) -> None:
         """Report the unexpected failure of a callback, None if there was none."""
-        if cause is not None and not isinstance(cause, _HeadTooLargeError):
+        if cause is not None and not isinstance(cause, _InvalidHeadError):
             self._loop.call_exception_handler(
                 {"message": "processing a response failed", "exception": cause}
             )
@@ -441,7 +442,7 @@
         """Collect a header; one in a trailer is ignored."""
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > MAX_HEAD_BYTES:
-            raise _HeadTooLargeError(f"response head exceeds {MAX_HEAD_BYTES} bytes")
+            raise _InvalidHeadError(f"response head exceeds {MAX_HEAD_BYTES} bytes")
         if self._is_in_head:
             self._headers.append((name.lower(), value))
 
@@ -453,13 +454,16 @@
         self._is_in_head = False
         self._overhead_bytes = 0
         status = self._parser.get_status_code()
-        self._is_informational = status < 200
-        if self._is_informational:
-            return
-        self._is_framed = status in (204, 304) or any(
+        has_framing = any(
             name in (b"content-length", b"transfer-encoding")
             for name, _ in self._headers
         )
+        self._is_informational = is_informational(status)
+        if not (is_final(status) or self._is_informational and not has_framing):
+            raise _InvalidHeadError(f"status {status} ends no request of this client")
+        if self._is_informational:
+            return
+        self._is_framed = has_framing or status in (204, 304)
         if not exchange.accepts(status, self._headers):
             self._is_discarding = True
             self._may_reuse = False
--- a/sequoiapoint/transport/http_client.py
+++ b/sequoiapoint/transport/http_client.py
@@ -4,8 +4,8 @@
 peer may have acted on the request.
 """
 
-import http
 import json
+import re
 import threading
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
@@ -14,6 +14,7 @@
 import pycurl
 
 from sequoiapoint.protocol.errors import Failure, FailureKind
+from sequoiapoint.protocol.http_status import is_final, is_informational
 
 CONNECT_TIMEOUT_MS = 1_000
 MAX_IDLE_S = 5
@@ -24,11 +25,11 @@
 """Error code and message of a response that ends within its head; libcurl itself takes
 it for a response without a body."""
 
-OK = int(http.HTTPStatus.OK)
-"""The lowest status of a response that is not informational."""
-
+_ABORT = -1
+"""What a header callback returns to end the transfer with an error."""
 _EMPTY_LINES = (b"\r\n", b"\n")
 """libcurl also passes on a line without its end if the connection closes within it."""
+_STATUS = re.compile("[0-9]{3}")
 
 _local = threading.local()
 
@@ -256,19 +257,26 @@
         return FailureKind.UNKNOWN if self._may_have_been_sent else FailureKind.NOT_SENT
 
 
-def parse_header_line(raw: bytes, response: HttpResponse) -> None:
-    """Add a line of a head to a response: the status line, a header or the end."""
+def parse_header_line(raw: bytes, response: HttpResponse) -> int | None:
+    """Add a line of a head to a response: the status line, a header or the end.
+
+    :return: What libcurl's header callback returns; it ends the transfer after a status
+        line without a status of HTTP.
+    """
     line = raw.decode("latin-1").strip()
     if line.startswith("HTTP/"):
-        response.status = int(line.split(" ", 2)[1])
+        status = line.partition(" ")[2].partition(" ")[0]
+        response.status = int(status) if _STATUS.fullmatch(status) else 0
         response.headers.clear()
-        return
+        is_valid = is_final(response.status) or is_informational(response.status)
+        return None if is_valid else _ABORT
     if raw in _EMPTY_LINES:
-        response.has_whole_head = response.status >= OK
-        return
+        response.has_whole_head = is_final(response.status)
+        return None
     name, colon, value = line.partition(":")
     if colon:
         response.headers[name.strip().lower()] = value.strip()
+    return None
 
 
 def configure_handle(
