Streams: a server that goes on beyond the tokens of a request is left

No limit held for the number of a stream's events, and blank lines or lines that are no fields counted as such; a read holds some 20,000 of them.

Why this works: a stream holds at most as many events as its request allows tokens and 256 more; the first read beyond that closes the connection, and another server goes on where the route allows it. Slow streams are not affected: nothing is limited by time.

--- /dev/null
+++ b/sequoiapoint/node/endless_stream_test.py
@@ -0,0 +1,93 @@
+"""Streams whose server goes on after the last token, at one host, several at a time.
+
+Guards against a host that answers nobody while one server is in trouble, and against a
+surplus without end that a caller gets.
+"""
+
+import asyncio
+import contextlib
+import socket
+from dataclasses import replace
+
+import pytest
+import uvloop
+
+from sequoiapoint.node.endless_response_test import (
+    CHUNKED,
+    MAX_STALL_S,
+    EndlessPeer,
+    chunk,
+    longest_stall_s,
+)
+from sequoiapoint.node.request_forwarder_test import ENTRY, Site
+from sequoiapoint.protocol.event_stream import MAX_EVENT_BYTES, MAX_EXTRA_EVENTS
+from sequoiapoint.protocol.gateway import Repeatability
+from sequoiapoint.transport.async_http_server import AsyncHttpServer
+from sequoiapoint.transport.clock import monotonic_s
+
+STREAMS = 12
+"""Those that one server sends at a time, see ``review/7``."""
+TOKENS, PROMPT_TOKENS = 12, 100
+BUDGET_S, SOON_S = 10.0, 2.0
+HEAD = CHUNKED.replace(b"\r\n\r\n", b"\r\nRequest-Id: id\r\nServer-Seal: s\r\n\r\n")
+FIRST = HEAD + b"".join(
+    chunk(b"id: %d\ndata: x\n\n" % number) for number in range(1, TOKENS + 1)
+)
+MAX_RECEIVED = MAX_EVENT_BYTES + 100 * MAX_EXTRA_EVENTS
+
+
+async def read_stream(address):
+    """Read a stream to its end; return how many bytes came, and the last ones."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+    count, last = 0, b""
+    with contextlib.suppress(ConnectionError):
+        while data := await reader.read(65_536):
+            count, last = count + len(data), (last + data)[-5:]
+    writer.close()
+    return count, last
+
+
+@pytest.mark.parametrize(
+    "part",
+    [b"oak\n\n", b"\n", b"data: x\n\n", b": oak\n\n", b"id: 13\ndata: x\n\n"],
+    ids=["no_field", "blank_line", "no_id", "comment", "event"],
+)
+def test_streams_without_end_hold_up_no_other_caller(monkeypatch, part):
+    async def scenario():
+        async with EndlessPeer(FIRST, chunk(part)) as peer:
+            site = Site(monkeypatch, replace(ENTRY, address="127.0.0.1:1"))
+            site.state.adapter.callers.refusal_headers = lambda *arguments: []
+            site.route = replace(
+                site.route, repeatability=Repeatability.AT_MOST_ONCE, is_stream=True
+            )
+            monkeypatch.setattr(
+                site.state.pools, "get_or_create", lambda entry: peer.pool
+            )
+            front = AsyncHttpServer(
+                lambda inbound, responder: site.request(
+                    budget_s=BUDGET_S,
+                    responder=responder,
+                    prompt_tokens=PROMPT_TOKENS,
+                    tokens=PROMPT_TOKENS + TOKENS,
+                ),
+                lambda status: None,
+            )
+            with socket.create_server(("127.0.0.1", 0)) as free:
+                address = f"127.0.0.1:{free.getsockname()[1]}"
+            await front.start(address)
+            started_at = monotonic_s()
+            reads = asyncio.gather(*(read_stream(address) for _ in range(STREAMS)))
+            stall_s = await longest_stall_s(reads)
+            seconds = monotonic_s() - started_at
+            await front.stop()
+            return reads.result(), stall_s, seconds
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        results, stall_s, seconds = runner.run(scenario())
+    assert stall_s < MAX_STALL_S
+    assert seconds < SOON_S
+    for count, last in results:
+        assert count <= MAX_RECEIVED
+        assert not last.endswith(b"0\r\n\r\n")
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -85,6 +85,8 @@
 ENDED_WITHOUT_EVENT_REASON = "ended_without_event"
 """Failure reasons of servers that do not go on with a stream: a response of another
 kind, events that do not follow the last one, or none."""
+TOO_LONG_REASON = "too_long"
+"""Failure reason of a server that sends more than the tokens that a request allows."""
 PROBE_RETRY_AFTER_S = 1.0
 """Time after which callers of a request that another one probes should come back."""
 LEFT_REASON = "left_before_sending"
@@ -250,7 +252,7 @@
             under_way_s,
         )
         self._record = RequestRecord(state, request, route, arrived_s)
-        self._splitter = EventSplitter(request.last_event_id)
+        self._splitter = EventSplitter(request.last_event_id, request.max_output_tokens)
         self._origin: StreamOrigin | None = None
         self._has_unknown_outcome = False
         self._are_parts_cleared = False
@@ -555,7 +557,7 @@
             lambda: connection.pause(exchange), lambda: connection.resume(exchange)
         )
         events = splitter.feed(data)
-        if splitter.is_too_large or splitter.is_out_of_order:
+        if splitter.must_end:
             connection.abandon(exchange)
         if not events:
             return
@@ -974,7 +976,7 @@
             load.note_received(now)
             reachability.note_received(server, connected_at, now)
             events = splitter.feed(data)
-            if splitter.is_too_large or splitter.is_out_of_order:
+            if splitter.must_end:
                 connection.abandon(exchange)
             if not events:
                 return
@@ -1029,6 +1031,8 @@
         """Return why a stream is incomplete, "" if it is complete."""
         if self._splitter.is_out_of_order:
             return OUT_OF_ORDER_REASON
+        if self._splitter.is_too_long:
+            return TOO_LONG_REASON
         if outcome is not ExchangeOutcome.COMPLETE:
             return outcome.value
         if self._splitter.has_partial:
--- a/sequoiapoint/protocol/event_stream.py
+++ b/sequoiapoint/protocol/event_stream.py
@@ -4,6 +4,9 @@
 and parses nothing but the last event id.  The cost of an event is proportional to its
 size, in however many chunks it arrives.
 
+A stream ends by itself when its server has written the tokens that its request allows.
+One that goes on is in trouble: it would take a host's time from all other requests.
+
 A stream that goes on at another server must go on behind its last event: a server that
 starts again, or that sends something else with a successful status, would be joined to
 what the caller has already.
@@ -16,6 +19,13 @@
 
 MAX_EVENT_BYTES = 1_048_576
 """Maximum size of an event; thousands of tokens."""
+MAX_STREAM_EVENTS = 131_072
+"""Maximum number of events of a stream whose request states no number of tokens, or a
+larger one."""
+MAX_EXTRA_EVENTS = 256
+"""Maximum number of comments and other events without tokens in a stream."""
+MEAN_EVENT_BYTES = 16_384
+"""Maximum mean size of the events of a stream beside ``MAX_EVENT_BYTES``."""
 _EVENT_END = b"\n\n"
 _ANY_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r|\r\n\n|\n\r\n")
 _MAX_EVENT_END_BYTES = 4
@@ -28,6 +38,8 @@
 class EventSplitter:
     """Returns complete events and buffers an incomplete one.
 
+    :param max_tokens: The number of tokens that the stream may hold; an event holds one
+        or more.  None if it is not known.
     :param last_id: The id of the event after which the stream resumes; "" if it starts
         at the first event.
     :ivar count: The number of events returned so far.
@@ -36,17 +48,29 @@
         one has arrived.
     :ivar is_out_of_order: Whether the server that was to go on with the stream has sent
         something that does not follow its last event; nothing of that is returned.
+    :ivar is_too_long: Whether the server has sent more than a stream of so many tokens
+        holds; nothing of what was received with the surplus is returned.
     """
 
-    def __init__(self, last_id: str = "") -> None:
+    def __init__(self, last_id: str = "", max_tokens: int | None = None) -> None:
+        max_events = min(max_tokens or MAX_STREAM_EVENTS, MAX_STREAM_EVENTS)
+        self._max_events = max_events + MAX_EXTRA_EVENTS
+        self._max_bytes = MAX_EVENT_BYTES + MEAN_EVENT_BYTES * self._max_events
+        self._received_events = self._received_bytes = 0
         self._partial = bytearray()
         self._events = b""
         self._last_id = last_id
         self.count = 0
         self.has_begun = False
         self.is_out_of_order = False
+        self.is_too_long = False
         self.is_resuming = bool(last_id)
 
+    @property
+    def must_end(self) -> bool:
+        """Tell whether nothing more may be read from the server."""
+        return self.is_too_large or self.is_too_long or self.is_out_of_order
+
     @property
     def has_partial(self) -> bool:
         """Tell whether bytes after the last returned event are buffered."""
@@ -66,6 +90,7 @@
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the events that are now complete."""
         partial = self._partial
+        self._received_bytes += len(data)
         if not partial:
             end, count = _find_last_end(data)
             events = data[:end]
@@ -81,6 +106,14 @@
             partial.clear()
         if end < len(data):
             partial += data[end:]
+        self._received_events += count
+        if (
+            self._received_events > self._max_events
+            or self._received_bytes > self._max_bytes
+        ):
+            self.is_too_long = True
+            partial.clear()
+            return b""
         if self.is_resuming and events:
             self._check_first_event(events)
         if self.is_out_of_order:
@@ -96,7 +129,8 @@
     def drop_partial(self) -> None:
         """Discard the buffered bytes before the stream is resumed."""
         self._partial.clear()
-        self.is_out_of_order = False
+        self._received_events = self._received_bytes = 0
+        self.is_out_of_order = self.is_too_long = False
         self.is_resuming = bool(self.last_id)
 
     def _check_first_event(self, events: bytes) -> None:
--- a/sequoiapoint/protocol/event_stream_test.py
+++ b/sequoiapoint/protocol/event_stream_test.py
@@ -4,7 +4,11 @@
 import hypothesis.strategies as st
 import pytest
 
-from sequoiapoint.protocol.event_stream import EventSplitter
+from sequoiapoint.protocol.event_stream import (
+    MAX_EVENT_BYTES,
+    MEAN_EVENT_BYTES,
+    EventSplitter,
+)
 
 
 @pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n"])
@@ -143,3 +147,60 @@
     assert splitter.is_resuming
     assert splitter.feed(b"id: 7\n\n") == b""
     assert splitter.is_out_of_order
+
+
+FLOODS = [
+    b"oak\n\n",
+    b"\n\n",
+    b"\r\n",
+    b"data: x\n\n",
+    b": comment\n\n",
+    b"id: 13\ndata: x\n\n",
+    b"data: " + b"x" * 100_000 + b"\n\n",
+]
+
+
+def token_events(count):
+    return b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, count + 1))
+
+
+@pytest.mark.parametrize(
+    ("flood", "max_tokens"),
+    [*((flood, 12) for flood in FLOODS), *((flood, None) for flood in FLOODS[:-1])],
+)
+def test_a_stream_ends_when_it_holds_more_than_its_tokens(flood, max_tokens):
+    """Guards against a host that answers nobody beside streams without end."""
+    splitter = EventSplitter("", max_tokens)
+    returned = len(splitter.feed(token_events(12)))
+    block = flood * (65_536 // len(flood) + 1)
+    for _ in range(200):
+        returned += len(splitter.feed(block))
+        if splitter.must_end:
+            break
+    assert splitter.is_too_long
+    assert splitter.feed(b"id: 99\ndata: x\n\n") == b""
+    assert splitter.last_id in ("12", "13")
+    if max_tokens:
+        assert returned <= MAX_EVENT_BYTES + 300 * MEAN_EVENT_BYTES
+
+
+@pytest.mark.parametrize(
+    "extra", [b"", b": still here\n\n" * 200, b"data: [DONE]\n\n", b"\n" * 200]
+)
+def test_a_stream_of_as_many_events_as_tokens_is_sound(extra):
+    splitter = EventSplitter("", 500)
+    data = extra + token_events(500)
+    assert b"".join(splitter.feed(data[n : n + 9]) for n in range(0, len(data), 9))
+    assert not splitter.must_end
+    assert splitter.last_id == "500"
+
+
+def test_the_next_server_of_a_stream_may_send_what_its_tokens_allow():
+    splitter = EventSplitter("", 12)
+    splitter.feed(token_events(6))
+    splitter.feed(b"oak\n\n" * 20_000)
+    assert splitter.is_too_long
+    splitter.drop_partial()
+    rest = token_events(12).removeprefix(token_events(6))
+    assert splitter.feed(rest) == rest
+    assert not splitter.must_end
--- a/sequoiapoint/protocol/gateway.py
+++ b/sequoiapoint/protocol/gateway.py
@@ -312,6 +312,11 @@
     key_digest: bytes = b""
     organisation: str | None = None
 
+    @property
+    def max_output_tokens(self) -> int | None:
+        """Return how many tokens the response may hold, None if it is not stated."""
+        return max(0, (self.tokens or 0) - self.prompt_tokens) or None
+
     @property
     def path(self) -> str:
         """Return the target without its query."""
