--- a/sequoiapoint/node/attempt.py
+++ b/sequoiapoint/node/attempt.py
@@ -64,6 +64,7 @@
         self._position = position
         self._id = f"{uuid.uuid4().hex}-{number}"
         self._has_last_token = False
+        self._repeated_tokens = 0
         self._incarnation = ""
         self._outcome: AttemptOutcome | None = None
         self._last_data_at = clock.monotonic_s()
@@ -161,11 +162,22 @@
             self._outcome = self._failure("crossed_answer")
         elif event.position > self._position:
             self._outcome = self._failure("missing_token")
+        elif self._is_surplus(event):
+            self._outcome = self._failure("too_long")
         elif event.position == self._position:
             self._position += 1
             self._has_last_token = event.finish_reason is not None
             yield event
 
+    def _is_surplus(self, event: ChatEvent) -> bool:
+        """Tell whether the engine goes on beyond the tokens that the request allows.
+
+        An engine that begins anew repeats each token once at most.
+        """
+        self._repeated_tokens += event.position < self._position
+        limit = self._chat.max_tokens
+        return event.position >= limit or self._repeated_tokens > limit
+
     def _should_stop(self) -> bool:
         """Tell whether to stop waiting for data, and set the outcome if so."""
         silence_s = clock.monotonic_s() - self._last_data_at
