--- a/sequoiapoint/node/attempt.py
+++ b/sequoiapoint/node/attempt.py
@@ -120,7 +120,7 @@
                 if stream.response.status != 200:
                     error_body += data
                     if len(error_body) > MAX_BODY_BYTES:
-                        self._outcome = stream.too_large()
+                        self._outcome = stream.too_large_failure()
                         return
                     continue
                 headers_checked = True
--- a/sequoiapoint/protocol/event_stream.py
+++ b/sequoiapoint/protocol/event_stream.py
@@ -25,7 +25,8 @@
 MAX_EXTRA_EVENTS = 256
 """Maximum number of comments and other events without tokens in a stream."""
 MEAN_EVENT_BYTES = 16_384
-"""Maximum mean size of the events of a stream beside ``MAX_EVENT_BYTES``."""
+"""A stream holds at most as many bytes as that many events of this size, and one event
+of the maximum size."""
 _EVENT_END = b"\n\n"
 _ANY_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r|\r\n\n|\n\r\n")
 _MAX_EVENT_END_BYTES = 4
@@ -38,10 +39,10 @@
 class EventSplitter:
     """Returns complete events and buffers an incomplete one.
 
-    :param max_tokens: The number of tokens that the stream may hold; an event holds one
-        or more.  None if it is not known.
     :param last_id: The id of the event after which the stream resumes; "" if it starts
         at the first event.
+    :param max_tokens: The number of tokens that the stream may hold; an event holds one
+        or more.  None if it is not known.
     :ivar count: The number of events returned so far.
     :ivar has_begun: Whether one of them was an event; comments count as well.
     :ivar is_resuming: Whether the stream is to go on behind an event, and no further
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -459,10 +459,12 @@
             for name, _ in self._headers
         )
         self._is_informational = is_informational(status)
-        if not (is_final(status) or self._is_informational and not has_framing):
-            raise _InvalidHeadError(f"status {status} ends no request of this client")
         if self._is_informational:
+            if has_framing:
+                raise _InvalidHeadError("informational response with a body")
             return
+        if not is_final(status):
+            raise _InvalidHeadError(f"{status} is no status of a response")
         self._is_framed = has_framing or status in (204, 304)
         if not exchange.accepts(status, self._headers):
             self._is_discarding = True
--- a/sequoiapoint/transport/http_client.py
+++ b/sequoiapoint/transport/http_client.py
@@ -95,7 +95,7 @@
         for data in stream.chunks():
             body += data
             if len(body) > MAX_BODY_BYTES:
-                return stream.too_large()
+                return stream.too_large_failure()
         if stream.failure is not None:
             return stream.failure
         stream.response.body = bytes(body)
@@ -178,7 +178,7 @@
         if result is not None:
             self.failure = self._make_failure(*result)
 
-    def too_large(self) -> Failure:
+    def too_large_failure(self) -> Failure:
         """Return the failure of a call whose body is too large to be collected."""
         kind = self._send_guard.failure_kind
         return Failure(kind, "too_large", self._step, self._peer)
