HTTP client: parts of a few bytes are limited by their number

Several responses without end, in chunks of a byte or with long extensions, take a host's time from all other callers: each part costs a callback, and only the bytes of a body were limited.

Why this works: the parser stops at the part that exceeds 32,768 small ones, and framing is limited in proportion to the parts. A test has a sound body of 16,384 parts of 15 bytes received as a whole.

--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -67,6 +67,12 @@
 MAX_READ_BYTES = 262_144
 """Maximum number of bytes that the event loop reads at once; limits on received bytes
 are exact to one such read."""
+SMALL_PART_BYTES = 16
+"""Size of a part of a body below which it costs more time than its bytes."""
+MAX_SMALL_PARTS = 32_768
+"""Maximum number of small parts of a body."""
+MAX_FRAMING_BYTES = 32
+"""Mean number of bytes beside each part of a body, beyond ``MAX_HEAD_BYTES``."""
 MAX_SKIPPED_BYTES = 1_048_576
 """Maximum size of what may precede a request's response on a connection: informational
 responses, and late ones to other requests."""
@@ -90,8 +96,8 @@
     TOO_LARGE = "too_large"
 
 
-class _InvalidHeadError(Exception):
-    """Raised in a parser callback for a head that is too large, or is not HTTP."""
+class _InvalidResponseError(Exception):
+    """Raised in a parser callback for a response that is too large, or not HTTP."""
 
 
 @dataclass(frozen=True)
@@ -188,6 +194,8 @@
         self._body_parts: list[bytes] = []
         self._head_bytes = 0
         self._overhead_bytes = 0
+        self._framing_bytes = self._read_body_bytes = 0
+        self._parts = self._small_parts = 0
         self._skipped_bytes = 0
         self._is_in_head = True
         self._is_framed = False
@@ -362,6 +370,7 @@
         self._overhead_bytes += len(data)
         if not exchange.head.done():
             self._skipped_bytes += len(data)
+        self._read_body_bytes = 0
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -369,6 +378,7 @@
             if self._exchange is not None:
                 self._end(ExchangeOutcome.MALFORMED)
             self.close()
+        self._framing_bytes += len(data) - self._read_body_bytes
         self._deliver_body()
         if self._has_surplus_bytes:
             self.close()
@@ -395,7 +405,7 @@
 
     def _report_failure(self, cause: BaseException | None) -> None:
         """Report the unexpected failure of a callback, None if there was none."""
-        if cause is not None and not isinstance(cause, _InvalidHeadError):
+        if cause is not None and not isinstance(cause, _InvalidResponseError):
             self._loop.call_exception_handler(
                 {"message": "processing a response failed", "exception": cause}
             )
@@ -408,6 +418,8 @@
         """
         if self._overhead_bytes > MAX_HEAD_BYTES:
             return True
+        if self._framing_bytes > MAX_HEAD_BYTES + MAX_FRAMING_BYTES * self._parts:
+            return True
         is_skipping = not self._exchange.head.done()
         return is_skipping and self._skipped_bytes > MAX_SKIPPED_BYTES
 
@@ -442,7 +454,7 @@
         """Collect a header; one in a trailer is ignored."""
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > MAX_HEAD_BYTES:
-            raise _InvalidHeadError(f"response head exceeds {MAX_HEAD_BYTES} bytes")
+            raise _InvalidResponseError(f"response head exceeds {MAX_HEAD_BYTES} bytes")
         if self._is_in_head:
             self._headers.append((name.lower(), value))
 
@@ -461,10 +473,10 @@
         self._is_informational = is_informational(status)
         if self._is_informational:
             if has_framing:
-                raise _InvalidHeadError("informational response with a body")
+                raise _InvalidResponseError("informational response with a body")
             return
         if not is_final(status):
-            raise _InvalidHeadError(f"{status} is no status of a response")
+            raise _InvalidResponseError(f"{status} is no status of a response")
         self._is_framed = has_framing or status in (204, 304)
         if not exchange.accepts(status, self._headers):
             self._is_discarding = True
@@ -478,8 +490,17 @@
             self._end(ExchangeOutcome.COMPLETE)
 
     def on_body(self, data: bytes) -> None:
-        """Collect a part of the body for the exchange."""
+        """Collect a part of the body for the exchange.
+
+        Each part costs time, however few bytes it has.
+        """
         self._overhead_bytes = 0
+        self._read_body_bytes += len(data)
+        self._parts += 1
+        if len(data) < SMALL_PART_BYTES:
+            self._small_parts += 1
+            if self._small_parts > MAX_SMALL_PARTS:
+                raise _InvalidResponseError("body in too many small parts")
         if self._exchange is not None and not self._is_discarding:
             self._body_parts.append(data)
 
@@ -498,6 +519,8 @@
         self._headers = []
         self._head_bytes = 0
         self._overhead_bytes = 0
+        self._framing_bytes = 0
+        self._parts = self._small_parts = 0
         self._is_in_head = True
         self._is_framed = False
         self._is_discarding = False
--- a/sequoiapoint/transport/async_http_client_test.py
+++ b/sequoiapoint/transport/async_http_client_test.py
@@ -440,6 +440,22 @@
     assert sent < ENDLESS
 
 
+@pytest.mark.parametrize("part", [b"x" * 15, b"x" * 16, b"x" * 900])
+def test_a_whole_body_in_many_parts_is_received(part):
+    """Guards against sound responses that count as an endless one."""
+    # A part that lies across two reads counts twice.
+    count = async_http_client.MAX_SMALL_PARTS // 2 if len(part) < 16 else 4_000
+    chunk = b"%x;n=1\r\n%b\r\n" % (len(part), part)
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    async def scenario():
+        async with Peer(head + chunk * count + b"0\r\n\r\n") as peer:
+            request = HttpCall("GET", "/x")
+            return await async_http_client.call(peer.pool, peer.address, request, 5.0)
+
+    assert asyncio.run(scenario()).body == part * count
+
+
 def silence_limits(connection):
     """Return after how many ms and how many probes the kernel gives a connection up."""
     sock = connection._transport.get_extra_info("socket")
