endless_stream_test: bound the processor time, not the time to the end

What other callers lack is the time of the processor that the streams take; how long that lasts depends on what else the machine runs.

--- a/sequoiapoint/node/endless_stream_test.py
+++ b/sequoiapoint/node/endless_stream_test.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from dataclasses import replace
 
 import pytest
@@ -23,12 +24,13 @@
 from sequoiapoint.protocol.event_stream import MAX_EVENT_BYTES, MAX_EXTRA_EVENTS
 from sequoiapoint.protocol.gateway import Repeatability
 from sequoiapoint.transport.async_http_server import AsyncHttpServer
-from sequoiapoint.transport.clock import monotonic_s
 
 STREAMS = 12
 """Those that one server sends at a time, see ``review/7``."""
 TOKENS, PROMPT_TOKENS = 12, 100
-BUDGET_S, SOON_S = 10.0, 1.0
+BUDGET_S = 10.0
+MAX_PROCESSOR_S = 1.0
+"""Processor time that all of them may take from other requests, with their server's."""
 HEAD = CHUNKED.replace(b"\r\n\r\n", b"\r\nRequest-Id: id\r\nServer-Seal: s\r\n\r\n")
 FIRST = HEAD + b"".join(
     chunk(b"id: %d\ndata: x\n\n" % number) for number in range(1, TOKENS + 1)
@@ -102,17 +104,17 @@
             with socket.create_server(("127.0.0.1", 0)) as free:
                 address = f"127.0.0.1:{free.getsockname()[1]}"
             await front.start(address)
-            started_at = monotonic_s()
+            started_at = time.process_time()
             reads = asyncio.gather(*(read_stream(address) for _ in range(STREAMS)))
             stall_s = await longest_stall_s(reads)
-            seconds = monotonic_s() - started_at
+            processor_s = time.process_time() - started_at
             await front.stop()
-            return reads.result(), stall_s, seconds
+            return reads.result(), stall_s, processor_s
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        results, stall_s, seconds = runner.run(scenario())
+        results, stall_s, processor_s = runner.run(scenario())
     assert stall_s < MAX_STALL_S
-    assert seconds < SOON_S
+    assert processor_s < MAX_PROCESSOR_S
     for count, last in results:
         assert count <= MAX_RECEIVED
         assert not last.endswith(b"0\r\n\r\n")
