--- a/sequoiapoint/node/attempt.py
+++ b/sequoiapoint/node/attempt.py
@@ -172,11 +172,12 @@
     def _is_surplus(self, event: ChatEvent) -> bool:
         """Tell whether the engine goes on beyond the tokens that the request allows.
 
-        An engine that begins anew repeats each token once at most.
+        The event behind the last token has none, only the reason for the end.  An
+        engine that begins anew repeats each token once at most.
         """
         self._repeated_tokens += event.position < self._position
         limit = self._chat.max_tokens
-        return event.position >= limit or self._repeated_tokens > limit
+        return event.position > limit or self._repeated_tokens > limit
 
     def _should_stop(self) -> bool:
         """Tell whether to stop waiting for data, and set the outcome if so."""
--- a/sequoiapoint/node/attempt_test.py
+++ b/sequoiapoint/node/attempt_test.py
@@ -1,13 +1,12 @@
 """Attempts at a server that is in trouble."""
 
-import itertools
 import json
 from types import SimpleNamespace
 
 import pytest
 
 from sequoiapoint.coordination.routing import Candidate
-from sequoiapoint.node.attempt import Attempt
+from sequoiapoint.node.attempt import Attempt, Completed
 from sequoiapoint.node.context import RequestContext
 from sequoiapoint.protocol.chat import ChatRequest
 from sequoiapoint.protocol.document import Promise
@@ -35,26 +34,47 @@
     assert peer.sent < MAX_SENT_BYTES
 
 
-@pytest.mark.parametrize("last_position", [None, MAX_TOKENS // 2])
-def test_a_stream_ends_when_it_holds_more_than_its_tokens(last_position):
-    """A thread of the host was busy with it until the deadline.
-
-    The positions grow without end, or remain the last one.
-    """
+def read(events):
+    """Read a stream of events, given by their fields; return them and the outcome."""
     attempt = new_attempt("127.0.0.1:1")
     headers = {"x-request-id": attempt._id, "x-attempt": "1"}
 
-    def event(position):
-        if last_position is not None:
-            position = min(position, last_position)
-        choice = {"delta": {"content": "x"}}
+    def encode(position, text, finish_reason):
+        choice = {"delta": {"content": text}, "finish_reason": finish_reason}
         value = {"id": attempt._id, "position": position, "choices": [choice]}
         return b"data: " + json.dumps(value).encode() + b"\n\n"
 
     stream = SimpleNamespace(
         response=SimpleNamespace(status=200, headers=headers),
-        chunks=lambda should_stop: map(event, itertools.islice(itertools.count(), 500)),
+        failure=None,
+        chunks=lambda should_stop: (
+            item if isinstance(item, bytes) else encode(*item) for item in events
+        ),
     )
-    events = list(attempt._read(stream))
-    assert len(events) == (MAX_TOKENS if last_position is None else last_position + 1)
-    assert attempt.outcome.reason == "too_long"
+    return list(attempt._read(stream)), attempt.outcome
+
+
+TOKENS = [(position, "x", None) for position in range(MAX_TOKENS)]
+
+
+def test_a_stream_of_all_its_tokens_is_complete():
+    """Guards against a limit that cuts the event with the reason for the end."""
+    events, outcome = read([*TOKENS, (MAX_TOKENS, "", "stop"), b"data: [DONE]\n\n"])
+    assert len(events) == MAX_TOKENS + 1
+    assert outcome == Completed()
+
+
+@pytest.mark.parametrize(
+    "surplus",
+    [
+        [(MAX_TOKENS + extra, "x", None) for extra in range(500)],
+        [(MAX_TOKENS - 1, "x", None)] * 500,
+        [(0, "x", None)] * 500,
+    ],
+    ids=["new_tokens", "last_token", "first_token"],
+)
+def test_a_stream_ends_when_it_holds_more_than_its_tokens(surplus):
+    """A thread of the host was busy with it until the deadline."""
+    events, outcome = read([*TOKENS, *surplus])
+    assert MAX_TOKENS <= len(events) <= MAX_TOKENS + 1
+    assert outcome.reason == "too_long"
