The change read again: the choice of a grant apart from its release, terms, names

A ticket tells whether it takes a grant, without I/O; the exchange releases what it does not take. No check asks less, and no behaviour but the outcome's name in one log line changes.

--- a/sequoiapoint/node/broken_response_test.py
+++ b/sequoiapoint/node/broken_response_test.py
@@ -172,9 +172,7 @@
     ],
     ids=["length", "chunked"],
 )
-def test_a_caller_does_not_get_a_status_that_is_none(
-    monkeypatch, rest, status, is_stream
-):
+def test_a_caller_does_not_get_an_invalid_status(monkeypatch, rest, status, is_stream):
     """Such a response came through as the answer, or was awaited to the deadline."""
     response = HEAD.replace(b"200", status) + rest
     data, _ = run(received_by_caller(monkeypatch, response, "keep", is_stream, b"1.1"))
--- a/sequoiapoint/node/endless_stream_test.py
+++ b/sequoiapoint/node/endless_stream_test.py
@@ -1,7 +1,7 @@
 """Responses whose server goes on without end, at one host, several at a time.
 
-Guards against a host that answers nobody while one server is in trouble, and against a
-surplus without end that a caller gets.
+Guards against a host that answers nobody while one server is faulty, and against events
+beyond the last token that reach a caller.
 """
 
 import asyncio
--- a/sequoiapoint/node/slot_exchange.py
+++ b/sequoiapoint/node/slot_exchange.py
@@ -107,6 +107,14 @@
             and now - self.asked_at <= MAX_GRANT_AGE_S
         )
 
+    def may_take(self, grant: SlotReply) -> bool:
+        """Tell whether the request can use a grant, and has none yet.
+
+        An allocator of an earlier build repeats what it has granted to the same number
+        in a former process of this host, so the server must be one that was asked for.
+        """
+        return self.grant is None and grant.engine[0] in self.candidates
+
     def __enter__(self) -> "SlotTicket":
         """Start to receive replies."""
         self._exchange.open(self)
@@ -339,7 +347,8 @@
         if message.host != self._own.host:
             ticket = None
         is_granted = message.outcome is SlotOutcome.GRANTED
-        if is_granted and not self._may_take(ticket, message, sender):
+        if is_granted and (ticket is None or not ticket.may_take(message)):
+            self._give_back(message, ticket, sender)
             return
         if ticket is None:
             return
@@ -355,22 +364,20 @@
         elif is_granted:
             self._state.wait_queue.wake(message.number)
 
-    def _may_take(
-        self, ticket: SlotTicket | None, grant: SlotReply, sender: Member
-    ) -> bool:
-        """Tell whether a ticket takes a grant; give back a slot that it does not use.
-
-        A grant must fit what was asked for, whatever its number says.
-        """
+    def _give_back(
+        self, grant: SlotReply, ticket: SlotTicket | None, sender: Member
+    ) -> None:
+        """Release a slot that its ticket does not take, unless it has that slot."""
+        if ticket is not None and ticket.grant == grant:
+            return
         if ticket is not None and ticket.grant is None:
-            if grant.engine[0] in ticket.candidates:
-                return True
             self._state.log.event(
-                "slot_allocator", "unfit", peer=sender.host, server=grant.engine[0]
+                "slot_allocator",
+                "mismatched",
+                peer=sender.host,
+                server=grant.engine[0],
             )
-        if ticket is None or ticket.grant != grant:
-            self._send(released(grant, SlotQuality.UNUSED), sender)
-        return False
+        self._send(released(grant, SlotQuality.UNUSED), sender)
 
     def _reply(self, reply: SlotReply, member: Member) -> None:
         if member == self._own:
--- a/sequoiapoint/protocol/detours.py
+++ b/sequoiapoint/protocol/detours.py
@@ -223,22 +223,25 @@
         kind = message.which()
         if kind == "response":
             group = message.response
-            headers, status = _decode_headers(group.headers), _checked(group.status)
+            headers, status = (
+                _decode_headers(group.headers),
+                _valid_status(group.status),
+            )
             return ServerReply(status, headers, group.isStream, message.attempts)
         if kind == "refusal":
             group = message.refusal
             ms = group.retryAfterMs
             retry_after_s = None if ms == NO_TIME_MS else ms / 1000
-            status = _checked(group.status)
+            status = _valid_status(group.status)
             return RefusalReply(status, group.reason, retry_after_s, message.attempts)
         return UnknownReply(message.unknown.reason, message.attempts)
     except (*DECODE_ERRORS, ValueError) as error:
         raise ValueError(f"not a reply: {error}") from error
 
 
-def _checked(status: int) -> int:
+def _valid_status(status: int) -> int:
     if not is_final(status):
-        raise ValueError(f"status {status} of a response")
+        raise ValueError(f"invalid status {status}")
     return status
 
 
--- a/sequoiapoint/protocol/detours_test.py
+++ b/sequoiapoint/protocol/detours_test.py
@@ -64,7 +64,7 @@
     st.builds(ServerReply, OTHER_STATUS, HEADERS, st.booleans(), COUNT)
     | st.builds(RefusalReply, OTHER_STATUS, TEXT, st.none() | SECONDS, COUNT)
 )
-def test_a_reply_with_the_status_of_no_answer_is_none(reply):
+def test_a_reply_with_an_invalid_status_is_rejected(reply):
     with pytest.raises(ValueError, match="not a reply"):
         decode_detour_reply(encode_detour_reply(reply))
 
--- a/sequoiapoint/protocol/event_stream.py
+++ b/sequoiapoint/protocol/event_stream.py
@@ -4,8 +4,8 @@
 and parses nothing but the last event id.  The cost of an event is proportional to its
 size, in however many chunks it arrives.
 
-A stream ends by itself when its server has written the tokens that its request allows.
-One that goes on is in trouble: it would take a host's time from all other requests.
+Answers a faulty server that goes on without end after the last token, so that parsing
+its events delays all other requests: a stream is limited by the tokens of its request.
 
 A stream that goes on at another server must go on behind its last event: a server that
 starts again, or that sends something else with a successful status, would be joined to
@@ -24,9 +24,9 @@
 larger one."""
 MAX_EXTRA_EVENTS = 256
 """Maximum number of comments and other events without tokens in a stream."""
-MEAN_EVENT_BYTES = 16_384
-"""A stream holds at most as many bytes as that many events of this size, and one event
-of the maximum size."""
+MAX_MEAN_EVENT_BYTES = 16_384
+"""Maximum mean size of the events of a stream, if it has as many as it may; one event
+more may have the maximum size."""
 _EVENT_END = b"\n\n"
 _ANY_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r|\r\n\n|\n\r\n")
 _MAX_EVENT_END_BYTES = 4
@@ -56,7 +56,7 @@
     def __init__(self, last_id: str = "", max_tokens: int | None = None) -> None:
         max_events = min(max_tokens or MAX_STREAM_EVENTS, MAX_STREAM_EVENTS)
         self._max_events = max_events + MAX_EXTRA_EVENTS
-        self._max_bytes = MAX_EVENT_BYTES + MEAN_EVENT_BYTES * self._max_events
+        self._max_bytes = MAX_EVENT_BYTES + MAX_MEAN_EVENT_BYTES * self._max_events
         self._received_events = self._received_bytes = 0
         self._partial = bytearray()
         self._events = b""
--- a/sequoiapoint/protocol/event_stream_test.py
+++ b/sequoiapoint/protocol/event_stream_test.py
@@ -6,7 +6,7 @@
 
 from sequoiapoint.protocol.event_stream import (
     MAX_EVENT_BYTES,
-    MEAN_EVENT_BYTES,
+    MAX_MEAN_EVENT_BYTES,
     EventSplitter,
 )
 
@@ -181,7 +181,7 @@
     assert splitter.feed(b"id: 99\ndata: x\n\n") == b""
     assert splitter.last_id in ("12", "13")
     if max_tokens:
-        assert returned <= MAX_EVENT_BYTES + 300 * MEAN_EVENT_BYTES
+        assert returned <= MAX_EVENT_BYTES + 300 * MAX_MEAN_EVENT_BYTES
 
 
 @pytest.mark.parametrize(
--- a/sequoiapoint/protocol/http_status.py
+++ b/sequoiapoint/protocol/http_status.py
@@ -1,7 +1,7 @@
-"""Which numbers in a status line are a status.
+"""Validity of the status of a response.
 
-A parser accepts any three digits.  A response with another number than those of HTTP is
-no response, for a caller as little as for this host.
+Answers a faulty server that sends a number which HTTP does not define: parsers accept
+any three digits.  Such a response is malformed, and is not passed on.
 """
 
 import http
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -68,11 +68,12 @@
 """Maximum number of bytes that the event loop reads at once; limits on received bytes
 are exact to one such read."""
 SMALL_PART_BYTES = 16
-"""Size of a part of a body below which it costs more time than its bytes."""
+"""Size below which a part of a body is small: handling it costs more than its bytes."""
 MAX_SMALL_PARTS = 32_768
 """Maximum number of small parts of a body."""
 MAX_FRAMING_BYTES = 32
-"""Mean number of bytes beside each part of a body, beyond ``MAX_HEAD_BYTES``."""
+"""Maximum mean number of bytes of framing a part of a body, beside
+``MAX_HEAD_BYTES``."""
 MAX_SKIPPED_BYTES = 1_048_576
 """Maximum size of what may precede a request's response on a connection: informational
 responses, and late ones to other requests."""
@@ -194,6 +195,7 @@
         self._body_parts: list[bytes] = []
         self._head_bytes = 0
         self._overhead_bytes = 0
+        # Bytes of all reads beside the parts of the body, and those parts.
         self._framing_bytes = self._read_body_bytes = 0
         self._parts = self._small_parts = 0
         self._skipped_bytes = 0
@@ -476,7 +478,7 @@
                 raise _InvalidResponseError("informational response with a body")
             return
         if not is_final(status):
-            raise _InvalidResponseError(f"{status} is no status of a response")
+            raise _InvalidResponseError(f"invalid status {status}")
         self._is_framed = has_framing or status in (204, 304)
         if not exchange.accepts(status, self._headers):
             self._is_discarding = True
--- a/sequoiapoint/transport/invalid_status_test.py
+++ b/sequoiapoint/transport/invalid_status_test.py
@@ -1,4 +1,4 @@
-"""Responses whose status is none in HTTP, on connections that stay open.
+"""Responses whose status HTTP does not define, on connections that stay open.
 
 Guards against a caller who gets such a response as an answer, or waits to its deadline
 for another one.
@@ -70,7 +70,7 @@
 
 @pytest.mark.parametrize("client", [asyncio_client, libcurl_client])
 @pytest.mark.parametrize("response", INVALID)
-def test_a_response_with_an_invalid_status_is_none(client, response):
+def test_a_response_with_an_invalid_status_is_a_failure(client, response):
     result, seconds = asyncio.run(receive(client, response))
     assert isinstance(result, Failure)
     assert result.kind is FailureKind.UNKNOWN
@@ -78,7 +78,7 @@
 
 
 @pytest.mark.parametrize("response", FRAMED_INTERIM)
-def test_an_informational_response_with_a_body_is_none(response):
+def test_an_informational_response_with_a_body_is_a_failure(response):
     result, seconds = asyncio.run(receive(asyncio_client, response))
     assert isinstance(result, Failure)
     assert seconds < SOON_S
