A budget for the memory that callers hold in a gateway

What callers saw: a crowd that sent much and stopped short of the end, or many large bodies, ended the process, which ran out of memory; all its connections were reset.

Cause: every limit held for one connection. A body was kept as a list of the parser's parts (27 bytes of memory for each byte in chunks of two), a header of 5 bytes took over 100, all requests behind one in progress were parsed at once, and a refused request was kept until its connection was closed.

Evidence: tests/caller_crowd_test.py, one gateway on a machine of 120 MB, crowd and bounds fixed before the product was changed.

Why this works: all servers of a process share one budget, a quarter of its memory, which counts the memory of objects, not bytes. Incomplete requests lose their memory in the order of memory times time, whole ones are admitted while there is room, and 503 is sent before anything runs. No client inside the limits meets it alone: a single request is served whatever its size.

--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -24,6 +24,7 @@
 from sequoiapoint.protocol.ports import DeploymentAdapter
 from sequoiapoint.transport.async_http_server import (
     AsyncHttpServer,
+    Handler,
     InboundRequest,
     Responder,
 )
@@ -90,11 +91,10 @@
         self._detour_server = DetourServer(state, exchange)
         for path in (DETOUR_PATH, ORGANISATION_DETOUR_PATH):
             exchange.server.add_handler(path, self._detour_server.handle)
-        self._caller_server = AsyncHttpServer(
-            RequestHandler(state, exchange).handle, self._log_malformed
-        )
-        readiness_server = AsyncHttpServer(self._serve_readiness, self._log_malformed)
-        metrics_server = AsyncHttpServer(self._serve_metrics, self._log_malformed)
+        handle = RequestHandler(state, exchange).handle
+        self._caller_server = self._build_server(handle)
+        readiness_server = self._build_server(self._serve_readiness)
+        metrics_server = self._build_server(self._serve_metrics)
         await self._caller_server.start(settings.caller_address)
         await readiness_server.start(settings.readiness_address)
         await metrics_server.start(settings.metrics_address)
@@ -124,6 +124,10 @@
             unanswered=self._caller_server.unanswered,
         )
 
+    def _build_server(self, handler: Handler) -> AsyncHttpServer:
+        """Return a server whose callers share the host's budget."""
+        return AsyncHttpServer(handler, self._log_rejected, self._state.caller_budget)
+
     async def _run_with_restart(self, component: Callable[[], Awaitable[None]]) -> None:
         """Run a component and restart it after a failure; requests are still served."""
         while True:
@@ -236,7 +240,16 @@
                 )
                 self._caller_server.idle_closed = 0
 
-    def _log_malformed(self, status: int) -> None:
+    def _log_rejected(self, status: int) -> None:
+        """Log a request that does not reach its handler."""
+        if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+            self._state.metrics.refusal("caller_memory")
+            self._state.log.event(
+                "request_rejected",
+                "caller_memory",
+                held_bytes=self._state.caller_budget.held_bytes,
+            )
+            return
         self._state.metrics.refusal(f"malformed_{status}")
         self._state.log.event("request_malformed", str(status))
 
--- a/sequoiapoint/node/gateway_state.py
+++ b/sequoiapoint/node/gateway_state.py
@@ -17,6 +17,9 @@
 )
 from sequoiapoint.coordination.quarantine import Quarantine
 from sequoiapoint.coordination.retry_window import RetryWindow
+from sequoiapoint.node.host_capacity import (
+    caller_memory_bytes,
+)
 from sequoiapoint.protocol.api_keys import key_labels
 from sequoiapoint.protocol.gateway import (
     GatewayConfiguration,
@@ -36,6 +39,7 @@
 from sequoiapoint.state.server_speed import ServerSpeeds
 from sequoiapoint.state.stated_times import StatedTimes
 from sequoiapoint.transport.async_http_client import ConnectionPool
+from sequoiapoint.transport.caller_budget import CallerBudget
 from sequoiapoint.transport.clock import monotonic_s
 from sequoiapoint.transport.decision_log import DecisionLog
 from sequoiapoint.transport.metrics import Metrics
@@ -235,6 +239,7 @@
     :param configuration_age_s: Returns the time since which the configuration may lack
         a newer version, in seconds; 0 if that is not bounded, infinity if nothing is
         known.
+    :ivar caller_budget: The memory for what arrives at any of the host's addresses.
     """
 
     settings: GatewaySettings
@@ -263,11 +268,13 @@
     replan_requested: asyncio.Event = field(default_factory=asyncio.Event)
     shared_state_changed: Callable[[], None] = lambda: None
     configuration_age_s: Callable[[], float] = lambda: 0.0
+    caller_budget: CallerBudget = field(init=False)
     _retry_windows: dict[str, RetryWindow] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Let waiting requests learn of changes of the servers."""
         self.fleet.on_change = self.wait_queue.notify_servers
+        self.caller_budget = CallerBudget(caller_memory_bytes(self.settings))
 
     @property
     def is_draining(self) -> bool:
--- a/sequoiapoint/node/peer_server.py
+++ b/sequoiapoint/node/peer_server.py
@@ -23,7 +23,11 @@
     def __init__(self, state: GatewayState, handlers: Mapping[str, Handler]) -> None:
         self._state = state
         self._handlers = dict(handlers)
-        self._server = AsyncHttpServer(self._serve, self._log_malformed)
+        self._server = AsyncHttpServer(
+            self._serve,
+            self._log_malformed,
+            state.caller_budget,
+        )
         self._server.limits = CallerLimits(max_body_bytes=MAX_REQUEST_BYTES)
 
     @property
--- a/sequoiapoint/protocol/gateway_settings.py
+++ b/sequoiapoint/protocol/gateway_settings.py
@@ -67,6 +67,8 @@
     """Share of a processor core that the host may use."""
     cpu_speed: float = pydantic.Field(default=1.0, gt=0)
     """Factor on the speed of that core."""
+    memory_mb: float | None = pydantic.Field(default=None, gt=0)
+    """Memory for the process; None for that of the machine."""
     bounds: Bounds = Bounds()
     log_level: str = pydantic.Field(
         default="info", pattern="^(debug|info|warning|error)$"
--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -9,6 +9,7 @@
 import asyncio
 import fcntl
 import http
+import math
 import socket
 import termios
 from collections import deque
@@ -24,6 +25,12 @@
     set_discard_on_close,
     set_liveness_options,
 )
+from sequoiapoint.transport.caller_budget import (
+    HEADER_BYTES,
+    QUEUED_REQUEST_BYTES,
+    CallerBudget,
+    active_bytes,
+)
 from sequoiapoint.transport.clock import monotonic_s, pause_to_tick_s
 
 TIMEOUT_CHECK_INTERVAL_S = 0.25
@@ -38,6 +45,12 @@
 OVERHEAD_FACTOR = 2
 """Size of an incomplete head, or of a trailer, relative to the maximum size of headers,
 from which on it is rejected; the delimiters between headers count too."""
+NOTHING = memoryview(b"")
+PARSE_BYTES = 4_096
+"""Bytes that are parsed at once; requests behind the one in progress stay unparsed, as
+their objects need many times their bytes."""
+RETRY_AFTER_S = 1
+"""Time after which a caller may come back for which there was no room."""
 CALLER_TIMEOUT_MS = 30_000
 """Maximum time for which a caller may take no bytes of a response."""
 CALLER_KEEPALIVE_PROBES = 30
@@ -59,6 +72,7 @@
 
     :param headers: Headers with names in lower case.
     :param arrived_s: Arrival time of the first byte on the monotonic clock, in seconds.
+    :param head_bytes: The memory of its head.
     """
 
     method: str
@@ -66,6 +80,17 @@
     headers: Headers
     body: bytes
     arrived_s: float
+    head_bytes: int = 0
+
+    @property
+    def queued_bytes(self) -> int:
+        """Return its memory while it waits behind another one."""
+        return QUEUED_REQUEST_BYTES + self.head_bytes + len(self.body)
+
+    @property
+    def active_bytes(self) -> int:
+        """Return its memory while it is processed."""
+        return active_bytes(self.head_bytes, len(self.body))
 
 
 Handler = Callable[[InboundRequest, "Responder"], Awaitable[None]]
@@ -143,15 +168,20 @@
         self._connection.finish_request(self._keep_alive)
 
 
-def _queued_bytes(transport: asyncio.Transport) -> int:
-    """Return the bytes that the kernel holds for the peer, 0 if it does not tell."""
-    queued = array.array("i", [0])
+def _kernel_bytes(transport: asyncio.Transport | None, request: int) -> int:
+    """Return the bytes that the kernel holds of a connection, 0 if it does not tell.
+
+    :param request: ``FIONREAD`` for received bytes, ``TIOCOUTQ`` for those to be sent.
+    """
+    held = array.array("i", [0])
+    if transport is None:
+        return 0
     try:
         descriptor = transport.get_extra_info("socket").fileno()
-        fcntl.ioctl(descriptor, termios.TIOCOUTQ, queued)
+        fcntl.ioctl(descriptor, request, held)
     except OSError:
         return 0
-    return queued[0]
+    return held[0]
 
 
 def _reason_phrase(status: int) -> bytes:
@@ -174,6 +204,9 @@
         self._parser = httptools.HttpRequestParser(self)
         # Received requests, each with whether to keep the connection open afterwards.
         self._queue: deque[tuple[InboundRequest, bool]] = deque()
+        self._is_paused = False
+        # Received data behind the requests in the queue.
+        self._unparsed = memoryview(b"")
         self._task: asyncio.Task | None = None
         self._active: InboundRequest | None = None
         self._ignores_input = False
@@ -188,6 +221,10 @@
         # Bytes of them that had been sent when a check last found more of them sent.
         self._sent_bytes = 0
         self._sent_at = self._last_progress_s
+        # Memory of the budget, as in the protocol of its holders.
+        self._active_bytes = 0
+        self.pending_bytes = 0
+        self.pending_since = 0.0
         self.is_http_11 = True
         self._begin_message()
 
@@ -198,7 +235,8 @@
         Requests that have been received already, if only in part, are still answered on
         this one.
         """
-        return self._is_ending(self._server.is_draining) and not self._queue
+        is_last = not self._queue and not self._unparsed
+        return self._is_ending(self._server.is_draining) and is_last
 
     def _is_ending(self, is_server_ending: bool) -> bool:
         """Tell whether the connection ends behind the requests that are queued."""
@@ -282,20 +320,43 @@
 
         :param keep_alive: Whether the connection may be kept.
         """
-        self._active = None
+        self._end_active()
         self._pause = self._resume = None
         # Reading may have been paused until now.
         self._last_progress_s = self._head_started_at = monotonic_s()
         if self._transport is None:
             return
+        if keep_alive and not self._queue and self._unparsed:
+            self._parse()
+            self._update_pending()
+            if self._active is not None or self._ignores_input:
+                return
         if self._queue and keep_alive:
             self._start_next()
         elif not keep_alive or self._is_ending(self._server.is_closed):
             self._close_after_delay()
         else:
-            self._transport.resume_reading()
+            self._resume_reading()
             self._send_continue()
 
+    def _end_active(self) -> None:
+        """Forget the request in progress."""
+        self._active = None
+        self._server.budget.remove_active(self._active_bytes)
+        self._active_bytes = 0
+
+    # Called by the budget and the server
+
+    def release_pending(self) -> None:
+        """Reject requests that are incomplete or have not begun; none of them has run.
+
+        What the caller goes on to send is read and discarded.
+        """
+        self._queue.clear()
+        self._reject(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        if self._transport is not None:
+            self._resume_reading()
+
     def check_timeouts(self, now: float, late_s: float = 0.0) -> None:
         """Close an idle connection; reject a request that arrives too slowly.
 
@@ -313,6 +374,8 @@
         if self._is_caller_stuck(now, late_s):
             self.abort()
             return
+        if self._is_paused:
+            self._update_pending()
         if self._ignores_input or self._active is not None:
             return
         limits = self._server.limits
@@ -337,8 +400,8 @@
         if not self.has_unsent:
             self._sent_bytes, self._sent_at = self._written_bytes, now
             return False
-        unsent = self._transport.get_write_buffer_size() + _queued_bytes(
-            self._transport
+        unsent = self._transport.get_write_buffer_size() + _kernel_bytes(
+            self._transport, termios.TIOCOUTQ
         )
         sent = self._written_bytes - unsent
         if sent > self._sent_bytes:
@@ -379,6 +442,8 @@
         self._is_expectant = False
         self._server.connections.discard(self)
         self._queue.clear()
+        self._discard_received()
+        self._end_active()
         if self._task is not None and not self._task.done():
             cause = CALLER_CLOSED if error is None else repr(error)
             self._task.cancel(self._end_cause or cause)
@@ -403,10 +468,40 @@
             return
         self._last_progress_s = monotonic_s()
         self._is_new = self._is_expectant = False
-        if not self._is_reading:
-            self._is_reading = True
-            self._is_head_complete = False
-            self._head_started_at = self._last_progress_s
+        if self._unparsed:
+            data = bytes(self._unparsed) + data
+        self._unparsed = memoryview(data)
+        self._parse()
+        has_more = bool(self._queue or self._unparsed)
+        if self._active is not None and has_more and self._transport is not None:
+            self._is_paused = True
+            self._transport.pause_reading()
+        self._send_continue()
+        self._update_pending()
+        self._server.budget.enforce(self._last_progress_s)
+
+    def _resume_reading(self) -> None:
+        self._is_paused = False
+        self._transport.resume_reading()
+
+    def _parse(self) -> None:
+        """Parse received data until a request waits behind the one in progress."""
+        while self._unparsed and (self._active is None or not self._queue):
+            data = self._unparsed[:PARSE_BYTES]
+            rest = self._unparsed[PARSE_BYTES:]
+            self._unparsed = rest if rest else NOTHING
+            if not self._is_reading:
+                self._is_reading = True
+                self._is_head_complete = False
+                self._head_started_at = self._last_progress_s
+            self._feed(data)
+            if self._ignores_input:
+                return
+            if self._active is None and self._queue:
+                self._start_next()
+
+    def _feed(self, data: memoryview) -> None:
+        """Feed data to the parser, and reject a request that it does not accept."""
         self._overhead_bytes += len(data)
         limits = self._server.limits
         try:
@@ -414,6 +509,7 @@
         except httptools.HttpParserUpgrade:
             # Protocol upgrades are not supported; data after the request is not read,
             # so the connection is not kept open, whatever the request asks for.
+            self._unparsed = NOTHING
             if self._queue:
                 request, _ = self._queue.pop()
                 self._queue.append((request, False))
@@ -422,12 +518,33 @@
             return
         if self._overhead_bytes > OVERHEAD_FACTOR * limits.max_header_bytes:
             self._reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-            return
-        if self._active is None and self._queue:
-            self._start_next()
-        if self._active is not None and self._queue and self._transport is not None:
-            self._transport.pause_reading()
-        self._send_continue()
+
+    def _update_pending(self) -> None:
+        """Tell the budget how much memory the requests use that have not begun."""
+        size = sum(request.queued_bytes for request, _ in self._queue)
+        if self._unparsed:
+            # A part of the data keeps all of it in memory.
+            size += len(self._unparsed.obj)
+        if self._is_reading:
+            size += self._overhead_bytes + self._head_memory + len(self._body)
+        if self._is_paused:
+            size += _kernel_bytes(self._transport, termios.FIONREAD)
+        if size and not self.pending_bytes:
+            self.pending_since = self._last_progress_s
+        if size != self.pending_bytes:
+            self._server.budget.set_pending(self, size)
+
+    @property
+    def _head_memory(self) -> int:
+        """Return the memory of the head of the request that is received."""
+        return self._head_bytes + HEADER_BYTES * len(self._headers)
+
+    def _discard_received(self) -> None:
+        """Discard what has been received of requests that have not begun."""
+        self._unparsed = NOTHING
+        self._headers = []
+        self._body = bytearray()
+        self._server.budget.set_pending(self, 0)
 
     def _send_continue(self) -> None:
         """Ask for the body that a caller holds back, once no response precedes it."""
@@ -488,7 +605,7 @@
         self._body_bytes += len(data)
         if self._body_bytes > self._server.limits.max_body_bytes:
             raise _RejectionError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        self._body.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Queue the complete request for the handler.
@@ -502,9 +619,11 @@
             self._parser.get_method().decode("latin-1"),
             self._target.decode("latin-1"),
             self._headers,
-            b"".join(self._body),
+            bytes(self._body),
             self._arrived_s,
+            self._head_memory,
         )
+        self._body = bytearray()
         self._queue.append((request, self._parser.should_keep_alive()))
 
     def _begin_message(self) -> None:
@@ -518,7 +637,8 @@
         # Bytes since the start of the request or the last part of its body.  The parser
         # itself collects a line of any length, in a head or a trailer.
         self._overhead_bytes = 0
-        self._body: list[bytes] = []
+        # Its parts may be small, so they are not kept as objects.
+        self._body = bytearray()
         self._body_bytes = 0
 
     def _add_head_bytes(self, size: int) -> None:
@@ -527,7 +647,14 @@
             raise _RejectionError(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _start_next(self) -> None:
+        """Process the next request, or reject it if there is no room for it."""
         request, keep_alive = self._queue.popleft()
+        budget = self._server.budget
+        if not budget.has_room(request.active_bytes):
+            self.release_pending()
+            return
+        self._active_bytes = request.active_bytes
+        budget.add_active(self._active_bytes)
         self._active = request
         self._task = asyncio.get_running_loop().create_task(
             self._server.run_handler(request, Responder(self, keep_alive))
@@ -541,14 +668,13 @@
         """
         self._server.on_rejected(int(status))
         self._ignores_input = True
+        self._discard_received()
         if self._active is None and self._queue:
             self._start_next()
+            return
         if self._active is not None:
             return
-        self.write(
-            b"HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-            % (status, _reason_phrase(status))
-        )
+        self.write(_rejection(status))
         self._close_after_delay()
 
     def _close_after_delay(self) -> None:
@@ -563,6 +689,18 @@
         asyncio.get_running_loop().call_later(CLOSE_DELAY_S, transport.close)
 
 
+def _rejection(status: http.HTTPStatus) -> bytes:
+    """Return the response to a request that is rejected; the connection is closed."""
+    retry_after = b""
+    if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+        retry_after = b"Retry-After: %d\r\n" % RETRY_AFTER_S
+    return b"HTTP/1.1 %d %b\r\nContent-Length: 0\r\n%bConnection: close\r\n\r\n" % (
+        status,
+        _reason_phrase(status),
+        retry_after,
+    )
+
+
 class _RejectionError(Exception):
     """Raised in parser callbacks for a request that is rejected with a status."""
 
@@ -584,15 +722,23 @@
     :param handler: Responds to one request.
     :param on_rejected: Called with the status of each request that is rejected before
         it reaches the handler.
+    :param budget: The memory that callers may hold, None for any.  Several servers may
+        share it.
     :ivar has_connections: Set when a connection is accepted.
     :ivar idle_closed: Number of connections closed because they were idle.
     :ivar unanswered: Number of completely received requests to which the server itself
         has not responded, or not to the end.
     """
 
-    def __init__(self, handler: Handler, on_rejected: Callable[[int], None]) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        on_rejected: Callable[[int], None],
+        budget: CallerBudget | None = None,
+    ) -> None:
         self._handler = handler
         self.on_rejected = on_rejected
+        self.budget = budget or CallerBudget(math.inf)
         self.connections: set[ServerConnection] = set()
         self.has_connections = asyncio.Event()
         self.limits = CallerLimits()
@@ -718,3 +864,4 @@
             now = monotonic_s()
             for connection in list(self.connections):
                 connection.check_timeouts(now, max(0.0, now - due_at))
+            self.budget.enforce(now)
--- a/standins/site/deployment.py
+++ b/standins/site/deployment.py
@@ -264,6 +264,7 @@
     :param zones: The number of zones over which the gateways are distributed.
     :param first_configuration: The configuration in the store when they start.
     :param bounds: The bounds in the gateways' settings that are not the default ones.
+    :param settings: Other settings of the gateways that are not the default ones.
     """
 
     def __init__(
@@ -274,11 +275,13 @@
         zones: int = 2,
         first_configuration: dict | None = None,
         bounds: dict[str, float] | None = None,
+        settings: dict[str, Any] | None = None,
     ) -> None:
         self._first_configuration = first_configuration or configuration()
         self._counts = (gateways, engines, plain)
         self._zones = zones
         self._bounds = bounds or {}
+        self._settings = settings or {}
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._folder = tempfile.TemporaryDirectory()
@@ -374,7 +377,7 @@
             "metrics_address": f"127.0.0.1:{ports['metrics']}",
             "store": store or self.store_address,
             "bounds": self._bounds,
-        }
+        } | self._settings
         gateway.settings.write_text("// a test's settings\n" + json.dumps(settings))
         gateway.start()
         return gateway
--- a/standins/virtual/host_network.py
+++ b/standins/virtual/host_network.py
@@ -1,6 +1,7 @@
 """Exchange of digests between many hosts on a simulated network and clock."""
 
 import functools
+import math
 import random
 from collections import Counter
 from types import SimpleNamespace
@@ -31,6 +32,7 @@
 from sequoiapoint.state.server_load import ServerLoads
 from sequoiapoint.state.server_speed import ServerSpeeds
 from sequoiapoint.state.topic_freshness import TopicFreshness
+from sequoiapoint.transport.caller_budget import CallerBudget
 
 SERVER = ("s-1", 1)
 LINK_QUEUE_S = 0.1
@@ -73,6 +75,7 @@
             configuration=None,
             host_count=1,
             recent_max_host_count=1,
+            caller_budget=CallerBudget(math.inf),
             log=SimpleNamespace(event=self._log),
             metrics=SimpleNamespace(event=lambda *a: None),
             note_server_leaving=lambda entry, source, now: (
