Limits on the connections to a gateway's addresses

Cause: callers, servers, the store and other hosts share the descriptors of a process, and callers could use all of them; accept then fails.

Why this works: each address has a limit on its connections, in total below the descriptors for sockets. At the limit, connections without a whole request within a second are closed, then those idle for longest; none with a request in progress, and the new one last.

--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -91,10 +91,11 @@
         self._detour_server = DetourServer(state, exchange)
         for path in (DETOUR_PATH, ORGANISATION_DETOUR_PATH):
             exchange.server.add_handler(path, self._detour_server.handle)
+        limits = state.connection_limits
         handle = RequestHandler(state, exchange).handle
-        self._caller_server = self._build_server(handle)
-        readiness_server = self._build_server(self._serve_readiness)
-        metrics_server = self._build_server(self._serve_metrics)
+        self._caller_server = self._build_server(handle, limits.callers)
+        readiness_server = self._build_server(self._serve_readiness, limits.checks)
+        metrics_server = self._build_server(self._serve_metrics, limits.checks)
         await self._caller_server.start(settings.caller_address)
         await readiness_server.start(settings.readiness_address)
         await metrics_server.start(settings.metrics_address)
@@ -124,9 +125,11 @@
             unanswered=self._caller_server.unanswered,
         )
 
-    def _build_server(self, handler: Handler) -> AsyncHttpServer:
+    def _build_server(self, handler: Handler, max_connections: int) -> AsyncHttpServer:
         """Return a server whose callers share the host's budget."""
-        return AsyncHttpServer(handler, self._log_rejected, self._state.caller_budget)
+        return AsyncHttpServer(
+            handler, self._log_rejected, self._state.caller_budget, max_connections
+        )
 
     async def _run_with_restart(self, component: Callable[[], Awaitable[None]]) -> None:
         """Run a component and restart it after a failure; requests are still served."""
@@ -239,6 +242,14 @@
                     idle_timeout_s=self._caller_server.limits.idle_timeout_s,
                 )
                 self._caller_server.idle_closed = 0
+            if self._caller_server.excess_closed:
+                self._state.log.event(
+                    "connections_excess",
+                    "closed",
+                    count=self._caller_server.excess_closed,
+                    limit=self._state.connection_limits.callers,
+                )
+                self._caller_server.excess_closed = 0
 
     def _log_rejected(self, status: int) -> None:
         """Log a request that does not reach its handler."""
--- a/sequoiapoint/node/gateway_state.py
+++ b/sequoiapoint/node/gateway_state.py
@@ -18,7 +18,9 @@
 from sequoiapoint.coordination.quarantine import Quarantine
 from sequoiapoint.coordination.retry_window import RetryWindow
 from sequoiapoint.node.host_capacity import (
+    ConnectionLimits,
     caller_memory_bytes,
+    connection_limits,
 )
 from sequoiapoint.protocol.api_keys import key_labels
 from sequoiapoint.protocol.gateway import (
@@ -269,12 +271,14 @@
     shared_state_changed: Callable[[], None] = lambda: None
     configuration_age_s: Callable[[], float] = lambda: 0.0
     caller_budget: CallerBudget = field(init=False)
+    connection_limits: ConnectionLimits = field(init=False)
     _retry_windows: dict[str, RetryWindow] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Let waiting requests learn of changes of the servers."""
         self.fleet.on_change = self.wait_queue.notify_servers
         self.caller_budget = CallerBudget(caller_memory_bytes(self.settings))
+        self.connection_limits = connection_limits(self.settings)
 
     @property
     def is_draining(self) -> bool:
--- a/sequoiapoint/node/peer_server.py
+++ b/sequoiapoint/node/peer_server.py
@@ -27,6 +27,7 @@
             self._serve,
             self._log_malformed,
             state.caller_budget,
+            state.connection_limits.peers,
         )
         self._server.limits = CallerLimits(max_body_bytes=MAX_REQUEST_BYTES)
 
--- a/sequoiapoint/protocol/gateway_settings.py
+++ b/sequoiapoint/protocol/gateway_settings.py
@@ -69,6 +69,9 @@
     """Factor on the speed of that core."""
     memory_mb: float | None = pydantic.Field(default=None, gt=0)
     """Memory for the process; None for that of the machine."""
+    max_descriptors: int | None = pydantic.Field(default=None, gt=0)
+    """Number of descriptors that the process may open, including those that only files
+    can use; None for the limit of the process."""
     bounds: Bounds = Bounds()
     log_level: str = pydantic.Field(
         default="info", pattern="^(debug|info|warning|error)$"
--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -8,9 +8,12 @@
 import array
 import asyncio
 import fcntl
+import functools
+import heapq
 import http
 import math
 import socket
+import sys
 import termios
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterator
@@ -46,6 +49,11 @@
 """Size of an incomplete head, or of a trailer, relative to the maximum size of headers,
 from which on it is rejected; the delimiters between headers count too."""
 NOTHING = memoryview(b"")
+FIRST_REQUEST_S = 1.0
+"""Time from the start of a connection in which a caller should send its first request;
+later ones lose their connections first if there are too many."""
+EXCESS_SHARE = 32
+"""One connection in so many is closed at once, so that it is rarely necessary."""
 PARSE_BYTES = 4_096
 """Bytes that are parsed at once; requests behind the one in progress stay unparsed, as
 their objects need many times their bytes."""
@@ -221,6 +229,9 @@
         # Bytes of them that had been sent when a check last found more of them sent.
         self._sent_bytes = 0
         self._sent_at = self._last_progress_s
+        # When the last response ended, or else the connection began.
+        self._finished_at = self._last_progress_s
+        self._has_finished = False
         # Memory of the budget, as in the protocol of its holders.
         self._active_bytes = 0
         self.pending_bytes = 0
@@ -324,6 +335,8 @@
         self._pause = self._resume = None
         # Reading may have been paused until now.
         self._last_progress_s = self._head_started_at = monotonic_s()
+        self._finished_at = self._last_progress_s
+        self._has_finished = True
         if self._transport is None:
             return
         if keep_alive and not self._queue and self._unparsed:
@@ -357,6 +370,34 @@
         if self._transport is not None:
             self._resume_reading()
 
+    @property
+    def may_close(self) -> bool:
+        """Tell whether no request is in progress, and all is sent."""
+        return self._active is None and not self.has_unsent
+
+    def closing_order(self, now: float) -> tuple[int, float]:
+        """Return the order in which connections are closed if there are too many.
+
+        Those that are being closed precede, then those without any whole request within
+        ``FIRST_REQUEST_S``, then the others; each by the time of its last response.
+        """
+        idle_s = now - self._finished_at
+        if self._ignores_input:
+            return 0, self._finished_at
+        if not self._has_finished and idle_s > FIRST_REQUEST_S:
+            return 1, self._finished_at
+        return 2, self._finished_at
+
+    def close(self) -> None:
+        """Close the connection at once, with a response to an incomplete request."""
+        if self._transport is None:
+            return
+        if self._is_reading and not self._ignores_input:
+            self.write(_rejection(http.HTTPStatus.SERVICE_UNAVAILABLE))
+        self._ignores_input = True
+        self._discard_received()
+        self._transport.close()
+
     def check_timeouts(self, now: float, late_s: float = 0.0) -> None:
         """Close an idle connection; reject a request that arrives too slowly.
 
@@ -423,6 +464,7 @@
         set_liveness_options(sock, timeout_ms=0, probes=CALLER_KEEPALIVE_PROBES)
         self._server.connections.add(self)
         self._server.has_connections.set()
+        self._server.close_excess()
         if self._server.is_closed:
             self._expect_request()
 
@@ -724,6 +766,8 @@
         it reaches the handler.
     :param budget: The memory that callers may hold, None for any.  Several servers may
         share it.
+    :param max_connections: The number of connections that may be open.
+    :ivar excess_closed: Number of connections closed because there were too many.
     :ivar has_connections: Set when a connection is accepted.
     :ivar idle_closed: Number of connections closed because they were idle.
     :ivar unanswered: Number of completely received requests to which the server itself
@@ -735,8 +779,10 @@
         handler: Handler,
         on_rejected: Callable[[int], None],
         budget: CallerBudget | None = None,
+        max_connections: int = sys.maxsize,
     ) -> None:
         self._handler = handler
+        self._max_connections = max_connections
         self.on_rejected = on_rejected
         self.budget = budget or CallerBudget(math.inf)
         self.connections: set[ServerConnection] = set()
@@ -745,6 +791,7 @@
         self.is_draining = False
         self.is_closed = False
         self.idle_closed = 0
+        self.excess_closed = 0
         self.unanswered = 0
         self._listener: asyncio.Server | None = None
         self._socket: socket.socket | None = None
@@ -769,6 +816,23 @@
         )
         self._timeout_task = loop.create_task(self._check_timeouts())
 
+    def close_excess(self) -> None:
+        """Close connections if there are too many, but none with a request in progress.
+
+        If each has one, the new connection is closed.
+        """
+        excess = len(self.connections) - self._max_connections
+        if excess <= 0:
+            return
+        now = monotonic_s()
+        count = excess + self._max_connections // EXCESS_SHARE
+        candidates = [c for c in self.connections if c.may_close]
+        order = functools.partial(ServerConnection.closing_order, now=now)
+        for connection in heapq.nsmallest(count, candidates, key=order):
+            self.excess_closed += 1
+            self.connections.discard(connection)
+            connection.close()
+
     async def run_handler(self, request: InboundRequest, responder: Responder) -> None:
         """Run the handler; abort a response that it leaves incomplete."""
         task = asyncio.current_task()
--- a/sequoiapoint/transport/caller_limits_test.py
+++ b/sequoiapoint/transport/caller_limits_test.py
@@ -37,7 +37,9 @@
         super().__init__(self._wait)
         self.goes_on = asyncio.Event()
         self.budget = CallerBudget(BUDGET_BYTES)
-        self.server = AsyncHttpServer(self._handle, self.rejected.append, self.budget)
+        self.server = AsyncHttpServer(
+            self._handle, self.rejected.append, self.budget, MAX_CONNECTIONS
+        )
         self.server.limits = CallerLimits(max_body_bytes=BODY_BYTES)
 
     async def _wait(self, request, responder):
@@ -126,5 +128,38 @@
     assert run(scenario()) == (0, 5_001)
 
 
+@pytest.mark.parametrize("sent", [b"", b"POST /p HT", LARGE_REQUEST[:-1]])
+def test_connections_without_requests_make_room_for_new_ones(sent):
+    async def scenario():
+        async with LimitedServer() as server:
+            waiting = await server.send(VALID_REQUEST.replace(b"/p", b"/wait"))
+            connections = []
+            for _ in range(3 * MAX_CONNECTIONS):
+                connections.append(await server.connect())
+                connections[-1][1].write(sent)
+            await asyncio.sleep(0.05)
+            assert len(server.server.connections) <= MAX_CONNECTIONS
+            assert await is_served(server)
+            server.goes_on.set()
+            return await waiting[0].readline()
+
+    assert run(scenario()) == b"HTTP/1.1 200 OK\r\n"
+
+
+def test_a_new_connection_is_closed_if_all_others_have_requests(monkeypatch):
+    monkeypatch.setattr(async_http_server, "EXCESS_SHARE", 10 * MAX_CONNECTIONS)
+
+    async def scenario():
+        async with LimitedServer() as server:
+            request = VALID_REQUEST.replace(b"/p", b"/wait")
+            connections = [await server.send(request) for _ in range(MAX_CONNECTIONS)]
+            reader, _ = await server.connect()
+            assert await read_all(reader) == b""
+            server.goes_on.set()
+            return [await c[0].readline() for c in connections]
+
+    assert set(run(scenario())) == {b"HTTP/1.1 200 OK\r\n"}
+
+
 def test_small_requests_in_progress_are_within_the_budget():
     assert MAX_CONNECTIONS * 1.1 * REQUEST_BYTES < BUDGET_BYTES
--- a/standins/virtual/host_network.py
+++ b/standins/virtual/host_network.py
@@ -21,6 +21,7 @@
     version_history,
 )
 from sequoiapoint.node.gateway_state import GatewayState
+from sequoiapoint.node.host_capacity import ConnectionLimits
 from sequoiapoint.node.peer_exchange import DIGEST_INTERVAL_S, PeerExchange
 from sequoiapoint.protocol.gateway import ServerEntry, ServerState
 from sequoiapoint.protocol.gateway_settings import Bounds
@@ -76,6 +77,7 @@
             host_count=1,
             recent_max_host_count=1,
             caller_budget=CallerBudget(math.inf),
+            connection_limits=ConnectionLimits(callers=1_000, peers=1_000, checks=1),
             log=SimpleNamespace(event=self._log),
             metrics=SimpleNamespace(event=lambda *a: None),
             note_server_leaving=lambda entry, source, now: (
--- a/tests/caller_crowd_test.py
+++ b/tests/caller_crowd_test.py
@@ -28,7 +28,7 @@
 CALLERS = 120
 WORK_S = 0.2
 MAX_ORDINARY_TRIES = 10
-SETTINGS = {"memory_mb": MACHINE_MEMORY_MB}
+SETTINGS = {"memory_mb": MACHINE_MEMORY_MB, "max_descriptors": MACHINE_DESCRIPTORS}
 LIMITS = {
     "max-header-bytes": 16_384,
     "max-body-bytes": BODY_BYTES,
@@ -66,6 +66,10 @@
     return lambda number: [head("/write/x", number)[:-2] + rest]
 
 
+def nothing(number):
+    return []
+
+
 CROWDS = {
     "write-unended": (CALLERS, unended("/write/x"), 0.0),
     "stream-unended": (CALLERS, unended("/talk/x"), 0.0),
@@ -87,6 +91,7 @@
     "head-of-one-line": (800, open_head(b"X: " + b"y" * 15_000), 0.0),
     "head-of-short-lines": (800, open_head(b"a:b\r\n" * 2_200), 0.0),
     "pipelined": (CALLERS, pipelined(8_000), 0.0),
+    "silent": (2 * MACHINE_DESCRIPTORS, nothing, 0.0),
 }
 """By name: the number of callers, what each sends, and the pause between its parts."""
 
@@ -147,7 +152,7 @@
 
 
 @pytest.mark.parametrize("purpose", ADDRESSES)
-@pytest.mark.parametrize("name", ["large-chunks-unended"])
+@pytest.mark.parametrize("name", ["large-chunks-unended", "silent"])
 def test_a_crowd_at_another_address_ends_no_gateway(site, purpose, name):
     gateway = site.gateways[0]
     callers, parts, pause_s = CROWDS[name]
