A gateway's state gets its limits from the host; callers have a fifth of its memory

Host and tests now pass the limits in; without them there are none.

The share of the memory for callers is a fifth in place of a quarter: bodies that grow leave gaps in the heap, so that the peaks of the crowds were up to 1.4 times the budget.

--- a/sequoiapoint/node/gateway_host.py
+++ b/sequoiapoint/node/gateway_host.py
@@ -11,6 +11,7 @@
 from sequoiapoint.coordination.planned_stop import PlannedStop
 from sequoiapoint.node.detour_server import DetourServer
 from sequoiapoint.node.gateway_state import GatewayState
+from sequoiapoint.node.host_capacity import caller_memory_bytes, connection_limits
 from sequoiapoint.node.peer_exchange import PeerExchange
 from sequoiapoint.node.placement_controller import PlacementController
 from sequoiapoint.node.reachability_monitor import ReachabilityMonitor
@@ -28,6 +29,7 @@
     InboundRequest,
     Responder,
 )
+from sequoiapoint.transport.caller_budget import CallerBudget
 from sequoiapoint.transport.clock import monotonic_s, pause_to_tick_s, wall_ms
 from sequoiapoint.transport.decision_log import DecisionLog
 from sequoiapoint.transport.metrics import CONTENT_TYPE, Metrics
@@ -76,7 +78,13 @@
         settings = self._settings
         metrics = Metrics()
         self._state = state = GatewayState(
-            settings, self._adapter, metrics, log, wall_ms()
+            settings,
+            self._adapter,
+            metrics,
+            log,
+            wall_ms(),
+            caller_budget=CallerBudget(caller_memory_bytes(settings.memory_mb)),
+            connection_limits=connection_limits(settings.max_descriptors),
         )
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._log_task_failure)
--- a/sequoiapoint/node/gateway_state.py
+++ b/sequoiapoint/node/gateway_state.py
@@ -17,11 +17,7 @@
 )
 from sequoiapoint.coordination.quarantine import Quarantine
 from sequoiapoint.coordination.retry_window import RetryWindow
-from sequoiapoint.node.host_capacity import (
-    ConnectionLimits,
-    caller_memory_bytes,
-    connection_limits,
-)
+from sequoiapoint.node.host_capacity import ConnectionLimits, connection_limits
 from sequoiapoint.protocol.api_keys import key_labels
 from sequoiapoint.protocol.gateway import (
     GatewayConfiguration,
@@ -241,7 +237,8 @@
     :param configuration_age_s: Returns the time since which the configuration may lack
         a newer version, in seconds; 0 if that is not bounded, infinity if nothing is
         known.
-    :ivar caller_budget: The memory for what arrives at any of the host's addresses.
+    :param caller_budget: The memory for what arrives at any of the host's addresses.
+    :param connection_limits: The numbers of connections that these accept.
     """
 
     settings: GatewaySettings
@@ -270,15 +267,15 @@
     replan_requested: asyncio.Event = field(default_factory=asyncio.Event)
     shared_state_changed: Callable[[], None] = lambda: None
     configuration_age_s: Callable[[], float] = lambda: 0.0
-    caller_budget: CallerBudget = field(init=False)
-    connection_limits: ConnectionLimits = field(init=False)
+    caller_budget: CallerBudget = field(default_factory=lambda: CallerBudget(math.inf))
+    connection_limits: ConnectionLimits = field(
+        default_factory=lambda: connection_limits(None)
+    )
     _retry_windows: dict[str, RetryWindow] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Let waiting requests learn of changes of the servers."""
         self.fleet.on_change = self.wait_queue.notify_servers
-        self.caller_budget = CallerBudget(caller_memory_bytes(self.settings))
-        self.connection_limits = connection_limits(self.settings)
 
     @property
     def is_draining(self) -> bool:
--- a/sequoiapoint/node/host_capacity.py
+++ b/sequoiapoint/node/host_capacity.py
@@ -9,9 +9,7 @@
 import sys
 from dataclasses import dataclass
 
-from sequoiapoint.protocol.gateway_settings import GatewaySettings
-
-CALLERS_MEMORY_SHARE = 0.25
+CALLERS_MEMORY_SHARE = 0.2
 """Share of the memory for what callers send, until it has been answered."""
 FILE_DESCRIPTORS = 200
 """Descriptors that sockets cannot use."""
@@ -35,18 +33,25 @@
     checks: int
 
 
-def caller_memory_bytes(settings: GatewaySettings) -> float:
-    """Return the memory for what callers send, in bytes."""
-    if settings.memory_mb is None:
+def caller_memory_bytes(memory_mb: float | None) -> float:
+    """Return the memory for what callers send, in bytes.
+
+    :param memory_mb: The memory for the process; None for that of the machine.
+    """
+    if memory_mb is None:
         memory = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
     else:
-        memory = settings.memory_mb * BYTES_PER_MB
+        memory = memory_mb * BYTES_PER_MB
     return CALLERS_MEMORY_SHARE * memory
 
 
-def connection_limits(settings: GatewaySettings) -> ConnectionLimits:
-    """Return the limits on the connections from outside."""
-    descriptors = settings.max_descriptors
+def connection_limits(max_descriptors: int | None) -> ConnectionLimits:
+    """Return the limits on the connections from outside.
+
+    :param max_descriptors: The descriptors that the process may open; None for the
+        limit of the process.
+    """
+    descriptors = max_descriptors
     if descriptors is None:
         descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     if descriptors == resource.RLIM_INFINITY:
--- a/sequoiapoint/node/host_capacity_test.py
+++ b/sequoiapoint/node/host_capacity_test.py
@@ -7,17 +7,6 @@
     caller_memory_bytes,
     connection_limits,
 )
-from sequoiapoint.protocol.gateway_settings import GatewaySettings
-
-ADDRESS = "127.0.0.1:1"
-
-
-def settings(**changes):
-    addresses = ("caller_address", "readiness_address", "peer_address")
-    names = (*addresses, "metrics_address", "store")
-    return GatewaySettings(
-        host="h", zone="z", **dict.fromkeys(names, ADDRESS), **changes
-    )
 
 
 @pytest.mark.parametrize(
@@ -29,13 +18,13 @@
     ],
 )
 def test_connections_from_outside_leave_descriptors_for_others(descriptors, expected):
-    assert connection_limits(settings(max_descriptors=descriptors)) == expected
+    assert connection_limits(descriptors) == expected
 
 
 def test_limits_that_are_not_set_are_those_of_the_process_and_the_machine(monkeypatch):
     monkeypatch.setattr(resource, "getrlimit", lambda _: (1_200, 1_200))
-    assert connection_limits(settings()).callers == 500
+    assert connection_limits(None).callers == 500
     monkeypatch.setattr(resource, "getrlimit", lambda _: (resource.RLIM_INFINITY,) * 2)
-    assert connection_limits(settings()).callers > 1_000_000
-    assert caller_memory_bytes(settings(memory_mb=300)) == 75_000_000
-    assert caller_memory_bytes(settings()) > 0
+    assert connection_limits(None).callers > 1_000_000
+    assert caller_memory_bytes(300) == 60_000_000
+    assert caller_memory_bytes(None) > 0
