serve: a request takes a thread only once it is complete

What callers saw: while others sent nothing, or slowly, no answer for tens of seconds; and the process could run out of memory by lines, bodies or chunk sizes without end.

Cause: cheroot gives each connection a thread of its pool, which reads the request: 128 callers hold all threads, each for 10 s or the time of a body. It collects a line of any length, and reads what follows a refused request to its end.

Why this works: the gateway's server receives requests, within the caller budget and limits on connections; threads of a pool process whole ones. Limits on size and time and their responses are as before (body_too_large, body_too_slow, body_incomplete); new reasons are head_too_large and caller_memory.

--- a/sequoiapoint/node/attempt.py
+++ b/sequoiapoint/node/attempt.py
@@ -21,7 +21,6 @@
     HttpStream,
     failure_from_response,
 )
-from sequoiapoint.transport.http_server import client_disconnected
 
 STEP = "engine_request"
 INTER_TOKEN_TIMEOUT_S = 3.0
@@ -185,8 +184,8 @@
         if silence_s > self._silence_timeout_s:
             self._outcome = self._failure("silent")
             return True
-        connection = self._context.connection
-        if connection is not None and silence_s > 0 and client_disconnected(connection):
+        watched = self._context.watched
+        if watched is not None and silence_s > 0 and watched.is_gone:
             self._outcome = self._failure(CALLER_GONE)
             return True
         return False
--- a/sequoiapoint/node/caller_app.py
+++ b/sequoiapoint/node/caller_app.py
@@ -16,7 +16,6 @@
 )
 from sequoiapoint.node.idempotent_run import IdempotencyKey, IdempotentRuns, Result
 from sequoiapoint.node.probe_slots import ProbeSlots
-from sequoiapoint.node.request_body import BodyReader
 from sequoiapoint.node.responses import (
     error_body,
     json_response,
@@ -36,7 +35,7 @@
 from sequoiapoint.protocol.document import Document, Service
 from sequoiapoint.protocol.outcomes import ErrorResponse, Reason, RequestOutcome
 from sequoiapoint.transport import clock, logs
-from sequoiapoint.transport.http_server import CONNECTION_KEY
+from sequoiapoint.transport.http_server import CALLER_KEY
 
 KEY_HEADER = "Idempotency-Key"
 EXPIRES_HEADER = "Idempotency-Expires"
@@ -62,8 +61,6 @@
         self._runtime = runtime
         self._idempotent_runs = idempotent_runs
         self._probe_slots = probe_slots
-        limits = runtime.settings.limits
-        self._body_reader = BodyReader(limits.max_body_bytes, limits.body_timeout_s)
 
     def chat(self, request: Request, request_id: str) -> Response:
         """Handle a chat completions request."""
@@ -91,18 +88,16 @@
         document = self._document()
         if isinstance(document, ErrorResponse):
             return document
-        body = self._body_reader.read(request.environ)
-        if isinstance(body, ErrorResponse):
-            return body
+        body = request.get_data()
         try:
             chat = ChatRequest.model_validate_json(body)
         except pydantic.ValidationError as error:
             return ErrorResponse(Reason.BAD_REQUEST, describe_errors(error))
         if not is_known_model(self._runtime, chat.model):
             return ErrorResponse(Reason.UNKNOWN_MODEL, f"no model {chat.model!r}")
-        connection = request.environ.get(CONNECTION_KEY)
+        watched = request.environ.get(CALLER_KEY)
         default = _default_service_class(document)
-        context = build_context(request, request_id, document, default, connection)
+        context = build_context(request, request_id, document, default, watched)
         if isinstance(context, ErrorResponse):
             return context
         digest = fingerprint(context.caller, chat.model, body)
@@ -205,9 +200,7 @@
         service = next((s for s in document.services if s.name == name), None)
         if service is None:
             return ErrorResponse(Reason.UNKNOWN_SERVICE, f"no service {name!r}"), ""
-        body = self._body_reader.read(request.environ)
-        if isinstance(body, ErrorResponse):
-            return body, ""
+        body = request.get_data()
         context = build_context(request, request_id, document, service.promise, None)
         if isinstance(context, ErrorResponse):
             return context, ""
@@ -275,10 +268,7 @@
         self._runtime.metrics.request(
             error_response.outcome.value, service_class, seconds
         )
-        response = render_error(error_response, request_id)
-        if error_response.reason in (Reason.BODY_TOO_LARGE, Reason.BODY_INCOMPLETE):
-            response.headers["Connection"] = "close"
-        return response
+        return render_error(error_response, request_id)
 
     def _record_error_response(
         self, error_response: ErrorResponse, request_id: str
--- a/sequoiapoint/node/context.py
+++ b/sequoiapoint/node/context.py
@@ -2,7 +2,6 @@
 
 import uuid
 from dataclasses import dataclass
-from typing import Any
 
 import xxhash
 from werkzeug.wrappers import Request
@@ -11,6 +10,7 @@
 from sequoiapoint.protocol.document import Document, Promise
 from sequoiapoint.protocol.outcomes import ErrorResponse, Reason
 from sequoiapoint.transport import clock
+from sequoiapoint.transport.http_server import Caller
 
 PROMISE_HEADER = "X-Promise"
 DEADLINE_HEADER = "X-Deadline-Ms"
@@ -25,7 +25,7 @@
     :param promise: The service class of the request.
     :param started_at: The arrival, in seconds on the local clock.
     :param deadline_at: The deadline, in seconds on the local clock.
-    :param connection: The caller's socket, or None if it is not watched.
+    :param watched: The caller, or None if it does not matter whether it waits.
     """
 
     request_id: str
@@ -33,7 +33,7 @@
     promise: Promise
     started_at: float
     deadline_at: float
-    connection: Any = None
+    watched: Caller | None = None
 
     def remaining_s(self) -> float:
         """Return the time to the deadline, in seconds."""
@@ -42,7 +42,11 @@
 
 def request_id_of(request: Request) -> str:
     """Return the request id from the caller, or a new one if none is usable."""
-    given = request.headers.get(REQUEST_ID_HEADER, "")
+    return usable_request_id(request.headers.get(REQUEST_ID_HEADER, ""))
+
+
+def usable_request_id(given: str) -> str:
+    """Return a caller's request id, or a new one if it is not usable."""
     is_usable = given.isprintable() and 0 < len(given) <= MAX_REQUEST_ID_LENGTH
     return given if is_usable else uuid.uuid4().hex
 
@@ -52,7 +56,7 @@
     request_id: str,
     document: Document,
     default_promise: str,
-    connection: Any,
+    watched: Caller | None,
 ) -> RequestContext | ErrorResponse:
     """Determine the promise and the deadline of a request.
 
@@ -78,7 +82,7 @@
         promise=promise,
         started_at=now,
         deadline_at=now + deadline_ms / 1000.0,
-        connection=connection,
+        watched=watched,
     )
 
 
--- a/sequoiapoint/node/entry_host.py
+++ b/sequoiapoint/node/entry_host.py
@@ -5,6 +5,7 @@
 import signal
 import threading
 import time
+from dataclasses import replace
 from typing import Any
 
 from sequoiapoint.coordination.admission import Admission
@@ -18,6 +19,7 @@
 from sequoiapoint.node.caller_app import CallerApp
 from sequoiapoint.node.controller import Controller
 from sequoiapoint.node.gossip import GossipLoop
+from sequoiapoint.node.host_capacity import caller_memory_bytes, connection_limits
 from sequoiapoint.node.http_app import HttpApp
 from sequoiapoint.node.idempotent_run import BATCHERS_PER_ZONE, IdempotentRuns
 from sequoiapoint.node.in_flight import InFlightRequests
@@ -25,6 +27,7 @@
 from sequoiapoint.node.log_stream import LogStream, Writer, snapshot_json
 from sequoiapoint.node.operator_app import OperatorApp
 from sequoiapoint.node.probe_slots import ProbeSlots
+from sequoiapoint.node.rejections import RejectionRenderer
 from sequoiapoint.node.runtime import CoordinationState, HostRuntime
 from sequoiapoint.protocol import invariants
 from sequoiapoint.protocol.addresses import split_address
@@ -46,12 +49,16 @@
 from sequoiapoint.state.control import ControlState
 from sequoiapoint.state.keys import KeyState
 from sequoiapoint.transport import clock, logs
-from sequoiapoint.transport.http_server import HttpServer
+from sequoiapoint.transport.caller_budget import CallerBudget
+from sequoiapoint.transport.http_server import DEFAULT_LIMITS, HttpServer
 from sequoiapoint.transport.metrics import Metrics
 from sequoiapoint.transport.peer_link import PeerLink, call_peer
 
 STATE_CALL_TIMEOUT_S = 2.0
 MAX_PEERS_QUERIED = 3
+BODY_COPIES = 4
+"""Copies of the body of a request in progress: as received, as read by the application,
+as parsed, and as sent to a server."""
 DRAIN_NOTICE_S = 1.0
 """How long a draining host accepts requests, so that load balancers notice first."""
 
@@ -212,16 +219,30 @@
             stack.enter_context(self._runtime.keys)
             stack.enter_context(self._gossip)
             stack.enter_context(self._controller)
-            stack.enter_context(
-                HttpServer(
-                    split_address(settings.address), app, settings.limits.threads
-                )
-            )
+            stack.enter_context(self._build_server(app))
             logs.event("started", address=settings.address, zone=settings.zone)
             while not self._stop_requested.wait(1.0):
                 pass
             self._drain()
 
+    def _build_server(self, app: HttpApp) -> HttpServer:
+        """Return the server for callers and operators, which is not started yet."""
+        limits = self._settings.limits
+        http_server = HttpServer(
+            split_address(self._settings.address),
+            app,
+            limits.threads,
+            CallerBudget(caller_memory_bytes(limits.memory_mb), BODY_COPIES),
+            connection_limits(limits.max_descriptors).callers,
+        )
+        http_server.server.limits = replace(
+            DEFAULT_LIMITS,
+            max_body_bytes=limits.max_body_bytes,
+            request_timeout_s=limits.body_timeout_s,
+        )
+        http_server.server.render_rejection = RejectionRenderer(self._runtime).render
+        return http_server
+
     def _drain(self) -> None:
         """Leave the membership, stop accepting requests and finish those in flight."""
         logs.event("drain_started")
--- a/sequoiapoint/protocol/gateway.py
+++ b/sequoiapoint/protocol/gateway.py
@@ -8,6 +8,7 @@
 import enum
 import functools
 import http
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -119,12 +120,14 @@
     :param header_timeout_s: The time limit for each pause between received parts of a
         request, in its head as well as in its body.
     :param idle_timeout_s: The time after which an unused connection is closed.
+    :param request_timeout_s: The time limit for receiving a whole request.
     """
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
+    request_timeout_s: float = math.inf
 
 
 @dataclass(frozen=True)
--- a/sequoiapoint/protocol/outcomes.py
+++ b/sequoiapoint/protocol/outcomes.py
@@ -24,6 +24,8 @@
     BODY_INCOMPLETE = ("body_incomplete", 400, RequestOutcome.REFUSED)
     BODY_TOO_LARGE = ("body_too_large", 413, RequestOutcome.REFUSED)
     BODY_TOO_SLOW = ("body_too_slow", 408, RequestOutcome.REFUSED)
+    HEAD_TOO_LARGE = ("head_too_large", 431, RequestOutcome.REFUSED)
+    CALLER_MEMORY = ("caller_memory", 503, RequestOutcome.REFUSED)
     UNKNOWN_MODEL = ("unknown_model", 404, RequestOutcome.REFUSED)
     UNKNOWN_SERVICE = ("unknown_service", 404, RequestOutcome.REFUSED)
     UNKNOWN_PROMISE = ("unknown_promise", 400, RequestOutcome.REFUSED)
--- a/sequoiapoint/protocol/settings.py
+++ b/sequoiapoint/protocol/settings.py
@@ -22,6 +22,12 @@
     threads: int = pydantic.Field(default=128, ge=4, le=1024)
     max_body_bytes: int = pydantic.Field(default=1_000_000, ge=1_000)
     body_timeout_s: float = pydantic.Field(default=10.0, gt=0)
+    """Time for receiving a whole request."""
+    memory_mb: float | None = pydantic.Field(default=None, gt=0)
+    """Memory for the process; None for that of the machine."""
+    max_descriptors: int | None = pydantic.Field(default=None, gt=0)
+    """Number of descriptors that the process may open, including those that only files
+    can use; None for the limit of the process."""
     retry_budget_percent: float = pydantic.Field(default=10.0, ge=0, le=100)
     appends_per_s: float = pydantic.Field(default=200.0, gt=0)
     drain_timeout_s: float = pydantic.Field(default=60.0, gt=0)
--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -32,7 +32,6 @@
     HEADER_BYTES,
     QUEUED_REQUEST_BYTES,
     CallerBudget,
-    active_bytes,
 )
 from sequoiapoint.transport.clock import monotonic_s, pause_to_tick_s
 
@@ -95,15 +94,30 @@
         """Return its memory while it waits behind another one."""
         return QUEUED_REQUEST_BYTES + self.head_bytes + len(self.body)
 
-    @property
-    def active_bytes(self) -> int:
-        """Return its memory while it is processed."""
-        return active_bytes(self.head_bytes, len(self.body))
-
 
 Handler = Callable[[InboundRequest, "Responder"], Awaitable[None]]
 
 
+@dataclass(frozen=True)
+class Rejection:
+    """Why a request is rejected before it reaches the handler.
+
+    :param headers: The headers received so far, with names in lower case.
+    :param is_incomplete: Whether the caller has ended its data within the request.
+    """
+
+    status: http.HTTPStatus
+    headers: Headers
+    is_incomplete: bool = False
+
+
+def plain_rejection(rejection: Rejection) -> tuple[Headers, bytes]:
+    """Return headers and body of a response that says no more than its status."""
+    if rejection.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+        return [(b"Retry-After", b"%d" % RETRY_AFTER_S)], b""
+    return [], b""
+
+
 class Responder:
     """Writes the response to one request.
 
@@ -117,6 +131,15 @@
         self.status = 0
         self.is_ended = False
 
+    @property
+    def caller_address(self) -> tuple[str, int]:
+        """Return the caller's IP address and port."""
+        return self._connection.peer_address
+
+    def close_after(self) -> None:
+        """Close the connection after the response."""
+        self._keep_alive = False
+
     @property
     def is_started(self) -> bool:
         """Tell whether a part of the response has been written."""
@@ -264,6 +287,13 @@
             and not self.has_unsent
         )
 
+    @property
+    def peer_address(self) -> tuple[str, int]:
+        """Return the caller's IP address and port; none if it has disconnected."""
+        if self._transport is None:
+            return "", 0
+        return self._transport.get_extra_info("peername")[:2]
+
     @property
     def task(self) -> asyncio.Task | None:
         """Return the task of the last request's handler, None if there was none."""
@@ -393,7 +423,7 @@
         if self._transport is None:
             return
         if self._is_reading and not self._ignores_input:
-            self.write(_rejection(http.HTTPStatus.SERVICE_UNAVAILABLE))
+            self._write_rejection(self._rejection(http.HTTPStatus.SERVICE_UNAVAILABLE))
         self._ignores_input = True
         self._discard_received()
         self._transport.close()
@@ -423,7 +453,8 @@
         is_head_pending = self._is_reading and not self._is_head_complete
         since = self._head_started_at if is_head_pending else self._last_progress_s
         waited_s = now - since
-        if self._is_reading and waited_s > limits.header_timeout_s:
+        is_slow = now - self._head_started_at > limits.request_timeout_s
+        if self._is_reading and (is_slow or waited_s > limits.header_timeout_s):
             self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
         elif (
             not self._is_reading
@@ -491,7 +522,18 @@
             self._task.cancel(self._end_cause or cause)
 
     def eof_received(self) -> bool:
-        """Treat the end of the caller's data as a disconnect."""
+        """Treat the end of the caller's data as a disconnect, unless it may read on.
+
+        :return: Whether to keep the connection open.
+        """
+        if not self._server.serves_half_closed:
+            return False
+        if self._active is not None or self._ignores_input:
+            self._ignores_input = True
+            return True
+        if self._is_reading:
+            self._reject(http.HTTPStatus.BAD_REQUEST, is_incomplete=True)
+            return True
         return False
 
     def pause_writing(self) -> None:
@@ -568,7 +610,8 @@
             # A part of the data keeps all of it in memory.
             size += len(self._unparsed.obj)
         if self._is_reading:
-            size += self._overhead_bytes + self._head_memory + len(self._body)
+            size += self._overhead_bytes + self._head_memory
+            size += sys.getsizeof(self._body)
         if self._is_paused:
             size += _kernel_bytes(self._transport, termios.FIONREAD)
         if size and not self.pending_bytes:
@@ -692,22 +735,42 @@
         """Process the next request, or reject it if there is no room for it."""
         request, keep_alive = self._queue.popleft()
         budget = self._server.budget
-        if not budget.has_room(request.active_bytes):
+        size = budget.request_bytes(request.head_bytes, len(request.body))
+        if not budget.has_room(size):
             self.release_pending()
             return
-        self._active_bytes = request.active_bytes
-        budget.add_active(self._active_bytes)
+        self._active_bytes = size
+        budget.add_active(size)
         self._active = request
         self._task = asyncio.get_running_loop().create_task(
             self._server.run_handler(request, Responder(self, keep_alive))
         )
 
-    def _reject(self, status: http.HTTPStatus) -> None:
+    def _rejection(
+        self, status: http.HTTPStatus, is_incomplete: bool = False
+    ) -> Rejection:
+        return Rejection(status, self._headers, is_incomplete)
+
+    def _write_rejection(self, rejection: Rejection) -> None:
+        """Write the response to a request that is rejected."""
+        headers, body = self._server.render_rejection(rejection)
+        lines = [
+            b"HTTP/1.1 %d %b" % (rejection.status, _reason_phrase(rejection.status))
+        ]
+        lines.append(b"Content-Length: %d" % len(body))
+        lines += [name + b": " + value for name, value in headers]
+        lines.append(b"Connection: close")
+        self.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+
+    def _reject(self, status: http.HTTPStatus, is_incomplete: bool = False) -> None:
         """Reject a request with a status and close the connection.
 
         If responses to earlier requests are due, they are sent, no status is written,
         and the connection is closed after the last of them.
+
+        :param is_incomplete: Whether the caller has ended its data within the request.
         """
+        rejection = self._rejection(status, is_incomplete)
         self._server.on_rejected(int(status))
         self._ignores_input = True
         self._discard_received()
@@ -716,7 +779,7 @@
             return
         if self._active is not None:
             return
-        self.write(_rejection(status))
+        self._write_rejection(rejection)
         self._close_after_delay()
 
     def _close_after_delay(self) -> None:
@@ -731,18 +794,6 @@
         asyncio.get_running_loop().call_later(CLOSE_DELAY_S, transport.close)
 
 
-def _rejection(status: http.HTTPStatus) -> bytes:
-    """Return the response to a request that is rejected; the connection is closed."""
-    retry_after = b""
-    if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
-        retry_after = b"Retry-After: %d\r\n" % RETRY_AFTER_S
-    return b"HTTP/1.1 %d %b\r\nContent-Length: 0\r\n%bConnection: close\r\n\r\n" % (
-        status,
-        _reason_phrase(status),
-        retry_after,
-    )
-
-
 class _RejectionError(Exception):
     """Raised in parser callbacks for a request that is rejected with a status."""
 
@@ -767,6 +818,9 @@
     :param budget: The memory that callers may hold, None for any.  Several servers may
         share it.
     :param max_connections: The number of connections that may be open.
+    :ivar render_rejection: Returns headers and body of the response to a request that
+        is rejected before it reaches the handler.
+    :ivar serves_half_closed: Whether a caller may end its data and read responses then.
     :ivar excess_closed: Number of connections closed because there were too many.
     :ivar has_connections: Set when a connection is accepted.
     :ivar idle_closed: Number of connections closed because they were idle.
@@ -785,6 +839,8 @@
         self._max_connections = max_connections
         self.on_rejected = on_rejected
         self.budget = budget or CallerBudget(math.inf)
+        self.render_rejection = plain_rejection
+        self.serves_half_closed = False
         self.connections: set[ServerConnection] = set()
         self.has_connections = asyncio.Event()
         self.limits = CallerLimits()
@@ -801,6 +857,11 @@
         self._accepting: set[asyncio.Task] = set()
         self._timeout_task: asyncio.Task | None = None
 
+    @property
+    def port(self) -> int:
+        """Return the port that the server listens on."""
+        return self._socket.getsockname()[1]
+
     async def start(self, address: str) -> None:
         """Listen on an address.
 
--- a/sequoiapoint/transport/caller_budget.py
+++ b/sequoiapoint/transport/caller_budget.py
@@ -18,7 +18,7 @@
 """Memory for the objects of one header, besides its name and value."""
 BODY_COPIES = 2
 """Copies of the body of a request in progress: the request's, and the one that is
-being sent to a server."""
+being sent to a server.  An application may hold more."""
 SMALL_REQUEST_BYTES = 32_768
 """Memory of a request that counts as small."""
 LARGE_REQUESTS_SHARE = 0.75
@@ -62,11 +62,13 @@
     A request larger than the budget is served if it is the only one.
 
     :param max_bytes: The budget, in bytes.
+    :param body_copies: The copies of its body that a request in progress holds.
     :ivar discarded: Number of connections whose pending requests were discarded.
     """
 
-    def __init__(self, max_bytes: float) -> None:
+    def __init__(self, max_bytes: float, body_copies: int = BODY_COPIES) -> None:
         self._max_bytes = max_bytes
+        self._body_copies = body_copies
         self._pending_bytes = 0
         self._active_bytes = 0
         self._holders: set[Holder] = set()
@@ -86,6 +88,13 @@
         else:
             self._holders.discard(holder)
 
+    def request_bytes(self, head_bytes: int, body_bytes: int) -> int:
+        """Return the memory of a request while it is processed.
+
+        :param head_bytes: The memory of its head.
+        """
+        return REQUEST_BYTES + head_bytes + self._body_copies * body_bytes
+
     def has_room(self, size: int) -> bool:
         """Tell whether a request may be processed.
 
@@ -124,11 +133,3 @@
                 return
             if self.held_bytes > holder.pending_bytes:
                 yield holder
-
-
-def active_bytes(head_bytes: int, body_bytes: int) -> int:
-    """Return the memory of a request while it is processed.
-
-    :param head_bytes: The memory of its head.
-    """
-    return REQUEST_BYTES + head_bytes + BODY_COPIES * body_bytes
--- a/standins/web.py
+++ b/standins/web.py
@@ -1,6 +1,6 @@
 """WSGI application and argument parser of the simulated servers.
 
-Requests are routed by werkzeug and served by cheroot.
+Requests are routed by werkzeug and served as those of the product.
 """
 
 import argparse
