The change read again: which connections to close is decided apart from sockets

transport/excess_connections.py chooses the connections that are closed when too many are open, without I/O and with a table of cases; the server closes them. An incomplete request that is refused with 503 for that reason is counted and logged like the others, which it was not. Names: "incomplete" requests and "misbehaving" callers in the tests, chunked_request and content_length_request for what they send; shares of descriptors say what they are for. Crowds, bounds and checks are as they were.

--- a/sequoiapoint/node/host_capacity.py
+++ b/sequoiapoint/node/host_capacity.py
@@ -14,10 +14,14 @@
 FILE_DESCRIPTORS = 200
 """Descriptors that sockets cannot use."""
 CALLERS_DESCRIPTOR_SHARE = 0.5
+"""Share of the descriptors for sockets that callers may use."""
 PEERS_DESCRIPTOR_SHARE = 0.25
+"""The same for calls of other hosts; those cut off from all servers send all their
+requests through a few others."""
 MAX_CHECKS = 32
 """Connections for each of readiness checks and metrics, at most."""
 CHECKS_DESCRIPTOR_SHARE = 0.02
+"""The same for each of these two where that is fewer."""
 BYTES_PER_MB = 1_000_000
 
 
--- a/sequoiapoint/transport/async_http_server.py
+++ b/sequoiapoint/transport/async_http_server.py
@@ -8,8 +8,6 @@
 import array
 import asyncio
 import fcntl
-import functools
-import heapq
 import http
 import math
 import socket
@@ -34,6 +32,7 @@
     CallerBudget,
 )
 from sequoiapoint.transport.clock import monotonic_s, pause_to_tick_s
+from sequoiapoint.transport.excess_connections import connections_to_close
 
 TIMEOUT_CHECK_INTERVAL_S = 0.25
 """Interval of the check for connection timeouts; a tenth of the shortest one."""
@@ -48,12 +47,6 @@
 """Size of an incomplete head, or of a trailer, relative to the maximum size of headers,
 from which on it is rejected; the delimiters between headers count too."""
 NO_DATA = memoryview(b"")
-FIRST_REQUEST_S = 1.0
-"""Time from the start of a connection in which a caller should send its first request.
-If there are too many connections, those of slower callers are closed first."""
-EXCESS_PART = 32
-"""If there are too many connections, one in so many is closed besides the excess, so
-that it is rarely necessary."""
 PARSE_BYTES = 4_096
 """Bytes that are parsed at once; requests behind the one in progress stay unparsed, as
 their objects need many times their bytes."""
@@ -257,8 +250,8 @@
         self._sent_bytes = 0
         self._sent_at = self._last_progress_s
         # When the last response ended, or else the connection began.
-        self._finished_at = self._last_progress_s
-        self._has_finished = False
+        self.finished_at = self._last_progress_s
+        self.has_finished = False
         # Memory of the budget, as in the protocol of its holders.
         self._active_bytes = 0
         self.pending_bytes = 0
@@ -371,8 +364,8 @@
         self._pause = self._resume = None
         # Reading may have been paused until now.
         self._last_progress_s = self._head_started_at = monotonic_s()
-        self._finished_at = self._last_progress_s
-        self._has_finished = True
+        self.finished_at = self._last_progress_s
+        self.has_finished = True
         if self._transport is None:
             return
         if keep_alive and not self._queue and not self._ignores_input:
@@ -413,24 +406,17 @@
         """Tell whether no request is in progress, and all is sent."""
         return self._active is None and not self.has_unsent
 
-    def closing_order(self, now: float) -> tuple[int, float]:
-        """Return the order in which connections are closed if there are too many.
-
-        Those that are being closed precede, then those without any whole request within
-        ``FIRST_REQUEST_S``, then the others; each by the time of its last response.
-        """
-        idle_s = now - self._finished_at
-        if self._ignores_input:
-            return 0, self._finished_at
-        if not self._has_finished and idle_s > FIRST_REQUEST_S:
-            return 1, self._finished_at
-        return 2, self._finished_at
+    @property
+    def is_closing(self) -> bool:
+        """Tell whether the connection is being closed; its input is ignored."""
+        return self._ignores_input
 
     def close(self) -> None:
         """Close the connection at once, with a response to an incomplete request."""
         if self._transport is None:
             return
         if self._is_reading and not self._ignores_input:
+            self._server.on_rejected(int(http.HTTPStatus.SERVICE_UNAVAILABLE))
             self._write_rejection(self._rejection(http.HTTPStatus.SERVICE_UNAVAILABLE))
         self._ignores_input = True
         self._discard_received()
@@ -888,14 +874,12 @@
 
         If each has one, the new connection is closed.
         """
-        excess = len(self.connections) - self._max_connections
-        if excess <= 0:
+        if len(self.connections) <= self._max_connections:
             return
-        now = monotonic_s()
-        count = excess + self._max_connections // EXCESS_PART
-        candidates = [c for c in self.connections if c.may_close]
-        order = functools.partial(ServerConnection.closing_order, now=now)
-        for connection in heapq.nsmallest(count, candidates, key=order):
+        idle = [c for c in self.connections if c.may_close]
+        for connection in connections_to_close(
+            idle, len(self.connections), self._max_connections, monotonic_s()
+        ):
             self.excess_closed += 1
             self.connections.discard(connection)
             connection.close()
--- a/sequoiapoint/transport/caller_budget.py
+++ b/sequoiapoint/transport/caller_budget.py
@@ -23,9 +23,9 @@
 """Memory of a request that counts as small."""
 LARGE_REQUESTS_SHARE = 0.75
 """Share of the budget that requests in progress may hold if they are not small."""
-RELIEF_SHARE = 0.1
-"""Share of the pending memory that is freed besides the excess, so that it is rarely
-necessary."""
+EXTRA_FREED_SHARE = 0.1
+"""Share of the pending memory that is freed besides the excess, so that a choice is
+rarely necessary."""
 
 
 class Holder(Protocol):
@@ -124,7 +124,7 @@
 
     def _excess_holders(self, now: float) -> Iterator[Holder]:
         """Return the holders that lose their requests; a single one remains."""
-        target = self._max_bytes - RELIEF_SHARE * self._pending_bytes
+        target = self._max_bytes - EXTRA_FREED_SHARE * self._pending_bytes
         for holder in _by_occupancy(self._holders, now):
             if self.held_bytes <= target:
                 return
--- a/sequoiapoint/transport/caller_limits_test.py
+++ b/sequoiapoint/transport/caller_limits_test.py
@@ -9,7 +9,7 @@
 import pytest
 
 from sequoiapoint.protocol.gateway import CallerLimits
-from sequoiapoint.transport import async_http_server
+from sequoiapoint.transport import async_http_server, excess_connections
 from sequoiapoint.transport.async_http_server import AsyncHttpServer
 from sequoiapoint.transport.async_http_server_test import (
     VALID_REQUEST,
@@ -145,7 +145,7 @@
 
 
 def test_a_new_connection_is_closed_if_all_others_have_requests(monkeypatch):
-    monkeypatch.setattr(async_http_server, "EXCESS_PART", 10 * MAX_CONNECTIONS)
+    monkeypatch.setattr(excess_connections, "EXTRA_PART", 10 * MAX_CONNECTIONS)
 
     async def scenario():
         async with LimitedServer() as server:
--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -1,7 +1,7 @@
-"""A crowd of callers that do not behave, and what a process under it uses.
+"""A crowd of misbehaving callers, and what a process uses meanwhile.
 
 Each caller sends its parts over one connection, discards what it receives, and stays
-connected until the crowd leaves.
+connected until the end.
 """
 
 import asyncio
@@ -42,7 +42,7 @@
         self._pause_s = pause_s
         self._has_sent = threading.Event()
         self._loop = asyncio.new_event_loop()
-        self._leaves = asyncio.Event()
+        self._stop_requested = asyncio.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self.statuses: Counter[str] = Counter()
 
@@ -52,17 +52,17 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        self._loop.call_soon_threadsafe(self._leaves.set)
+        self._loop.call_soon_threadsafe(self._stop_requested.set)
         self._thread.join()
 
     def _run(self) -> None:
         try:
-            self._loop.run_until_complete(self._attend())
+            self._loop.run_until_complete(self._run_callers())
         finally:
             self._has_sent.set()
             self._loop.close()
 
-    async def _attend(self) -> None:
+    async def _run_callers(self) -> None:
         connections = []
         for first in range(0, self._callers, CONNECT_BATCH):
             batch = range(first, min(first + CONNECT_BATCH, self._callers))
@@ -79,7 +79,7 @@
         ]
         await asyncio.wait(sending, timeout=SEND_TIMEOUT_S)
         self._has_sent.set()
-        await self._leaves.wait()
+        await self._stop_requested.wait()
         for task in sending + reading:
             task.cancel()
         await asyncio.gather(*sending, *reading, return_exceptions=True)
@@ -122,7 +122,9 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
-def announced(path: str, number: int, size: int, sent: int, piece: int) -> list[bytes]:
+def content_length_request(
+    path: str, number: int, size: int, sent: int, piece: int
+) -> list[bytes]:
     """Return a request whose length is announced, in pieces.
 
     :param size: The announced length.
@@ -133,7 +135,7 @@
     return parts
 
 
-def chunked(
+def chunked_request(
     path: str, number: int, sent: int, chunk: int, ends: bool, piece: int = 65_536
 ) -> list[bytes]:
     """Return a request in chunks, in pieces of about a size.
--- a/tests/caller_crowd_test.py
+++ b/tests/caller_crowd_test.py
@@ -1,4 +1,4 @@
-"""Crowds of callers that do not behave, at a gateway process on a small machine.
+"""Crowds of misbehaving callers, at a gateway process on a small machine.
 
 Guards against a process that runs out of memory or descriptors as its callers send
 much, leave requests incomplete, or hold connections.
@@ -11,8 +11,8 @@
 
 from standins.crowd import (
     Crowd,
-    announced,
-    chunked,
+    chunked_request,
+    content_length_request,
     head,
     open_descriptors,
     peak_memory_mb,
@@ -37,26 +37,30 @@
 }
 
 
-def unended(path, piece=BODY_BYTES):
-    return lambda number: announced(path, number, BODY_BYTES, BODY_BYTES - 1, piece)
+def incomplete(path, piece=BODY_BYTES):
+    return lambda number: content_length_request(
+        path, number, BODY_BYTES, BODY_BYTES - 1, piece
+    )
 
 
 def whole(path):
-    return lambda number: announced(path, number, BODY_BYTES, BODY_BYTES, BODY_BYTES)
+    return lambda number: content_length_request(
+        path, number, BODY_BYTES, BODY_BYTES, BODY_BYTES
+    )
 
 
 def in_chunks(chunk, sent, ends=False):
-    return lambda number: chunked("/write/x", number, sent, chunk, ends)
+    return lambda number: chunked_request("/write/x", number, sent, chunk, ends)
 
 
 def behind_another(number):
-    first = announced("/read/x", 10_000 + number, 3, 3, 3)
-    return [*first, *unended("/write/x")(number)]
+    first = content_length_request("/read/x", 10_000 + number, 3, 3, 3)
+    return [*first, *incomplete("/write/x")(number)]
 
 
 def pipelined(count):
     def parts(number):
-        first = announced("/write/x", number, 3, 3, 3)
+        first = content_length_request("/write/x", number, 3, 3, 3)
         return [*first, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * count]
 
     return parts
@@ -71,21 +75,23 @@
 
 
 CROWDS = {
-    "write-unended": (CALLERS, unended("/write/x"), 0.0),
-    "stream-unended": (CALLERS, unended("/talk/x"), 0.0),
-    "pieces-unended": (CALLERS, unended("/write/x", 20_000), 0.02),
+    "write-incomplete": (CALLERS, incomplete("/write/x"), 0.0),
+    "stream-incomplete": (CALLERS, incomplete("/talk/x"), 0.0),
+    "pieces-incomplete": (CALLERS, incomplete("/write/x", 20_000), 0.02),
     "write-whole": (CALLERS, whole("/write/x"), 0.0),
     "read-whole": (CALLERS, whole("/read/x"), 0.0),
-    "large-chunks-unended": (CALLERS, in_chunks(65_536, 983_040), 0.0),
+    "large-chunks-incomplete": (CALLERS, in_chunks(65_536, 983_040), 0.0),
     "large-chunks-whole": (CALLERS, in_chunks(65_536, 983_040, ends=True), 0.0),
-    "two-byte-chunks-unended": (40, in_chunks(2, 200_000), 0.0),
+    "two-byte-chunks-incomplete": (40, in_chunks(2, 200_000), 0.0),
     "two-byte-chunks-trickled": (40, in_chunks(2, 200_000), 0.02),
-    "one-byte-chunks-unended": (80, in_chunks(1, 200_000), 0.0),
+    "one-byte-chunks-incomplete": (80, in_chunks(1, 200_000), 0.0),
     "behind-another": (CALLERS, behind_another, 0.0),
     "over-the-limit-sent": (CALLERS, in_chunks(65_536, 4_000_000), 0.0),
     "over-the-limit-announced": (
         CALLERS,
-        lambda number: announced("/write/x", number, 10**9, 4_000_000, 65_536),
+        lambda number: content_length_request(
+            "/write/x", number, 10**9, 4_000_000, 65_536
+        ),
         0.0,
     ),
     "head-of-one-line": (800, open_head(b"X: " + b"y" * 15_000), 0.0),
@@ -120,7 +126,10 @@
 
 
 def status_of_an_ordinary_request(gateway, name):
-    """Return the final status; an ordinary caller comes back when it is told to."""
+    """Return the final status, or why there is none.
+
+    A caller that is refused sends the request again after the stated time.
+    """
     for number in range(MAX_ORDINARY_TRIES):
         try:
             reply = gateway.send_request("/read/x", f"{name}-{number}", b"ordinary")
@@ -152,7 +161,7 @@
 
 
 @pytest.mark.parametrize("purpose", ADDRESSES)
-@pytest.mark.parametrize("name", ["large-chunks-unended", "silent"])
+@pytest.mark.parametrize("name", ["large-chunks-incomplete", "silent"])
 def test_a_crowd_at_another_address_ends_no_gateway(site, purpose, name):
     gateway = site.gateways[0]
     callers, parts, pause_s = CROWDS[name]
@@ -178,11 +187,13 @@
 @pytest.mark.parametrize(
     ("name", "parts"),
     {
-        "whole": announced("/write/x", 1, BODY_BYTES, BODY_BYTES, BODY_BYTES),
-        "pieces": announced("/write/x", 1, BODY_BYTES, BODY_BYTES, 20_000),
-        "large-chunks": chunked("/write/x", 1, BODY_BYTES, 50_000, ends=True),
-        "small-chunks": chunked("/write/x", 1, BODY_BYTES, 1_000, ends=True),
-        "two-byte-chunks": chunked("/write/x", 1, 200_000, 2, ends=True),
+        "whole": content_length_request(
+            "/write/x", 1, BODY_BYTES, BODY_BYTES, BODY_BYTES
+        ),
+        "pieces": content_length_request("/write/x", 1, BODY_BYTES, BODY_BYTES, 20_000),
+        "large-chunks": chunked_request("/write/x", 1, BODY_BYTES, 50_000, ends=True),
+        "small-chunks": chunked_request("/write/x", 1, BODY_BYTES, 1_000, ends=True),
+        "two-byte-chunks": chunked_request("/write/x", 1, 200_000, 2, ends=True),
     }.items(),
 )
 def test_a_request_inside_the_limits_is_served_in_calm(site, name, parts):
--- a/tests/serve_crowd_test.py
+++ b/tests/serve_crowd_test.py
@@ -1,4 +1,4 @@
-"""Crowds of callers that do not behave, at a ``serve`` process on a small machine.
+"""Crowds of misbehaving callers, at a ``serve`` process on a small machine.
 
 Guards against a process that runs out of memory or descriptors, or whose threads all
 wait for callers that send slowly or nothing.
@@ -15,8 +15,8 @@
 from standins.cluster import Cluster, Deployment
 from standins.crowd import (
     Crowd,
-    announced,
-    chunked,
+    chunked_request,
+    content_length_request,
     head,
     open_descriptors,
     peak_memory_mb,
@@ -45,11 +45,11 @@
 
 
 def sends(sent, piece=BODY_BYTES, size=BODY_BYTES):
-    return lambda number: announced(CHAT, number, size, sent, piece)
+    return lambda number: content_length_request(CHAT, number, size, sent, piece)
 
 
 def in_chunks(sent, chunk, ends=False, rest=b""):
-    return lambda number: [*chunked(CHAT, number, sent, chunk, ends), rest]
+    return lambda number: [*chunked_request(CHAT, number, sent, chunk, ends), rest]
 
 
 def open_head(rest):
@@ -57,16 +57,16 @@
 
 
 def pipelined(number):
-    first = announced(CHAT, number, 3, 3, 3)
+    first = content_length_request(CHAT, number, 3, 3, 3)
     return [*first, b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n" * 5_000]
 
 
 CROWDS = {
-    "unended": (CALLERS, sends(BODY_BYTES - 1), 0.0),
-    "pieces-unended": (CALLERS, sends(BODY_BYTES - 1, 20_000), 0.02),
+    "incomplete": (CALLERS, sends(BODY_BYTES - 1), 0.0),
+    "pieces-incomplete": (CALLERS, sends(BODY_BYTES - 1, 20_000), 0.02),
     "whole": (CALLERS, sends(BODY_BYTES), 0.0),
-    "chunks-unended": (CALLERS, in_chunks(983_040, 65_536), 0.0),
-    "two-byte-chunks-unended": (40, in_chunks(200_000, 2), 0.0),
+    "chunks-incomplete": (CALLERS, in_chunks(983_040, 65_536), 0.0),
+    "two-byte-chunks-incomplete": (40, in_chunks(200_000, 2), 0.0),
     "over-the-limit-announced": (CALLERS, sends(ENDLESS_BYTES, size=10**9), 0.0),
     "over-the-limit-sent": (CALLERS, in_chunks(ENDLESS_BYTES, 65_536), 0.0),
     "head-of-one-line": (CALLERS, open_head(b"X: " + b"y" * ENDLESS_BYTES), 0.0),
@@ -138,10 +138,10 @@
 @pytest.mark.parametrize(
     "parts",
     [
-        announced("/healthz", 1, BODY_BYTES, BODY_BYTES, BODY_BYTES),
-        announced("/healthz", 1, BODY_BYTES, BODY_BYTES, 20_000),
-        chunked("/healthz", 1, BODY_BYTES, 50_000, ends=True),
-        chunked("/healthz", 1, 200_000, 2, ends=True),
+        content_length_request("/healthz", 1, BODY_BYTES, BODY_BYTES, BODY_BYTES),
+        content_length_request("/healthz", 1, BODY_BYTES, BODY_BYTES, 20_000),
+        chunked_request("/healthz", 1, BODY_BYTES, 50_000, ends=True),
+        chunked_request("/healthz", 1, 200_000, 2, ends=True),
     ],
     ids=["whole", "pieces", "large-chunks", "two-byte-chunks"],
 )
