--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -78,7 +78,13 @@
         return self.settings["name"]
 
     def start(self, **changes: Any) -> None:
-        """Start a process, under the same id and at the same address as before."""
+        """Start a process, under the same id and at the same address as before.
+
+        A worker that starts again is empty; its copies on disk are still there.
+        """
+        if self.process is not None and self.settings.get("held") is not None:
+            on_disk = {*self.settings.get("on_disk", ()), *self.settings["held"]}
+            changes = {"held": [], "on_disk": sorted(on_disk)} | changes
         self.settings |= changes
         self.process = subprocess.Popen(
             [sys.executable, str(WORKER), json.dumps(self.settings)],
--- a/review/rig3/worker.py
+++ b/review/rig3/worker.py
@@ -12,7 +12,7 @@
 import struct
 import sys
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 HEARTBEAT_S = 1.2
 """``heartbeat-ms`` of DEPLOY.md."""
@@ -23,11 +23,12 @@
 class Settings:
     """What the process is started with.
 
-    :param held: The models that an engine holds at its start, with their sizes in MB;
-        None for a worker without models.
+    :param held: The models that an engine holds at its start; None for a worker without
+        models, which runs streams and pages of any route.
+    :param on_disk: The models of which it has a copy on its disk.
     :param memory_mb: The memory of an engine for weights, in MB.
     :param size_mb: The size of each model, in MB.
-    :param load_s: The time that the load of a model takes, in seconds.
+    :param load_s: The time that the load of a model from disk takes, in seconds.
     :param registers_after_s: The time from the start to the first heartbeat.
     :param is_unframed: Whether answers have neither a length nor chunks and end with
         their channel.
@@ -49,9 +50,10 @@
     version: str = "v1"
     slots: int = 64
     held: list[str] | None = None
+    on_disk: list[str] = field(default_factory=list)
     memory_mb: float = 200.0
     size_mb: float = 90.0
-    load_s: float = 0.3
+    load_s: float = 0.76
     registers_after_s: float = 0.0
     is_unframed: bool = False
     event_interval_s: float = 0.05
@@ -169,9 +171,9 @@
             self._send(writer, self._order(json.loads(body)), headers)
         elif "request-id" not in headers:
             self._send(writer, 400, headers, extra=["Not-Run: 1"])
-        elif self._settings.held is None:
+        elif "token-count" not in headers:
             await self._send_page(writer, headers)
-        elif headers.get("model", "") not in self._held:
+        elif self._settings.held is not None and headers["model"] not in self._held:
             self._send(writer, 421, headers)
         else:
             await self._stream(writer, headers)
@@ -268,6 +270,7 @@
             "seq": self._orders,
             "queued": 0,
             "inflight": self._running,
+            "at-hand": {"in-memory": [], "on-disk": self._settings.on_disk},
             "born": self._born,
         }
 
