--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,60 +1,48 @@
-"""Streams while the workers of a service are restarted at a newer version, in turn.
+"""Plain workers fail part of their requests with 503, after they have run them.
 
-The workers hold no models.  Each comes back under its id and at its address, and
-registers with its first heartbeat, as PROTOCOL.md says of all entries.  A stream may go
-on only at the version that began it.
+These answers do not have ``Not-Run``.
 """
 
 import time
 
 from review.rig3.rig import Consumers, Record, Site, run_case
-from standins.site.deployment import configuration, route
 
-EVENTS = 60
-STREAMS = 18
-WORKERS = 3
-GAP_S = 0.1
-"""Pause after a worker listens again until the next one is restarted; from one kill to
-the next it takes about 0.4 s, ``gap_s`` of the day ``rejoined`` in DEMANDS.md."""
-HEARTBEAT_S = 1.2
-"""``heartbeat-ms``: the time after which a restarted worker registers."""
-MAX_JOINED = 2
-"""ORDER is broken by more than two streams."""
+WORKERS = 4
+SHARE = 0.45
+"""The part of the requests that all workers fail for ``SECONDS``: ``x``, ``share`` and
+``for_s`` of a ``srv_grey`` in the site file."""
+SECONDS, INTERVAL_S = 6.0, 0.05
+PROMISES = (408, 421, 429, 503)
+"""The statuses that promise that a request has not run and never will."""
 
 
 def case(record: Record, has_trouble: bool) -> bool:
-    """Return whether no more than ``MAX_JOINED`` streams hold two versions."""
+    """Return whether no request that has run is answered with a promise."""
     workers = [
         {"name": f"web-{n}", "service": "web", "zone": f"z{n % 2}"}
-        | {"event_interval_s": 0.1}
         for n in range(WORKERS)
     ]
+    for worker in workers if has_trouble else []:
+        worker["failure_share"] = SHARE
     workers.append({"name": "lm-0", "service": "lm", "zone": "z0", "held": ["oak"]})
-    manifest = configuration()
-    stream = {"can-resume": True, "gap-aim-ms": 150, "timeout-ms": 12_000}
-    manifest["routes"].append(route("news", "stream", "web", **stream))
     consumers = Consumers(record)
-    with Site(record, workers, first_configuration=manifest) as site:
+    with Site(record, workers) as site:
         time.sleep(2.0)
-        for number in range(STREAMS):
+        for number in range(int(SECONDS / INTERVAL_S)):
             port = site.gateways[number % 2].ports["front"]
-            consumers.stream(port, "/news/page", f"s{number}", EVENTS)
-        time.sleep(1.0)
-        for worker in site.workers[:WORKERS] if has_trouble else []:
-            record.note(f"platform restarts {worker.name} at version v2")
-            worker.kill()
-            worker.start(version="v2", registers_after_s=HEARTBEAT_S)
-            site.wait(lambda w=worker: len(w.events("start")) > 1, 10.0)
-            time.sleep(GAP_S)
+            consumers.send(port, f"/write/{number}", f"w{number}", {})
+            time.sleep(INTERVAL_S)
         consumers.wait()
-    joined = 0
-    for answer in consumers.answers:
-        versions = {event.split(b" ")[-1] for event in answer.events}
-        if len(versions) > 1:
-            joined += 1
-            record.note(f"{answer.request_id} holds events of {sorted(versions)}")
-    record.note(f"streams of two versions: {joined} of {len(consumers.answers)}")
-    return joined <= MAX_JOINED
+    runs = {line["id"] for worker in site.workers for line in worker.events("run")}
+    false = [
+        answer
+        for answer in consumers.answers
+        if answer.status in PROMISES and answer.request_id in runs
+    ]
+    for answer in false:
+        record.note(f"{answer.request_id} has run and is answered {answer.status}")
+    record.note(f"{len(false)} of {len(consumers.answers)} requests")
+    return not false
 
 
 if __name__ == "__main__":
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,6 +1,7 @@
-"""A manifest that no longer names a model, while requests ask for another one.
+"""A part of prompts crashes each engine that begins to write an answer on it.
 
-Both engines are full: each holds two models of 90 MB in 200 MB.
+The engines' answers have neither a length nor chunks and end with their channel.  Each
+engine is back two seconds after its crash, empty but for its disk.
 """
 
 import time
@@ -8,48 +9,62 @@
 from review.rig3.rig import Consumers, Record, Site, run_case
 from standins.site.deployment import configuration
 
-RETIRED, WANTED = "elm", "ash"
-SIZE_MB = 90.0
-HELD = {"lm-0": ["oak", RETIRED], "lm-1": ["fir", RETIRED]}
-APPLY_S = 2.0
-"""``apply-ms``, after which the manifest is in force everywhere."""
-REQUESTS = 16
+PART = "dead01"
+SECONDS = 25.0
+INTERVAL_S = 0.5
+SOUND = 4
+"""Sound requests for each one with the part."""
+CONTACT_S = 3.0
+"""``contact-ms``, after which the rule holds."""
+COUNTED_CRASHES = 5
+MAX_LATER = 3
+"""BUDGET is broken by more than three requests that reach engines later."""
 
 
 def case(record: Record, has_trouble: bool) -> bool:
-    """Return whether no engine is ordered to load more than it holds."""
-    engine = {"service": "lm", "memory_mb": 200.0, "size_mb": SIZE_MB}
-    workers = [
-        engine | {"name": name, "zone": f"z{number}", "held": held}
-        for number, (name, held) in enumerate(HELD.items())
-    ]
+    """Return whether requests with the part cease to reach engines in time."""
+    engine = {"service": "lm", "held": ["oak"], "event_interval_s": 0.02}
+    engine |= {"is_unframed": True, "deadly_part": PART, "deadly_events": 1}
+    workers = [engine | {"name": f"lm-{n}", "zone": f"z{n % 2}"} for n in range(4)]
     workers.append({"name": "web-0", "service": "web", "zone": "z0"})
+    manifest = configuration()
+    for model in manifest["services"][0]["engine"]["models"]:
+        model |= {"load-s": 2.6, "disk-s": 0.76, "warm-s": 0.38}
     consumers = Consumers(record)
-    with Site(record, workers, restart_after_s=2.0) as site:
-        time.sleep(3.0)
-        manifest = configuration(2)
-        engine = manifest["services"][0]["engine"]
-        if has_trouble:
-            engine["models"] = [m for m in engine["models"] if m["name"] != RETIRED]
-        record.note(
-            f"operator sends version 2 with {[m['name'] for m in engine['models']]}"
-        )
-        site.call(site.store.write, "keyed.op", "config", manifest)
-        time.sleep(APPLY_S + 1.0)
-        for number in range(REQUESTS):
+    with Site(record, workers, 2, 2, manifest, restart_after_s=2.0) as site:
+        time.sleep(2.0)
+        for number in range(int(SECONDS / INTERVAL_S)):
             port = site.gateways[number % 2].ports["front"]
-            model = WANTED if number % 2 else "oak"
-            consumers.stream(port, "/talk/page", f"r{number}", 5, Model=model)
-            time.sleep(0.5)
+            for other in range(SOUND):
+                name = f"sound{number}-{other}"
+                sound = {"Prompt_Prefix": f"aa01:5,{number:04x}{other:04x}f:2"}
+                consumers.stream(port, f"/talk/{name}", name, 5, **sound)
+            if has_trouble:
+                deadly = {"Prompt_Prefix": f"aa01:5,{PART}:3,{number:08x}:2"}
+                consumers.stream(
+                    port, f"/talk/deadly{number}", f"deadly{number}", 9, **deadly
+                )
+            time.sleep(INTERVAL_S)
         consumers.wait()
-    crashes = [
-        f"{line['worker']}: {line['reason']}"
-        for worker in site.workers
-        for line in worker.events("crash")
+    lines = [line for worker in site.workers for line in worker.lines]
+    crashes = sorted(line["at"] for line in lines if line["event"] == "crash")
+    arrivals = [
+        line["at"]
+        for line in lines
+        if line["event"] == "run" and PART in line.get("parts", "")
     ]
-    for crash in crashes:
-        record.note(f"ordered to load more than it holds: {crash}")
-    return not crashes
+    later = 0
+    if len(crashes) >= COUNTED_CRASHES:
+        since = crashes[COUNTED_CRASHES - 1] + CONTACT_S
+        later = sum(at > since for at in arrivals)
+    sound_answers = [a for a in consumers.answers if a.request_id.startswith("sound")]
+    whole = sum(a.is_complete and len(a.events) == 5 for a in sound_answers)
+    record.note(
+        f"{len(crashes)} crashes, {len(arrivals)} requests with the part reached "
+        f"engines, {later} of them later than {CONTACT_S:g} s after crash "
+        f"{COUNTED_CRASHES}; {whole} of {len(sound_answers)} sound requests were whole"
+    )
+    return later <= MAX_LATER
 
 
 if __name__ == "__main__":
