Selection: wait for busy servers rather than try lost ones again

Cause: a server that refuses connections has no load. `ServerSelector.choose` kept it as a last resort, and took it whenever all others were full or read prompts.

A request that fails to connect goes on with the wait that it had, so the limit on its wait holds over all of its selections.

--- a/sequoiapoint/coordination/server_choice.py
+++ b/sequoiapoint/coordination/server_choice.py
@@ -134,6 +134,20 @@
     return [entry for entry, age_s in ages if age_s < LEAVING_USE_SHARE * drain_s]
 
 
+def without_unreachable(
+    servers: Sequence[ServerEntry], is_unreachable: Callable[[ServerEntry], bool]
+) -> list[ServerEntry]:
+    """Return the servers to use while connections to some of them fail.
+
+    Answers engines that are lost while the store still lists them: they have no load,
+    so that requests tried them time and again and were rejected, rather than wait for
+    the engines that took over what the lost ones had run.
+
+    :return: The servers that can be reached, or all if none of them can.
+    """
+    return [e for e in servers if not is_unreachable(e)] or list(servers)
+
+
 def without_limited(
     servers: Sequence[ServerEntry], has_limit: Callable[[ServerEntry], bool]
 ) -> list[ServerEntry]:
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -389,7 +389,7 @@
             if outcome is _AttemptOutcome.DELIVERED:
                 return
             if outcome is _AttemptOutcome.NOT_CONNECTED:
-                self._selector.connect_failures += 1
+                self._selector.note_connect_failure()
                 self._unreached.add(entry.server)
                 continue
             if outcome in (
@@ -665,8 +665,7 @@
             min(CONNECT_TIMEOUT_S, self._remaining_s()), self._request.request_id
         )
         if isinstance(connection, Failure):
-            load = state.loads.get_or_create(entry.incarnation)
-            load.note_connect_failure(monotonic_s())
+            state.loads.note_connect_failure(entry.incarnation, monotonic_s())
             self._reachability.note_connect_failure(entry.incarnation, monotonic_s())
             outcome = _AttemptOutcome.NOT_CONNECTED
             self._log_attempt(entry, outcome.value, connection.reason)
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -131,6 +131,7 @@
         self.demand_key = (self.service, request.model, request.adapter)
         self.required_version: str | None = None
         self.connect_failures = 0
+        self._wait_started_at, self._is_wait_continued = 0.0, False
         self.tried_servers: set[str] = set()
         self.reason = ""
         self.back_off_s: float | None = None
@@ -172,6 +173,14 @@
         """Tell whether the requested model is configured for the service."""
         return not self.is_engine or self._request.model in self._spec.engine.models
 
+    def note_connect_failure(self) -> None:
+        """Record that no connection to the selected server could be opened.
+
+        The next selection goes on with the same wait, which has a limit.
+        """
+        self.connect_failures += 1
+        self._is_wait_continued = True
+
     async def select(self) -> ServerEntry | None:
         """Return a server for the next attempt, waiting for one if necessary.
 
@@ -231,7 +240,10 @@
 
     async def _select(self, ticket: SlotTicket) -> ServerEntry | None:
         state = self._state
-        started_at = monotonic_s()
+        selected_at = started_at = monotonic_s()
+        if self._is_wait_continued:
+            started_at = self._wait_started_at
+        self._wait_started_at, self._is_wait_continued = started_at, False
         limit_s = waiting.wait_limit_s(
             self._route, self._deadline - started_at, self._is_return
         )
@@ -296,7 +308,7 @@
                     needs_capacity=self._needs_capacity,
                 )
         finally:
-            self.waited_s += monotonic_s() - started_at
+            self.waited_s += monotonic_s() - selected_at
             if is_waiting and self.is_engine:
                 state.demand.adjust(self.demand_key, monotonic_s(), waiting=-1)
 
@@ -691,7 +703,8 @@
     def serving(self, now: float) -> Sequence[ServerEntry]:
         """Return the servers that can run the request, whether or not they are full.
 
-        It sets ``reason`` and ``back_off_s``.
+        Those that cannot be reached are among them only if no other can run it.  It
+        sets ``reason`` and ``back_off_s``.
         """
         fleet, request = self._state.fleet, self._request
         if self.is_engine:
@@ -701,6 +714,7 @@
         else:
             serving = fleet.ready_servers(self.service)
         serving = self._of_required_version(serving)
+        serving = self._without_unreachable(serving, now)
         serving = self._without_leaving(serving, now)
         if self._silent_server:
             serving = [entry for entry in serving if self._may_take_over(entry, now)]
@@ -779,6 +793,16 @@
     def _back_off_until(self, entry: ServerEntry) -> float:
         return self._state.loads.get_or_create(entry.incarnation).back_off_until
 
+    def _without_unreachable(
+        self, servers: Sequence[ServerEntry], now: float
+    ) -> Sequence[ServerEntry]:
+        loads = self._state.loads
+        if loads.are_all_reachable(now):
+            return servers
+        return server_choice.without_unreachable(
+            servers, lambda e: loads.get_or_create(e.incarnation).is_unreachable(now)
+        )
+
     def _without_leaving(
         self, servers: Sequence[ServerEntry], now: float
     ) -> Sequence[ServerEntry]:
--- a/sequoiapoint/state/server_load.py
+++ b/sequoiapoint/state/server_load.py
@@ -41,6 +41,7 @@
     :param sent_at: The time at which each running request was sent, by request number.
     :param local_at_report: The number of this host's running requests when the last
         report arrived.
+    :param connect_failed_at: When a connection to it last failed to open, in seconds.
     :param broken_count: The number of connections in a row that broke before a
         response.
     :param avoid_until: The time until which other servers are preferred.
@@ -59,6 +60,7 @@
     local_at_report: int = 0
     last_received_at: float = 0.0
     connect_failures: int = 0
+    connect_failed_at: float = -math.inf
     broken_count: int = 0
     avoid_until: float = 0.0
     back_off_until: float = 0.0
@@ -117,6 +119,14 @@
         """Avoid the server for a time that grows exponentially with each failure."""
         self._avoid(self.connect_failures, now)
         self.connect_failures += 1
+        self.connect_failed_at = now
+
+    def is_unreachable(self, now: float) -> bool:
+        """Tell whether a connection has just failed to open.
+
+        Unlike an avoided server, it is not even worth trying while all others are full.
+        """
+        return now - self.connect_failed_at < CONNECT_BACKOFF_S
 
     def note_broken(self, now: float) -> None:
         """Avoid the server if connections to it break time and again."""
@@ -166,6 +176,16 @@
 
     def __init__(self) -> None:
         self._loads: dict[Incarnation, ServerLoad] = {}
+        self._connect_failed_at = -math.inf
+
+    def note_connect_failure(self, incarnation: Incarnation, now: float) -> None:
+        """Record that no connection to a process could be opened."""
+        self._connect_failed_at = now
+        self.get_or_create(incarnation).note_connect_failure(now)
+
+    def are_all_reachable(self, now: float) -> bool:
+        """Tell whether no connection to any process has just failed to open."""
+        return now - self._connect_failed_at >= CONNECT_BACKOFF_S
 
     def get_or_create(self, incarnation: Incarnation) -> ServerLoad:
         """Return the load of a process; it is created empty if unknown."""
