Streams that go on: count a prompt as unread only once it is sent

Cause: a stream goes on only if the process behind its new connection is certain, which takes half a second. Its prompt was counted as unread from the choice of the engine on, so each host filled an engine's share with two prompts that it had not sent.

Change: the prompt does not count while the stream waits. Before it is sent, the engine's unread prompts are examined again; if they are too many, the stream returns to the queue and its connection, certain by then, to the pool.

--- a/sequoiapoint/node/lost_servers_test.py
+++ b/sequoiapoint/node/lost_servers_test.py
@@ -105,3 +105,69 @@
             site.state.limits.note(LimitNotice(entry.incarnation, 5.0, now))
     assert asyncio.run(site.request(model="oak", prompt_tokens=9))[0] == 200
     assert (tried, site.sent) == ([], [SOUND.server])
+
+
+@pytest.mark.parametrize(("count", "later_s"), [(2, 0.3), (8, 0.5)])
+def test_streams_wait_together_until_their_connections_are_certain(
+    monkeypatch, count, later_s
+):
+    """An engine read two prompts in half a second, as others only waited.
+
+    A connection is certain to lead to a process some time after it was opened.  The
+    prompts of the streams that waited for it counted as unread, although none was sent.
+    """
+    site = holding_site(monkeypatch, SOUND)
+    site.route = replace(site.route, is_stream=True, is_resumable=True)
+    site.responses = {SOUND.server: [(200, [SIGNED, STREAM], event(3))] * count}
+    know_version(site)
+
+    async def is_certain(server, connected_at):
+        await asyncio.sleep(max(0.0, connected_at + 0.2 - monotonic_s()))
+        return True
+
+    site.origins.is_certain = is_certain
+
+    async def run():
+        started_at = monotonic_s()
+        fields = {"model": "oak", "last_event_id": "2", "resumes": "first"}
+        requests = (
+            site.request(budget_s=4.0, prompt_tokens=PROMPT_TOKENS, **fields)
+            for _ in range(count)
+        )
+        await asyncio.gather(*requests)
+        return monotonic_s() - started_at
+
+    assert asyncio.run(run()) < later_s
+    assert (len(site.sent), site.opened) == (count, count)
+
+
+def test_prompts_beyond_what_an_engine_may_read_are_not_sent_together(monkeypatch):
+    """Streams whose connections are certain at one moment may all be sent then."""
+    site = holding_site(monkeypatch, SOUND)
+    site.route = replace(site.route, is_stream=True, is_resumable=True)
+    site.responses = {SOUND.server: [(200, [SIGNED, STREAM])] * 8}
+    site.is_endless = True
+    know_version(site)
+
+    async def is_certain(server, connected_at):
+        await asyncio.sleep(max(0.0, connected_at + 0.2 - monotonic_s()))
+        return True
+
+    site.origins.is_certain = is_certain
+
+    async def run():
+        fields = {"model": "oak", "last_event_id": "2", "resumes": "first"}
+        requests = [
+            asyncio.ensure_future(
+                site.request(budget_s=4.0, prompt_tokens=PROMPT_TOKENS // 2, **fields)
+            )
+            for _ in range(8)
+        ]
+        await asyncio.sleep(0.5)
+        sent = len(site.sent)
+        for request in requests:
+            request.cancel()
+        await asyncio.wait(requests)
+        return sent
+
+    assert asyncio.run(run()) == 2
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -123,6 +123,8 @@
     SUSPECT = "suspect"
     """Nothing was sent, as the request is in quarantine since the choice, or as another
     one probes whether it crashes servers."""
+    ENGINE_READS = "engine_reads"
+    """Nothing was sent, as the engine has got other prompts since the choice."""
     HOST_STOPPING = "host_stopping"
     """Nothing was sent, as this host stops before the response would be certain."""
     DELIVERED = "delivered"
@@ -392,6 +394,9 @@
                 self._selector.note_connect_failure()
                 self._unreached.add(entry.server)
                 continue
+            if outcome is _AttemptOutcome.ENGINE_READS:
+                self._selector.continue_wait()
+                continue
             if outcome in (
                 _AttemptOutcome.SERVER_LEFT,
                 _AttemptOutcome.NOT_PERMITTED,
@@ -652,7 +657,7 @@
     # Sending
 
     async def _connect(
-        self, entry: ServerEntry, selector: ServerSelector
+        self, entry: ServerEntry, selector: ServerSelector, attempt_number: int
     ) -> ClientConnection | _AttemptOutcome:
         """Return a connection on which the request may be sent now.
 
@@ -673,7 +678,7 @@
         outcome, reason = _AttemptOutcome.SERVER_LEFT, "cancelled"
         try:
             outcome, reason = await self._check_before_sending(
-                entry, selector, connection
+                entry, selector, connection, attempt_number
             )
         finally:
             if reason == LEFT_REASON:
@@ -686,14 +691,24 @@
         return outcome
 
     async def _check_before_sending(
-        self, entry: ServerEntry, selector: ServerSelector, connection: ClientConnection
+        self,
+        entry: ServerEntry,
+        selector: ServerSelector,
+        connection: ClientConnection,
+        attempt_number: int,
     ) -> tuple[_AttemptOutcome | None, str]:
         """Return why the request may not be sent, None as the outcome if it may."""
-        if selector.required_version is not None and (
-            not await self._is_certain(entry.incarnation, connection.opened_at)
-        ):
-            selector.connect_failures += 1
-            return _AttemptOutcome.SERVER_LEFT, "process_uncertain"
+        if selector.required_version is not None:
+            load = self._state.loads.get_or_create(entry.incarnation)
+            # The engine may read other prompts meanwhile.
+            load.withhold_prompt(attempt_number)
+            self._state.wait_queue.notify_capacity(selector.service)
+            if not await self._is_certain(entry.incarnation, connection.opened_at):
+                selector.connect_failures += 1
+                return _AttemptOutcome.SERVER_LEFT, "process_uncertain"
+            if not selector.may_send_prompt(entry):
+                return _AttemptOutcome.ENGINE_READS, "engine_reads_before_sending"
+            load.note_prompt(attempt_number, selector.prompt_tokens)
         now = monotonic_s()
         if not selector.may_send_to(entry, now):
             return _AttemptOutcome.SERVER_LEFT, LEFT_REASON
@@ -735,7 +750,9 @@
         state = self._state
         load = state.loads.get_or_create(entry.incarnation)
         if connection is None:
-            connection = await self._connect(entry, self._selector)
+            connection = await self._connect(
+                entry, self._selector, self._attempt_number
+            )
             if isinstance(connection, _AttemptOutcome):
                 if connection is _AttemptOutcome.NOT_CONNECTED:
                     self._slot_quality = SlotQuality.UNREACHABLE
@@ -1170,7 +1187,7 @@
         successor = None
         try:
             if not is_avoided:
-                connection = await self._connect(candidate, selector)
+                connection = await self._connect(candidate, selector, number)
                 # The silent server may still complete the request.
                 self._rejection = None
                 if not isinstance(connection, _AttemptOutcome):
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -174,11 +174,12 @@
         return not self.is_engine or self._request.model in self._spec.engine.models
 
     def note_connect_failure(self) -> None:
-        """Record that no connection to the selected server could be opened.
-
-        The next selection goes on with the same wait, which has a limit.
-        """
+        """Record that no connection to the selected server could be opened."""
         self.connect_failures += 1
+        self.continue_wait()
+
+    def continue_wait(self) -> None:
+        """Let the next selection go on with the wait of the last one and its limit."""
         self._is_wait_continued = True
 
     async def select(self) -> ServerEntry | None:
@@ -858,12 +859,19 @@
             return "servers_full"
         if not self.has_connections_left(entry):
             return "no_connection"
+        return "" if self._may_send_prompt(load) else "engine_reads"
+
+    def may_send_prompt(self, entry: ServerEntry) -> bool:
+        """Tell whether a chosen server may be sent the prompt beside those it reads."""
+        is_granted = self._ticket is not None
+        load = self._state.loads.get_or_create(entry.incarnation)
+        return is_granted or self._may_send_prompt(load)
+
+    def _may_send_prompt(self, load: ServerLoad) -> bool:
         pending_tokens = sum(load.pending_prompt_tokens.values())
-        if is_engine and not waiting.may_send_prompt(
+        return not self.is_engine or waiting.may_send_prompt(
             pending_tokens, self.prompt_tokens, self._state.host_count
-        ):
-            return "engine_reads"
-        return ""
+        )
 
     def has_connections_left(self, entry: ServerEntry) -> bool:
         """Tell whether this host uses less than its share of a server's connections."""
--- a/sequoiapoint/state/server_load.py
+++ b/sequoiapoint/state/server_load.py
@@ -73,9 +73,17 @@
     def note_sent(self, number: int, now: float, prompt_tokens: int = 0) -> None:
         """Record that a request was sent."""
         self.local_running += 1
+        self.note_prompt(number, prompt_tokens)
+        self.sent_at[number] = now
+
+    def withhold_prompt(self, number: int) -> None:
+        """Record that a request is not sent yet, so the engine need not read it."""
+        self.pending_prompt_tokens.pop(number, None)
+
+    def note_prompt(self, number: int, prompt_tokens: int) -> None:
+        """Record that a request that was withheld is sent now."""
         if prompt_tokens:
             self.pending_prompt_tokens[number] = prompt_tokens
-        self.sent_at[number] = now
 
     def note_first_event(self, number: int) -> bool:
         """Record that a request's first event arrived, so its prompt was processed.
