Answers: do not pass on a promise that the server has not made

A server's 503, 429 or 408 without it was passed on as it came, and told the caller that it may send again.

Repeatable requests and other statuses: unchanged.

--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -102,6 +102,16 @@
 )
 """Statuses of an error response to a request that may have run."""
 
+NOT_RUN_STATUSES = frozenset(
+    {
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+"""Statuses by which callers know that their request was not run and never will be."""
+
 _T = TypeVar("_T")
 _attempt_numbers = itertools.count()
 
@@ -511,6 +521,8 @@
         """Return why a response from a helper is not the caller's; "" if it is."""
         if reply.is_stream:
             return self._broken_reason(ExchangeOutcome.COMPLETE)
+        if self._is_false_promise(reply.status):
+            return f"server_said_{reply.status}"
         return NOT_A_STREAM_REASON if self._responder.is_started else ""
 
     def _handle_missing_helper(self) -> bool:
@@ -957,6 +969,8 @@
         )
         if exchange_outcome is not ExchangeOutcome.COMPLETE:
             return _AttemptOutcome.UNKNOWN, exchange_outcome.value
+        if self._is_false_promise(head.status):
+            return _AttemptOutcome.UNKNOWN, f"server_said_{head.status}"
         is_error = head.status >= 500
         may_repeat = self._route.may_repeat and self._has_attempts_left()
         has_time = waiting.may_send_again(self._remaining_s())
@@ -971,6 +985,14 @@
         self.log_end("answered", status=head.status, server=entry.server)
         return _AttemptOutcome.DELIVERED, "server_error" if is_error else ""
 
+    def _is_false_promise(self, status: int) -> bool:
+        """Tell whether a server's status would tell the caller that nothing was run.
+
+        The server has not stated so itself: it fails requests that it has run with the
+        same status.  Callers send a request that may run once again after it.
+        """
+        return status in NOT_RUN_STATUSES and not self._route.may_repeat
+
     async def _forward_stream(
         self,
         head: ResponseHead,
