Responses without a length: their end shows no answer if the server has crashed

Cause: a response with neither a length nor chunks ends with its connection. The kernel closes the connections of a crashed process in the same way, and the end was always taken for the end of the response. Each crash so counted as an answer, which cleared the request and the parts of its prompt for ten minutes.

Change: at such an end the host asks whether the process has ended: nothing listens at its address, while other servers accept connections, as for connections that break. Then the response is broken off: a stream goes on elsewhere or is broken off to its caller, a page is repeated or answered 502, and the crash counts. A connection that was opened for the question is kept for the next request.

Evidence: node/unframed_response_test.py and the new cases of node/broken_response_test failed before, 10 in all.

--- a/sequoiapoint/node/broken_response_test.py
+++ b/sequoiapoint/node/broken_response_test.py
@@ -46,6 +46,8 @@
         if end == "reset":
             sock = writer.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        if end == "crash":
+            server.close()
         writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
@@ -112,19 +114,24 @@
     "length": (HEAD + b"Content-Length: 9\r\n\r\nhalf", "fin reset", False),
     "chunk-end": (CHUNKED + b"4\r\nhalf\r\n", "fin reset", False),
     "in-chunk": (CHUNKED + b"9\r\nhalf", "fin reset", False),
-    "unframed": (UNFRAMED + b"half", "reset", False),
+    "unframed": (UNFRAMED + b"half", "reset crash", False),
     "in-head": (HEAD, "fin reset", False),
     "stream": (CHUNKED + CHUNK, "fin reset", True),
     "stream-in-event": (CHUNKED + CHUNK + b"9\r\nid: 2\nda", "fin reset", True),
     "stream-ended": (CHUNKED + CHUNK + b"8\r\nid: 2\nda\r\n0\r\n\r\n", "fin", True),
-    "stream-unframed": (UNFRAMED + EVENT, "reset", True),
-    "stream-unframed-in-event": (UNFRAMED + EVENT + b"id: 2\nda", "fin reset", True),
+    "stream-unframed": (UNFRAMED + EVENT, "reset crash", True),
+    "stream-unframed-in-event": (
+        UNFRAMED + EVENT + b"id: 2\nda",
+        "fin reset crash",
+        True,
+    ),  # fmt: skip
     "stream-length": (HEAD + b"Content-Length: 99\r\n\r\n" + EVENT, "fin reset", True),
 }
 """By name: what a server sends, how its connection may end, whether it is a stream.
 
 Servers may end a response without a length by closing the connection, so only a reset
-shows that such a response is incomplete.
+shows that such a response is incomplete, or that nothing listens at the server's
+address any more ("crash"): the kernel closes the connections of a process that ends.
 """
 CASES = [
     pytest.param(sent, end, is_stream, id=f"{name}-{end}")
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -969,6 +969,8 @@
         )
         if exchange_outcome is not ExchangeOutcome.COMPLETE:
             return _AttemptOutcome.UNKNOWN, exchange_outcome.value
+        if exchange.ended_with_connection and await self._has_ended(entry):
+            return _AttemptOutcome.UNKNOWN, ExchangeOutcome.CLOSED.value
         if self._is_false_promise(head.status):
             return _AttemptOutcome.UNKNOWN, f"server_said_{head.status}"
         is_error = head.status >= 500
@@ -1044,6 +1046,8 @@
         if buffered:
             forward_events(buffered)
         exchange_outcome = await self._await_stream(exchange, received, entry)
+        if exchange.ended_with_connection and await self._has_ended(entry):
+            exchange_outcome = ExchangeOutcome.CLOSED
         reason = self._broken_reason(exchange_outcome)
         if not reason:
             if not responder.is_started:
@@ -1348,14 +1352,19 @@
         one that breaks while this host is cut off from all servers.  A server that fell
         over for want of room has not crashed because of what it ran.
         """
-        if reason not in (ExchangeOutcome.RESET.value, ExchangeOutcome.CLOSED.value):
+        if reason not in BROKEN_REASONS or not await self._has_ended(entry):
             return False
+        return not self._state.has_fallen(entry, monotonic_s())
+
+    async def _has_ended(self, entry: ServerEntry) -> bool:
+        """Tell whether the server's process has ended, as far as can be seen.
+
+        Nothing listens at its address, while other servers accept connections.
+        """
         pool = self._state.pools.get_or_create(entry)
         if not await pool.refuses_connections(CONNECT_TIMEOUT_S):
             return False
-        if not await self._reaches_other_servers(entry):
-            return False
-        return not self._state.has_fallen(entry, monotonic_s())
+        return await self._reaches_other_servers(entry)
 
     async def _reaches_other_servers(self, entry: ServerEntry) -> bool:
         """Tell whether a server other than a given one accepts connections."""
--- /dev/null
+++ b/sequoiapoint/node/unframed_response_test.py
@@ -0,0 +1,120 @@
+"""Responses without a length that end with their connection, as servers crash.
+
+Guards against half a stream that ends as complete, and against requests that go on to
+crash engines because each crash counts as an answer.
+"""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from sequoiapoint.node.request_forwarder_test import (
+    ABORTED,
+    END,
+    SIGNED,
+    engine_site,
+)
+from sequoiapoint.node.stream_continuation_test import STREAM, event, know_version
+from sequoiapoint.protocol.gateway import Repeatability
+
+BEGUN = event(1) + event(2)
+REST = event(3) + event(4)
+
+
+def unframed_site(monkeypatch, *responses, crashes=1, **route):
+    """Return a site of engines whose first responses end with a crash.
+
+    :param responses: The bodies of the responses, whichever engines are chosen.
+    :param crashes: The number of responses whose engine crashes then.
+    """
+    site = engine_site(monkeypatch, 6)
+    site.route = replace(site.route, is_stream=True, **route)
+    site.state.retry_window("web")._allowance = 100
+    bodies, send = list(responses), site._send
+    know_version(site)
+
+    def send_unframed(entry, accepts):
+        site.responses[entry.server] = [(200, [SIGNED, STREAM], bodies.pop(0))]
+        exchange = send(entry, accepts)
+        exchange.ended_with_connection = True
+        if len(site.sent) <= crashes:
+            site.crashed.add(entry.server)
+        return exchange
+
+    site._send = send_unframed
+    return site
+
+
+RESUMABLE = {"is_resumable": True, "repeatability": Repeatability.IDEMPOTENT}
+
+
+def test_half_a_stream_goes_on_at_another_engine(monkeypatch):
+    """20 of 40 such streams ended as complete, with half of their events."""
+    site = unframed_site(monkeypatch, BEGUN, REST, **RESUMABLE)
+    asyncio.run(site.request(model="oak"))
+    assert site.streamed == [BEGUN, REST, END]
+    assert len(set(site.sent)) == 2
+
+
+def test_half_a_stream_that_cannot_go_on_is_broken_off(monkeypatch):
+    site = unframed_site(monkeypatch, BEGUN)
+    asyncio.run(site.request(model="oak"))
+    assert site.streamed == [BEGUN, ABORTED]
+
+
+@pytest.mark.parametrize("is_page", [False, True])
+def test_half_a_response_before_its_first_event_is_no_success(monkeypatch, is_page):
+    site = unframed_site(monkeypatch, b"")
+    site.route = replace(site.route, is_stream=not is_page)
+    asyncio.run(site.request(model="oak"))
+    assert (site.answer[0], site.streamed) == (502, [])
+
+
+def test_a_whole_stream_of_a_server_that_goes_on_is_complete(monkeypatch):
+    site = unframed_site(monkeypatch, BEGUN, crashes=0)
+    asyncio.run(site.request(model="oak"))
+    assert site.streamed == [BEGUN, END]
+
+
+def test_a_host_that_is_cut_off_believes_the_end_of_a_stream(monkeypatch):
+    """New connections are refused there, while those that are open live on."""
+    site = unframed_site(monkeypatch, BEGUN)
+    site.is_cut_off = True
+    asyncio.run(site.request(model="oak"))
+    assert site.streamed == [BEGUN, END]
+
+
+def test_a_part_that_crashes_engines_is_rejected(monkeypatch):
+    """Requests with the part crashed engines to the end of the run (BUDGET)."""
+    site = unframed_site(monkeypatch, *[event(1)] * 6, crashes=6)
+    site.state.prompt_quarantine.clear(["shared"], 0.0)
+
+    async def run():
+        for number in range(6):
+            before = len(site.sent)
+            await site.request(
+                model="oak", body=b"%d" % number, shared_parts=("shared", "deadly")
+            )
+            for server in site.sent[before:]:
+                site.state.fleet.remove(server)
+
+    asyncio.run(run())
+    assert len(site.sent) == 2
+    assert site.state.prompt_quarantine.rejected == {"deadly"}
+
+
+def test_a_request_that_crashes_servers_is_rejected(monkeypatch):
+    """Each crash counted as an answer, which clears the request."""
+    site = unframed_site(monkeypatch, *[event(1)] * 6, crashes=6)
+
+    async def run():
+        for _ in range(6):
+            before = len(site.sent)
+            await site.request(model="oak", body=b"deadly")
+            for server in site.sent[before:]:
+                site.state.fleet.remove(server)
+
+    asyncio.run(run())
+    assert len(site.sent) == 3
+    assert site.answer[0] == 403
--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -121,6 +121,9 @@
     :ivar outcome: How the response ended.
     :ivar on_body: Receives the parts of the body; if None, they are buffered.
     :ivar is_paused: Whether no data is read as their receiver does not keep up.
+    :ivar ended_with_connection: Whether the response has neither a length nor chunks
+        and was completed by the end of the connection.  It is the same whether the peer
+        has closed it, or has ended before its response was whole.
     """
 
     def __init__(
@@ -132,6 +135,7 @@
         self.outcome: asyncio.Future[ExchangeOutcome] = loop.create_future()
         self.on_body: Callable[[bytes], None] | None = None
         self.is_paused = False
+        self.ended_with_connection = False
         self._accepts = accepts
         self._body = bytearray()
         self._body_bytes = 0
@@ -430,6 +434,7 @@
         if self._exchange is not None:
             is_complete = self._exchange.head.done() and not self._is_framed
             self._may_reuse = False
+            self._exchange.ended_with_connection = is_complete
             self._end(
                 ExchangeOutcome.COMPLETE if is_complete else ExchangeOutcome.CLOSED
             )
@@ -681,12 +686,14 @@
     async def refuses_connections(self, timeout_s: float) -> bool:
         """Tell whether the peer's host is up but nothing listens at the address.
 
+        A connection that can be opened is kept for the next request.
+
         :param timeout_s: The time for opening a connection, in seconds.
         """
         connection = await self._connect(timeout_s)
         if isinstance(connection, Failure):
             return connection.reason == "connect_refused"
-        connection.close()
+        self._release(connection)
         return False
 
     async def accepts_connections(self, timeout_s: float) -> bool:
