Servers that have crashed: ask again if a new connection is reset

Cause: the kernel closes the connections of a process that ends before its listeners. A connection opened in between succeeds and is reset a moment later, but `refuses_connections` counted it as proof that the server goes on.

Why this fix works: a connection has to stay open for 20 ms. If it is reset before that, the server is asked once more; by then a process that ends has ceased to listen. A server that resets connections because it has too many of them still listens, so it is not taken for a crashed one.

Evidence: the case "ending" of the test failed before; "full" guards the other side.

--- a/sequoiapoint/transport/async_http_client.py
+++ b/sequoiapoint/transport/async_http_client.py
@@ -78,6 +78,8 @@
 """Maximum size of what may precede a request's response on a connection: informational
 responses, and late ones to other requests."""
 
+PROCESS_END_S = 0.02
+"""Time that a process may go on listening after its connections have ended."""
 MAX_REQUESTS_PER_CONNECTION = 500
 """Number of requests with an id after which a connection is closed, as it remembers all
 of them."""
@@ -686,14 +688,21 @@
     async def refuses_connections(self, timeout_s: float) -> bool:
         """Tell whether the peer's host is up but nothing listens at the address.
 
-        A connection that can be opened is kept for the next request.
+        A process that ends may listen for a moment after the kernel has closed its
+        connections; the kernel then resets a new one.  So does a server that has too
+        many connections, which goes on to listen.  A connection that stays open is kept
+        for the next request.
 
         :param timeout_s: The time for opening a connection, in seconds.
         """
-        connection = await self._connect(timeout_s)
-        if isinstance(connection, Failure):
-            return connection.reason == "connect_refused"
-        self._release(connection)
+        for _ in range(2):
+            connection = await self._connect(timeout_s)
+            if isinstance(connection, Failure):
+                return connection.reason == "connect_refused"
+            await asyncio.sleep(PROCESS_END_S)
+            if connection.is_open:
+                self._release(connection)
+                return False
         return False
 
     async def accepts_connections(self, timeout_s: float) -> bool:
--- a/sequoiapoint/transport/async_http_client_test.py
+++ b/sequoiapoint/transport/async_http_client_test.py
@@ -491,10 +491,25 @@
 
 
 @pytest.mark.parametrize(
-    ("how", "refuses"), [("listens", False), ("silent", False), ("gone", True)]
+    ("how", "refuses"),
+    [
+        ("listens", False),
+        ("silent", False),
+        ("gone", True),
+        ("ending", True),
+        ("full", False),
+    ],
 )
 def test_only_a_server_that_refuses_connections_has_crashed(how, refuses):
-    """A connection to a silent server ends with a time-out of the kernel as well."""
+    """A connection to a silent server ends with a time-out of the kernel as well.
+
+    The kernel closes the connections of a process that ends before it ceases to listen,
+    and resets those that it has accepted meanwhile.  A server that has as many
+    connections as it may also resets them, and goes on.
+    """
+
+    async def reset(reader, writer):
+        writer.transport.abort()
 
     async def scenario():
         with contextlib.ExitStack() as stack:
@@ -509,6 +524,10 @@
                     filler.connect_ex(address)
             elif how == "gone":
                 listener.close()
+            elif how == "ending":
+                asyncio.get_running_loop().call_later(0.005, listener.close)
+            elif how == "full":
+                await asyncio.start_server(reset, sock=listener)
             pool = ConnectionPool("{}:{}".format(*address))
             return await pool.refuses_connections(0.2)
 
