Parts of prompts: clear them by eight events of an answer, not by two

Cause: a part counted as answered, for good, from the second event of a stream on. A stream that went on at another engine after the crash also cleared it when it ended there, however few events were left to write.

Why this fix works: an engine has to write eight events, or a complete response from its beginning. A part that is in common use is answered many times a second, so it is still cleared at once.

--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -74,9 +74,9 @@
 REFERENCE_SERVERS = 3
 """Number of other servers to which connections are opened, to tell a crash from a host
 that is cut off; some of them may have crashed as well."""
-ANSWERED_EVENTS = 2
+ANSWERED_EVENTS = 8
 """Events of a stream after which its engine counts as having answered.  An engine that
-crashes as it begins to write may have sent the first one."""
+crashes as it begins to write may have sent some of them."""
 CONFIRMED_ENDS = 2
 """Number of servers that must say that a broken stream was complete, by going on with
 it without an event: one may say so without knowing the stream."""
@@ -778,6 +778,7 @@
         now = monotonic_s()
         pace = _StreamPace(now, self._route)
         events_before = self._splitter.count
+        is_continued = bool(events_before or self._request.last_event_id)
         if self._record.attempts == 0 and not self._is_retry:
             state.retry_window(self._selector.service).record_request(now)
         self._record.attempts += 1
@@ -822,7 +823,8 @@
         self._note_suspicion(entry, outcome, reason, has_crashed, sent_at)
         if outcome is _AttemptOutcome.DELIVERED and not reason:
             self._note_work(entry, now - sent_at, pace, now)
-            self._clear_parts()
+            if not is_continued:  # Else few events may have been left to write.
+                self._clear_parts()
             if self._selector.is_engine:
                 state.fleet.note_served(
                     entry, self._request.model, self._request.adapter
--- a/sequoiapoint/node/unframed_response_test.py
+++ b/sequoiapoint/node/unframed_response_test.py
@@ -85,9 +85,11 @@
     assert site.streamed == [BEGUN, END]
 
 
-def test_a_part_that_crashes_engines_is_rejected(monkeypatch):
+@pytest.mark.parametrize("event_count", [1, 2, 3, 6])
+def test_a_part_that_crashes_engines_is_rejected(monkeypatch, event_count):
     """Requests with the part crashed engines to the end of the run (BUDGET)."""
-    site = unframed_site(monkeypatch, *[event(1)] * 6, crashes=6)
+    begun = b"".join(event(number) for number in range(1, event_count + 1))
+    site = unframed_site(monkeypatch, *[begun] * 6, crashes=6)
     site.state.prompt_quarantine.clear(["shared"], 0.0)
 
     async def run():
@@ -104,6 +106,19 @@
     assert site.state.prompt_quarantine.rejected == {"deadly"}
 
 
+@pytest.mark.parametrize(("rest", "suspects"), [(3, ("deadly",)), (8, ())])
+def test_the_last_events_of_a_stream_clear_no_part(monkeypatch, rest, suspects):
+    """An engine crashes after six events; the next one has fewer to write."""
+    bodies = [
+        b"".join(map(event, range(1, 7))),
+        b"".join(map(event, range(7, 7 + rest))),
+    ]
+    site = unframed_site(monkeypatch, *bodies, **RESUMABLE)
+    asyncio.run(site.request(model="oak", shared_parts=("deadly",)))
+    assert site.streamed == [*bodies, END]
+    assert site.state.prompt_quarantine.suspects(("deadly",)) == suspects
+
+
 def test_a_request_that_crashes_servers_is_rejected(monkeypatch):
     """Each crash counted as an answer, which clears the request."""
     site = unframed_site(monkeypatch, *[event(1)] * 6, crashes=6)
