serve: free a request when it has been answered

Cause: werkzeug's request and the WSGI environment refer to each other, so both are kept until the garbage collector runs, while the budget of callers takes their memory as free.

Why this fix works: the environment is cleared when the application has returned and its response has been written, or its caller has gone. It is cleared in the application's own thread, so nothing that still runs can miss it.

--- a/sequoiapoint/transport/freed_requests_test.py
+++ b/sequoiapoint/transport/freed_requests_test.py
@@ -6,15 +6,19 @@
 
 import asyncio
 import gc
+import http.client
+import time
 import weakref
 
 import pytest
 import uvloop
+from werkzeug import Request, Response
 
 from sequoiapoint.transport.async_http_server_test import (
     VALID_REQUEST,
     RecordingServer,
 )
+from sequoiapoint.transport.http_server import HttpServer
 
 TIMEOUT_S = 5.0
 
@@ -64,3 +68,24 @@
 
     with asyncio.Runner(loop_factory=new_loop) as runner:
         assert runner.run(scenario()) == [None]
+
+
+def test_the_request_of_an_application_is_freed_as_it_returns():
+    """werkzeug's request and the environment refer to each other."""
+    references = []
+
+    @Request.application
+    def application(request):
+        references.append(weakref.ref(request))
+        request.get_data()
+        return Response(b"ok")
+
+    with HttpServer(("127.0.0.1", 0), application, threads=2) as server:
+        connection = http.client.HTTPConnection("127.0.0.1", server.port)
+        connection.request("POST", "/", b"body")
+        assert connection.getresponse().read() == b"ok"
+        until = time.monotonic() + TIMEOUT_S
+        while references[0]() is not None and time.monotonic() < until:
+            time.sleep(0.01)
+        assert references[0]() is None
+        connection.close()
--- a/sequoiapoint/transport/http_server.py
+++ b/sequoiapoint/transport/http_server.py
@@ -83,6 +83,13 @@
 
     def run(self, application: Callable, environ: dict[str, Any]) -> None:
         """Run the application; its response is closed also if the caller has gone."""
+        try:
+            self._run(application, environ)
+        finally:
+            # An application's request and its environment may refer to each other.
+            environ.clear()
+
+    def _run(self, application: Callable, environ: dict[str, Any]) -> None:
         parts = application(environ, self._start_response)
         try:
             self._respond(iter(parts))
