Placement: load nothing beside a model that the configuration does not name

Cause: EngineRecord.used_mb skipped models that the configuration does not name, so their memory counted as free. The planner never evicted them either.

Why this fix works: such a model's size is not known, so an engine that holds one has no free memory for models and adapters.

--- a/sequoiapoint/coordination/adapter_placement_test.py
+++ b/sequoiapoint/coordination/adapter_placement_test.py
@@ -24,6 +24,11 @@
     ]
 
 
+def test_no_adapter_is_loaded_beside_a_model_that_is_no_longer_named():
+    """The size of that model is not known."""
+    assert plan_adapters([engine("a", "m0", "gone")], {("m0", "a5"): 1}) == []
+
+
 def test_the_least_recently_used_adapter_is_evicted_first():
     record = engine("a", "m0", adapters=("a1", "a2", "a3", "a4"))
     record.adapter_last_requested = {("m0", f"a{n}"): float(n) for n in (1, 2, 3, 4)}
--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -216,7 +216,7 @@
         copies are surplus.  Until then a model with several copies keeps them.
     """
     planner = _Planner(records, spec, demand_by_model, now, may_evict, is_settled)
-    orders: list[PlannedOrder] = []
+    orders = planner.evict_unnamed()
     lacking = planner.models_lacking_copies()
     while lacking and planner.free:
         name = lacking.pop(0)
@@ -320,6 +320,21 @@
             if copies > 0 and name not in self._surplus and (is_settled or copies == 1)
         ]
 
+    def evict_unnamed(self) -> list[PlannedOrder]:
+        """Return orders to evict models that the configuration does not name.
+
+        Until then nothing can be loaded there, as the size of these models, and so the
+        free memory, is not known.
+        """
+        orders: list[PlannedOrder] = []
+        for record in list(self.free):
+            names = record.unnamed_models(self._spec)
+            if names and self._may_evict and self._evictions_left > 0:
+                self._evictions_left -= 1
+                self.free.remove(record)
+                orders.append(PlannedOrder(record, OrderAction.EVICT, names[0]))
+        return orders
+
     def _serves(self, record: EngineRecord) -> bool:
         """Tell whether an engine holds a usable model that is in demand."""
         return record.entry.server in self._serving
@@ -466,6 +481,8 @@
         for record in self._records:
             if name in record.held or (name, record.entry.server) in self._reserved:
                 continue
+            if self._free_mb[record.entry.server] == -math.inf:
+                continue
             has_free_memory = self._free_mb[record.entry.server] >= size_mb
             if not has_free_memory and reasons.keys().isdisjoint(record.held):
                 continue
--- a/sequoiapoint/state/engine_ledger.py
+++ b/sequoiapoint/state/engine_ledger.py
@@ -5,6 +5,7 @@
 its next report provides the count.
 """
 
+import math
 from dataclasses import dataclass, field
 
 from sequoiapoint.protocol.gateway import EngineReport, EngineSpec, ServerEntry
@@ -72,13 +73,22 @@
         held = sum(len(adapters) for adapters in self.held.values())
         return held + len(self.evicting_adapters)
 
+    def unnamed_models(self, spec: EngineSpec) -> list[str]:
+        """Return the held models that the configuration does not name, in order."""
+        return sorted(self.held.keys() - spec.models.keys())
+
     def used_mb(self, spec: EngineSpec) -> float:
-        """Return the memory used by models and adapters, in MB."""
+        """Return the memory used by models and adapters, in MB.
+
+        :return: Infinity if the engine holds a model that the configuration does not
+            name, as its size is not known.
+        """
         total = 0.0
         for name, adapters in self.held.items():
             model = spec.models.get(name)
-            if model is not None:
-                total += model.size_mb + len(adapters) * model.adapter_mb
+            if model is None:
+                return math.inf
+            total += model.size_mb + len(adapters) * model.adapter_mb
         return total
 
     def usable(self) -> dict[str, frozenset[str]]:
