Placement: plan on while requests wait for an adapter of a model that was withdrawn

Engines would have got no orders while such requests waited and an engine still held the model.

Cause: plan_adapters looked the model up in the configuration, which no longer names it.

Why this fix works: requests for a model that the configuration does not name are left out, as they are refused anyway.

Evidence: test_requests_that_wait_for_a_model_that_is_no_longer_named_change_nothing failed before with KeyError.

--- a/sequoiapoint/coordination/adapter_placement.py
+++ b/sequoiapoint/coordination/adapter_placement.py
@@ -60,6 +60,8 @@
         model, adapter = requested
         if any(adapter in r.held.get(model, ()) for r in records):
             continue
+        if model not in spec.models:
+            continue
         eligible = [r for r in free if model in r.held]
         for record in sorted(eligible, key=lambda r: _adapter_cost(r, spec, loads)):
             order = _adapter_order(record, spec, requested, waiting, in_use, now)
--- a/sequoiapoint/coordination/adapter_placement_test.py
+++ b/sequoiapoint/coordination/adapter_placement_test.py
@@ -29,6 +29,13 @@
     assert plan_adapters([engine("a", "m0", "gone")], {("m0", "a5"): 1}) == []
 
 
+def test_requests_that_wait_for_a_model_that_is_no_longer_named_change_nothing():
+    """They ended the planning of all orders."""
+    engines = [engine("a", "gone"), engine("b", "m0")]
+    waiting = {("gone", "a1"): 2, ("m0", "a5"): 1}
+    assert plan_adapters(engines, waiting) == [("b", "load", "a5")]
+
+
 def test_the_least_recently_used_adapter_is_evicted_first():
     record = engine("a", "m0", adapters=("a1", "a2", "a3", "a4"))
     record.adapter_last_requested = {("m0", f"a{n}"): float(n) for n in (1, 2, 3, 4)}
