Streams that go on: doubt the version of a server whose connection has broken

Cause: a connection counted as one to the listed process if that was still listed half a second after it was opened. A server that restarts registers with its first heartbeat, up to 1.2 s after it accepts connections.

Why this fix works: after a broken or failed connection, a newer one is certain only when the process has written another entry. The host must have known the list up to the break before that entry arrives, so an entry that was under way at the break proves nothing.

--- a/sequoiapoint/node/origin_exchange.py
+++ b/sequoiapoint/node/origin_exchange.py
@@ -263,7 +263,10 @@
         if len(fleet.versions(service, since) | earlier) != 1:
             return None
         may_restart = any(entry.started_ms for entry in fleet.entries.values())
-        if not await self._confirm(arrived_s + REGISTRATION_S * may_restart):
+        give_up_at = monotonic_s() + MAX_CONFIRMATION_S
+        if not await self._confirm(
+            arrived_s + REGISTRATION_S * may_restart, give_up_at
+        ):
             return None
         versions = fleet.versions(service, since) | earlier
         return next(iter(versions)) if len(versions) == 1 else None
@@ -271,8 +274,9 @@
     async def is_certain(self, server: Incarnation, connected_at: float) -> bool:
         """Tell whether a connection certainly leads to a process.
 
-        Waits for a newer list of servers if necessary.  A server whose start is not
-        stated has a new id at each start, which is named in each request.
+        Waits for a newer list of servers if necessary, and for a newer entry of one
+        that may have restarted.  A server whose start is not stated has a new id at
+        each start, which is named in each request.
 
         :param connected_at: When the connection was opened, in seconds.
         """
@@ -281,15 +285,18 @@
             return True
         fleet = self._state.fleet
         needed_at = connected_at + REGISTRATION_S
-        if fleet.current_until(server) >= needed_at:
-            return True
-        await self._confirm(needed_at)
+        give_up_at = monotonic_s() + MAX_CONFIRMATION_S
+        if fleet.current_until(server) < needed_at:
+            await self._confirm(needed_at, give_up_at)
+        while fleet.may_have_restarted(server, connected_at):
+            if monotonic_s() >= give_up_at or not fleet.is_listed(server):
+                return False
+            await asyncio.sleep(REFRESH_RETRY_S)
         return fleet.current_until(server) >= needed_at
 
-    async def _confirm(self, until: float) -> bool:
+    async def _confirm(self, until: float, give_up_at: float) -> bool:
         """Wait until the list of servers contains every change up to a moment."""
         fleet = self._state.fleet
-        give_up_at = monotonic_s() + MAX_CONFIRMATION_S
         while fleet.complete_until < until:
             now = monotonic_s()
             if now >= give_up_at:
--- a/sequoiapoint/node/origin_exchange_test.py
+++ b/sequoiapoint/node/origin_exchange_test.py
@@ -193,6 +193,34 @@
     assert host.run(host.exchange.is_certain(("s-1", 1), 98.0))
 
 
+@pytest.mark.parametrize(
+    ("entry_at", "started_ms", "is_certain"),
+    [(100.6, 1, True), (100.6, 2, False), (99.5, 1, False), (None, 1, False)],
+)
+def test_a_connection_after_a_broken_one_is_certain_by_a_newer_entry(
+    host, entry_at, started_ms, is_certain
+):
+    """A server restarted, was listed for a heartbeat at its former version, and went on
+    with streams of that version.
+    """
+    host.put(1, "v1")
+    host.fleet.confirm(99.0)
+    host.fleet.note_broken(("s-1", 1), 99.8)
+    version = f"v{started_ms}"
+
+    async def run():
+        check = asyncio.ensure_future(host.exchange.is_certain(("s-1", 1), 99.9))
+        if entry_at is not None:
+            await asyncio.sleep(max(0.0, entry_at - host.loop.now))
+            host.put(started_ms, version)
+            host.fleet.confirm(entry_at)
+        return await check
+
+    assert host.run(run()) is is_certain
+    assert host.run(host.exchange.is_certain(("s-1", 1), 98.0))
+    assert host.loop.now - 100.0 < 2.0
+
+
 def test_a_server_with_a_new_id_at_each_start_is_always_certain(host):
     assert host.run(host.exchange.is_certain(("s-1", 0), 99.9))
     assert host.reads == 0
--- a/sequoiapoint/node/request_forwarder_test.py
+++ b/sequoiapoint/node/request_forwarder_test.py
@@ -827,6 +827,21 @@
     assert (status, site.sent, site.opened) == (200, ["s-1"], 1)
 
 
+@pytest.mark.parametrize(
+    ("response", "is_doubted"), [(CRASH, True), ((200, [SIGNED]), False)]
+)
+def test_a_server_may_have_restarted_once_its_connection_has_broken(
+    monkeypatch, response, is_doubted
+):
+    """Streams went on at a server that had restarted at another version."""
+    site = Site(monkeypatch, ENTRY)
+    site.route = replace(ROUTE, attempts=1)
+    site.responses = {ENTRY.server: [response]}
+    asyncio.run(site.request())
+    fleet = site.state.fleet
+    assert fleet.may_have_restarted(ENTRY.incarnation, monotonic_s()) is is_doubted
+
+
 @pytest.mark.parametrize(("is_cut_off", "status"), [(True, 200), (False, 403)])
 def test_what_ran_as_its_host_was_cut_off_from_all_servers_is_not_rejected(
     monkeypatch, is_cut_off, status
