Selection: wait for a new copy of a model whose other copies are lost

Cause: if no engine that holds the model can be reached, the lost ones were candidates again. A request connected four times to one of them in 2 ms and was given up, while another engine was loading the model. The logs show four lines "not_connected" with one peer for each refused request.

Why this fix works: a request that has failed to connect does so once more only after half a second, when the server counts as reachable again; until then it waits within its limit. Failures at one server count once. That it still tries one lost server shows when this has changed.

Evidence: six cases of test_a_stream_waits_for_a_new_copy_of_its_model_while_all_others_are_lost failed before.

--- a/sequoiapoint/coordination/server_choice.py
+++ b/sequoiapoint/coordination/server_choice.py
@@ -135,17 +135,23 @@
 
 
 def without_unreachable(
-    servers: Sequence[ServerEntry], is_unreachable: Callable[[ServerEntry], bool]
+    servers: Sequence[ServerEntry],
+    is_unreachable: Callable[[ServerEntry], bool],
+    has_failed: bool,
 ) -> list[ServerEntry]:
     """Return the servers to use while connections to some of them fail.
 
     Answers engines that are lost while the store still lists them: they have no load,
     so that requests tried them time and again and were rejected, rather than wait for
-    the engines that took over what the lost ones had run.
+    the engines that took over what the lost ones had run.  If all that hold a model are
+    lost, another one may be loading it.
 
-    :return: The servers that can be reached, or all if none of them can.
+    :param has_failed: Whether the request itself has failed to reach a server.
+    :return: The servers that can be reached.  If none can, all for a request that may
+        still show that this has changed, and none for others.
     """
-    return [e for e in servers if not is_unreachable(e)] or list(servers)
+    reachable = [e for e in servers if not is_unreachable(e)]
+    return reachable or ([] if has_failed else list(servers))
 
 
 def without_limited(
--- a/sequoiapoint/node/lost_servers_test.py
+++ b/sequoiapoint/node/lost_servers_test.py
@@ -38,6 +38,12 @@
     return site, tried
 
 
+def add_holder(site, entry):
+    """Let an engine hold the model from now on."""
+    site.state.fleet.put(entry)
+    site.state.fleet.set_held(entry.incarnation, {"oak": set()})
+
+
 def read_prompts(load):
     load.note_sent(-1, monotonic_s(), PROMPT_TOKENS)
     return lambda: load.note_first_event(-1)
@@ -78,6 +84,34 @@
     assert sorted(tried) == [entry.server for entry in LOST[:lost]]
 
 
+@pytest.mark.parametrize("lost", [1, 2, 3])
+@pytest.mark.parametrize("last_event_id", ["", "2"])
+def test_a_stream_waits_for_a_new_copy_of_its_model_while_all_others_are_lost(
+    monkeypatch, lost, last_event_id
+):
+    """Streams connected four times to one lost engine, and were refused within ms."""
+    site, tried = lost_site(monkeypatch, lost)
+    site.route = replace(site.route, is_stream=True, is_resumable=True)
+    rest = event(int(last_event_id or 0) + 1)
+    site.responses[SOUND.server] = [(200, [SIGNED, STREAM], rest)]
+    know_version(site)
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.7, add_holder, site, SOUND)
+        return await site.request(
+            budget_s=4.0,
+            model="oak",
+            prompt_tokens=9,
+            last_event_id=last_event_id,
+            resumes="first" if last_event_id else "",
+        )
+
+    assert asyncio.run(run())[0] == 200
+    assert site.streamed == [rest, END]
+    assert len(tried) <= 2 * lost
+
+
 def test_a_lost_server_is_tried_now_and_then_while_others_are_full(monkeypatch):
     """Guards against a server that is left alone although it can be reached again."""
     site, tried = lost_site(monkeypatch, 1, SOUND)
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -401,7 +401,7 @@
             if outcome is _AttemptOutcome.DELIVERED:
                 return
             if outcome is _AttemptOutcome.NOT_CONNECTED:
-                self._selector.note_connect_failure()
+                self._selector.note_connect_failure(entry)
                 self._unreached.add(entry.server)
                 continue
             if outcome is _AttemptOutcome.ENGINE_READS:
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -81,7 +81,8 @@
     :ivar demand_key: Service, model and adapter under which the demand is counted.
     :ivar required_version: The software version at which a stream must go on, None if
         any server can run the request.
-    :ivar connect_failures: Number of failures to connect for this request.
+    :ivar connect_failures: Number of servers to which this request could not connect,
+        or not certainly to the listed process.
     :ivar reason: Why no server was found, or why the last attempt failed.
     :ivar back_off_s: The time until the first server accepts requests again, if all
         those that could run the request have turned requests away or have reached their
@@ -131,6 +132,7 @@
         self.demand_key = (self.service, request.model, request.adapter)
         self.required_version: str | None = None
         self.connect_failures = 0
+        self._unreached: set[Incarnation] = set()
         self._wait_started_at, self._is_wait_continued = 0.0, False
         self.tried_servers: set[str] = set()
         self.reason = ""
@@ -173,9 +175,10 @@
         """Tell whether the requested model is configured for the service."""
         return not self.is_engine or self._request.model in self._spec.engine.models
 
-    def note_connect_failure(self) -> None:
+    def note_connect_failure(self, entry: ServerEntry) -> None:
         """Record that no connection to the selected server could be opened."""
-        self.connect_failures += 1
+        self.connect_failures += entry.incarnation not in self._unreached
+        self._unreached.add(entry.incarnation)
         self.continue_wait()
 
     def continue_wait(self) -> None:
@@ -704,8 +707,8 @@
     def serving(self, now: float) -> Sequence[ServerEntry]:
         """Return the servers that can run the request, whether or not they are full.
 
-        Those that cannot be reached are among them only if no other can run it.  It
-        sets ``reason`` and ``back_off_s``.
+        Those that cannot be reached are among them only if no other can run it, and
+        only until the request has tried one.  It sets ``reason`` and ``back_off_s``.
         """
         fleet, request = self._state.fleet, self._request
         if self.is_engine:
@@ -715,7 +718,9 @@
         else:
             serving = fleet.ready_servers(self.service)
         serving = self._of_required_version(serving)
+        is_held = bool(serving)
         serving = self._without_unreachable(serving, now)
+        are_unreachable = is_held and not serving
         serving = self._without_leaving(serving, now)
         if self._silent_server:
             serving = [entry for entry in serving if self._may_take_over(entry, now)]
@@ -731,6 +736,8 @@
             ]
         if serving:
             self.reason = "servers_full"
+        elif are_unreachable:
+            self.reason = "servers_unreachable"
         elif self._of_required_version(fleet.ready_servers(self.service)):
             self.reason = "model_not_loaded"
         else:
@@ -801,7 +808,9 @@
         if loads.are_all_reachable(now):
             return servers
         return server_choice.without_unreachable(
-            servers, lambda e: loads.get_or_create(e.incarnation).is_unreachable(now)
+            servers,
+            lambda e: loads.get_or_create(e.incarnation).is_unreachable(now),
+            bool(self._unreached),
         )
 
     def _without_leaving(
