--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -482,7 +482,7 @@
             if name in record.held or (name, record.entry.server) in self._reserved:
                 continue
             if self._free_mb[record.entry.server] == -math.inf:
-                continue
+                continue  # An unnamed model has to be evicted first.
             has_free_memory = self._free_mb[record.entry.server] >= size_mb
             if not has_free_memory and reasons.keys().isdisjoint(record.held):
                 continue
