Streams that go on: doubt a server's version only if it has refused connections

Cause: a broken response counted as evidence of a restart. Servers that reset connections write their next entry as much as a heartbeat later, and until then no stream could go on there.

Why this fix works: a server that restarts refuses connections in between, and a host asks for that after each broken response anyway. A server that still listens has not restarted.

--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -684,7 +684,7 @@
         if isinstance(connection, Failure):
             state.loads.note_connect_failure(entry.incarnation, monotonic_s())
             self._reachability.note_connect_failure(entry.incarnation, monotonic_s())
-            state.fleet.note_broken(entry.incarnation, monotonic_s())
+            state.fleet.note_ended(entry.incarnation, monotonic_s())
             outcome = _AttemptOutcome.NOT_CONNECTED
             self._log_attempt(entry, outcome.value, connection.reason)
             return outcome
@@ -814,8 +814,6 @@
             if not exchange.outcome.done():
                 connection.close()
         now = monotonic_s()
-        if reason in BROKEN_REASONS:
-            state.fleet.note_broken(entry.incarnation, now)
         if self._head is None and reason in BROKEN_REASONS:
             load.note_broken(now)
             self._reachability.note_connect_failure(entry.incarnation, now)
@@ -1359,6 +1357,7 @@
         """
         if reason not in BROKEN_REASONS or not await self._has_ended(entry):
             return False
+        self._state.fleet.note_ended(entry.incarnation, monotonic_s())
         return not self._state.has_fallen(entry, monotonic_s())
 
     async def _has_ended(self, entry: ServerEntry) -> bool:
--- a/sequoiapoint/state/fleet.py
+++ b/sequoiapoint/state/fleet.py
@@ -94,8 +94,8 @@
         self._missing_since: dict[str, float] = {}
         self._leaving_since: dict[Incarnation, float] = {}
         self._former_until: dict[Incarnation, float] = {}
-        # Processes of which no entry has been written since a connection broke.
-        self._broken_at: dict[Incarnation, float] = {}
+        # Processes of which no entry has been written since they seemed to have ended.
+        self._ended_at: dict[Incarnation, float] = {}
         self._versions_until: dict[tuple[str, str], float] = {}
         self._unconfirmed_versions: set[tuple[str, str]] = set()
         self.known_since = math.inf
@@ -117,9 +117,9 @@
         if known is not None and known.started_ms > entry.started_ms:
             return False
         held_before = self._remove_from_holders(known)
-        if self._broken_at.get(entry.incarnation, math.inf) <= self.complete_until:
+        if self._ended_at.get(entry.incarnation, math.inf) <= self.complete_until:
             # The list was complete up to then, so this entry was written later.
-            del self._broken_at[entry.incarnation]
+            del self._ended_at[entry.incarnation]
         if known is not None and known.started_ms < entry.started_ms:
             self._contents.pop(known.incarnation, None)
             self._note_former(known)
@@ -215,12 +215,12 @@
         current = self._entries.get(incarnation[0])
         return current is not None and current.incarnation == incarnation
 
-    def note_broken(self, incarnation: Incarnation, now: float) -> None:
-        """Record that a connection to a process broke, or that it refused a new one."""
-        self._broken_at.pop(incarnation, None)
-        self._broken_at[incarnation] = now
-        while len(self._broken_at) > MAX_FORMER:
-            del self._broken_at[next(iter(self._broken_at))]
+    def note_ended(self, incarnation: Incarnation, now: float) -> None:
+        """Record that a process seems to have ended, as connections to it fail."""
+        self._ended_at.pop(incarnation, None)
+        self._ended_at[incarnation] = now
+        while len(self._ended_at) > MAX_FORMER:
+            del self._ended_at[next(iter(self._ended_at))]
 
     def may_have_restarted(self, incarnation: Incarnation, connected_at: float) -> bool:
         """Tell whether a connection may lead to a process that is not listed yet.
@@ -230,7 +230,7 @@
 
         :param connected_at: When the connection was opened, in seconds.
         """
-        return connected_at >= self._broken_at.get(incarnation, math.inf)
+        return connected_at >= self._ended_at.get(incarnation, math.inf)
 
     def versions(self, service: str, since: float) -> frozenset[str]:
         """Return the software versions of a service's servers since a moment."""
