Review: names, splits and explanations of the change

No change of what callers see, except in what operators are told:

- "unnamed", "withdrawn" and "no longer named" were three names of models that are not configured, and "withdrawn" already means something else in the fleet.
- The servers that a request could not reach were kept twice.
- A predicate recorded that a server had ended; the attempt does so now.
- Looking for models that are not configured cost as much as there are models, for each engine.
- The decisions without_unreachable and may_have_restarted have tables of their own.
- The first entry of a server is no heartbeat, which is a digest here.

--- a/sequoiapoint/coordination/adapter_placement_test.py
+++ b/sequoiapoint/coordination/adapter_placement_test.py
@@ -24,12 +24,12 @@
     ]
 
 
-def test_no_adapter_is_loaded_beside_a_model_that_is_no_longer_named():
+def test_no_adapter_is_loaded_beside_a_model_that_is_no_longer_configured():
     """The size of that model is not known."""
     assert plan_adapters([engine("a", "m0", "gone")], {("m0", "a5"): 1}) == []
 
 
-def test_requests_that_wait_for_a_model_that_is_no_longer_named_change_nothing():
+def test_requests_that_wait_for_a_model_that_is_no_longer_configured_change_nothing():
     """They ended the planning of all orders."""
     engines = [engine("a", "gone"), engine("b", "m0")]
     waiting = {("gone", "a1"): 2, ("m0", "a5"): 1}
--- a/sequoiapoint/coordination/model_placement.py
+++ b/sequoiapoint/coordination/model_placement.py
@@ -216,7 +216,7 @@
         copies are surplus.  Until then a model with several copies keeps them.
     """
     planner = _Planner(records, spec, demand_by_model, now, may_evict, is_settled)
-    orders = planner.evict_unnamed()
+    orders = planner.evict_unconfigured()
     lacking = planner.models_lacking_copies()
     while lacking and planner.free:
         name = lacking.pop(0)
@@ -320,16 +320,21 @@
             if copies > 0 and name not in self._surplus and (is_settled or copies == 1)
         ]
 
-    def evict_unnamed(self) -> list[PlannedOrder]:
+    def evict_unconfigured(self) -> list[PlannedOrder]:
         """Return orders to evict models that the configuration does not name.
 
-        Until then nothing can be loaded there, as the size of these models, and so the
-        free memory, is not known.
+        Answers a configuration without a model that full engines hold, while requests
+        wait for another one.  Until it is evicted nothing can be loaded there, as its
+        size, and so the free memory, is not known.
         """
         orders: list[PlannedOrder] = []
+        if not self._may_evict:
+            return orders
         for record in list(self.free):
-            names = record.unnamed_models(self._spec)
-            if names and self._may_evict and self._evictions_left > 0:
+            if self._evictions_left <= 0:
+                break
+            names = record.unconfigured_models(self._spec)
+            if names:
                 self._evictions_left -= 1
                 self.free.remove(record)
                 orders.append(PlannedOrder(record, OrderAction.EVICT, names[0]))
@@ -482,7 +487,7 @@
             if name in record.held or (name, record.entry.server) in self._reserved:
                 continue
             if self._free_mb[record.entry.server] == -math.inf:
-                continue  # An unnamed model has to be evicted first.
+                continue  # An unconfigured model has to be evicted first.
             has_free_memory = self._free_mb[record.entry.server] >= size_mb
             if not has_free_memory and reasons.keys().isdisjoint(record.held):
                 continue
--- a/sequoiapoint/coordination/model_placement_test.py
+++ b/sequoiapoint/coordination/model_placement_test.py
@@ -196,7 +196,7 @@
     assert all(record.used_mb(SPEC) <= SPEC.memory_mb for record in engines)
 
 
-def test_nothing_is_loaded_beside_a_model_that_is_no_longer_named():
+def test_nothing_is_loaded_beside_a_model_that_is_no_longer_configured():
     """Its size is not known; two full engines were ordered to load more and crashed."""
     engines = [engine("a", "m0", "gone"), engine("b", "m1", "gone")]
     demand = {"m0": HOT, "m1": WARM, "m5": URGENT_WAITS}
@@ -205,7 +205,7 @@
     assert plan(engines, **demand) == [("b", "evict", "gone"), ("a", "load", "m5")]
 
 
-def test_a_model_that_is_no_longer_named_is_evicted_without_demand():
+def test_a_model_that_is_no_longer_configured_is_evicted_without_demand():
     """Requests for an adapter of another model may need the room."""
     assert plan([engine("a", "m0", "gone")]) == [("a", "evict", "gone")]
     busy = engine("a", "gone", "m0", loading_model="m0")
--- a/sequoiapoint/coordination/server_choice_test.py
+++ b/sequoiapoint/coordination/server_choice_test.py
@@ -10,6 +10,7 @@
     draw_by_speed,
     only_for_suspect,
     without_leaving,
+    without_unreachable,
     zones_by_load,
     zones_to_choose_alone,
 )
@@ -206,6 +207,27 @@
     assert [entry.server for entry in usable] == expected
 
 
+@pytest.mark.parametrize(
+    ("unreachable", "has_failed", "expected"),
+    [
+        ("", False, ["a", "b"]),
+        ("a", False, ["b"]),
+        ("a", True, ["b"]),
+        ("ab", False, ["a", "b"]),
+        ("ab", True, []),
+    ],
+)
+def test_a_lost_server_is_used_only_without_another_and_once_by_each_request(
+    unreachable, has_failed, expected
+):
+    """Replays engines that are lost while the store still lists them."""
+    servers = [candidate("a").entry, candidate("b").entry]
+    usable = without_unreachable(
+        servers, lambda entry: entry.server in unreachable, has_failed
+    )
+    assert [entry.server for entry in usable] == expected
+
+
 def test_all_hosts_send_a_suspect_part_to_the_same_usable_server():
     servers = [candidate(f"s{n}").entry for n in range(5)]
     parts = [f"part-{n}" for n in range(200)]
--- a/sequoiapoint/coordination/server_reasons.py
+++ b/sequoiapoint/coordination/server_reasons.py
@@ -17,6 +17,9 @@
     """Its entry in the store says that it accepts no new requests."""
     MODEL_NOT_HELD = "model_not_held"
     ADAPTER_NOT_HELD = "adapter_not_held"
+    UNREACHABLE = "unreachable"
+    """A connection to it has just failed; another server can run the request, or the
+    request waits for one."""
     LEAVING = "leaving"
     """It has announced that it stops, and another one can run the request."""
     BACK_OFF = "back_off"
@@ -47,6 +50,7 @@
     :param is_ready: Whether its entry says that it accepts new requests.
     :param holds_model: Whether it holds the model; True for a plain server.
     :param holds_adapter: Whether it holds the adapter; True if none is requested.
+    :param is_unreachable: Whether a connection to it has just failed to open.
     :param leaving_s: Time since it announced that it stops; None if it stays.
     :param back_off_s: Time for which it wants no requests; 0 if it accepts them.
     :param is_avoided: Whether other servers are preferred.
@@ -68,6 +72,7 @@
     is_ready: bool = True
     holds_model: bool = True
     holds_adapter: bool = True
+    is_unreachable: bool = False
     leaving_s: float | None = None
     back_off_s: float = 0.0
     is_avoided: bool = False
@@ -87,6 +92,7 @@
     (ServerReason.DRAINING, lambda f: not f.is_ready),
     (ServerReason.MODEL_NOT_HELD, lambda f: not f.holds_model),
     (ServerReason.ADAPTER_NOT_HELD, lambda f: not f.holds_adapter),
+    (ServerReason.UNREACHABLE, lambda f: f.is_unreachable and not f.can_serve),
     # A leaving server is used while no other one holds the model.
     (ServerReason.LEAVING, lambda f: f.leaving_s is not None and not f.can_serve),
     (ServerReason.BACK_OFF, lambda f: f.back_off_s > 0.0),
--- a/sequoiapoint/coordination/server_reasons_test.py
+++ b/sequoiapoint/coordination/server_reasons_test.py
@@ -22,6 +22,8 @@
         ({"is_ready": False, "holds_model": False}, "draining"),
         ({"holds_model": False, "holds_adapter": False}, "model_not_held"),
         ({"holds_adapter": False, "back_off_s": 1.0}, "adapter_not_held"),
+        ({"is_unreachable": True, "can_serve": False, "leaving_s": 0.3}, "unreachable"),
+        ({"is_unreachable": True, "is_avoided": True}, "avoided"),
         ({"leaving_s": 0.3, "can_serve": False, "back_off_s": 1.0}, "leaving"),
         ({"leaving_s": 0.3}, "candidate"),
         ({"back_off_s": 0.5, "can_serve": False}, "back_off"),
--- a/sequoiapoint/node/explanation.py
+++ b/sequoiapoint/node/explanation.py
@@ -389,6 +389,7 @@
             holds_model=not is_engine or fleet.holds(entry, request.model, "", now),
             holds_adapter=not is_engine
             or fleet.holds(entry, request.model, request.adapter, now),
+            is_unreachable=load.is_unreachable(now),
             leaving_s=fleet.leaving_s(entry, now),
             back_off_s=max(0.0, load.back_off_until - now),
             is_avoided=load.is_avoided(now),
--- a/sequoiapoint/node/explanation_test.py
+++ b/sequoiapoint/node/explanation_test.py
@@ -242,6 +242,12 @@
         ),
         (lambda s: s.load(s.entries[0]).note_back_off(monotonic_s() + 5.0), "back_off"),
         (lambda s: s.load(s.entries[0]).note_connect_failure(monotonic_s()), "avoided"),
+        (
+            lambda s: s.state.loads.note_connect_failure(
+                s.entries[0].incarnation, monotonic_s()
+            ),
+            "unreachable",
+        ),
         (no_permit, "no_permit"),
         (full, "servers_full"),
     ],
--- a/sequoiapoint/node/origin_exchange.py
+++ b/sequoiapoint/node/origin_exchange.py
@@ -50,6 +50,8 @@
 """Timeout of a read of the servers' list for such requests."""
 REFRESH_RETRY_S = 0.1
 """Pause after a read that did not bring a newer list."""
+ENTRY_CHECK_INTERVAL_S = 0.1
+"""Interval of the check whether a server has written another entry."""
 
 
 class OriginExchange:
@@ -288,11 +290,20 @@
         give_up_at = monotonic_s() + MAX_CONFIRMATION_S
         if fleet.current_until(server) < needed_at:
             await self._confirm(needed_at, give_up_at)
+        await self._await_entry(server, connected_at, give_up_at)
+        if fleet.may_have_restarted(server, connected_at):
+            return False
+        return fleet.current_until(server) >= needed_at
+
+    async def _await_entry(
+        self, server: Incarnation, connected_at: float, give_up_at: float
+    ) -> None:
+        """Wait for the next entry of a process that may have restarted."""
+        fleet = self._state.fleet
         while fleet.may_have_restarted(server, connected_at):
             if monotonic_s() >= give_up_at or not fleet.is_listed(server):
-                return False
-            await asyncio.sleep(REFRESH_RETRY_S)
-        return fleet.current_until(server) >= needed_at
+                return
+            await asyncio.sleep(ENTRY_CHECK_INTERVAL_S)
 
     async def _confirm(self, until: float, give_up_at: float) -> bool:
         """Wait until the list of servers contains every change up to a moment."""
--- a/sequoiapoint/node/origin_exchange_test.py
+++ b/sequoiapoint/node/origin_exchange_test.py
@@ -200,8 +200,8 @@
 def test_a_connection_after_a_refused_one_is_certain_by_a_newer_entry(
     host, entry_at, started_ms, is_certain
 ):
-    """A server restarted, was listed for a heartbeat at its former version, and went on
-    with streams of that version.
+    """A server that had restarted went on with streams of its former version, at which
+    it was listed until it wrote its first entry.
     """
     host.put(1, "v1")
     host.fleet.confirm(99.0)
--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -234,7 +234,6 @@
         self._is_on_detour = is_on_detour
         self._is_retry = is_retry
         self._is_helper_sought = not is_on_detour
-        self._unreached: set[str] = set()
         self._has_begun_elsewhere = False
         self._ends_without_event = 0
         self._origins = exchange.origins
@@ -402,7 +401,6 @@
                 return
             if outcome is _AttemptOutcome.NOT_CONNECTED:
                 self._selector.note_connect_failure(entry)
-                self._unreached.add(entry.server)
                 continue
             if outcome is _AttemptOutcome.ENGINE_READS:
                 self._selector.continue_wait()
@@ -466,7 +464,7 @@
         """Tell whether the request must not try servers from this host."""
         if not (self._is_helper_sought or self._is_on_detour):
             return False
-        has_failed = len(self._unreached) >= MAX_UNREACHED_SERVERS
+        has_failed = self._selector.unreached_count >= MAX_UNREACHED_SERVERS
         return has_failed or self._selector.is_cut_off()
 
     async def _run_elsewhere(self) -> bool:
@@ -819,12 +817,17 @@
             self._reachability.note_connect_failure(entry.incarnation, now)
         if reason != ExchangeOutcome.TIMED_OUT.value:
             load.note_received(now)
-        has_crashed = await self._has_crashed(entry, reason)
+        has_ended = reason in BROKEN_REASONS and await self._has_ended(entry)
+        if has_ended:
+            state.fleet.note_ended(entry.incarnation, monotonic_s())
+        # One that fell over for want of room has not crashed because of what it ran.
+        has_crashed = has_ended and not state.has_fallen(entry, monotonic_s())
         self._note_health(entry, outcome, reason)
         self._note_suspicion(entry, outcome, reason, has_crashed, sent_at)
         if outcome is _AttemptOutcome.DELIVERED and not reason:
             self._note_work(entry, now - sent_at, pace, now)
-            if not is_continued:  # Else few events may have been left to write.
+            # The last events of a stream that another engine began show little.
+            if not is_continued:
                 self._clear_parts()
             if self._selector.is_engine:
                 state.fleet.note_served(
@@ -972,7 +975,7 @@
         )
         if exchange_outcome is not ExchangeOutcome.COMPLETE:
             return _AttemptOutcome.UNKNOWN, exchange_outcome.value
-        if exchange.ended_with_connection and await self._has_ended(entry):
+        if await self._is_cut_short(entry, exchange):
             return _AttemptOutcome.UNKNOWN, ExchangeOutcome.CLOSED.value
         if self._is_false_promise(head.status):
             return _AttemptOutcome.UNKNOWN, f"server_said_{head.status}"
@@ -1049,7 +1052,7 @@
         if buffered:
             forward_events(buffered)
         exchange_outcome = await self._await_stream(exchange, received, entry)
-        if exchange.ended_with_connection and await self._has_ended(entry):
+        if await self._is_cut_short(entry, exchange):
             exchange_outcome = ExchangeOutcome.CLOSED
         reason = self._broken_reason(exchange_outcome)
         if not reason:
@@ -1348,22 +1351,16 @@
         if quarantine.rejected != known:
             self._state.apply_rejected_parts(self._state.settings.host)
 
-    async def _has_crashed(self, entry: ServerEntry, reason: str) -> bool:
-        """Tell whether the server crashed while it ran the request.
-
-        A connection that breaks while the server still listens shows no crash, nor does
-        one that breaks while this host is cut off from all servers.  A server that fell
-        over for want of room has not crashed because of what it ran.
-        """
-        if reason not in BROKEN_REASONS or not await self._has_ended(entry):
-            return False
-        self._state.fleet.note_ended(entry.incarnation, monotonic_s())
-        return not self._state.has_fallen(entry, monotonic_s())
+    async def _is_cut_short(self, entry: ServerEntry, exchange: Exchange) -> bool:
+        """Tell whether a response ended as its server crashed, with the connection."""
+        return exchange.ended_with_connection and await self._has_ended(entry)
 
     async def _has_ended(self, entry: ServerEntry) -> bool:
         """Tell whether the server's process has ended, as far as can be seen.
 
-        Nothing listens at its address, while other servers accept connections.
+        Nothing listens at its address, while other servers accept connections.  A
+        connection that breaks while the server still listens shows no end, nor does one
+        that breaks while this host is cut off from all servers.
         """
         pool = self._state.pools.get_or_create(entry)
         if not await pool.refuses_connections(CONNECT_TIMEOUT_S):
--- a/sequoiapoint/node/server_selector.py
+++ b/sequoiapoint/node/server_selector.py
@@ -167,6 +167,11 @@
         """Return the prompt tokens, at least 1; 0 for a service without engines."""
         return max(1, self._request.prompt_tokens) if self.is_engine else 0
 
+    @property
+    def unreached_count(self) -> int:
+        """Return the number of servers to which this request could not connect."""
+        return len(self._unreached)
+
     def is_cut_off(self) -> bool:
         """Tell whether this host is cut off from the service's servers."""
         return self._state.reachability.service(self.service).is_cut_off
@@ -177,8 +182,9 @@
 
     def note_connect_failure(self, entry: ServerEntry) -> None:
         """Record that no connection to the selected server could be opened."""
-        self.connect_failures += entry.incarnation not in self._unreached
-        self._unreached.add(entry.incarnation)
+        if entry.incarnation not in self._unreached:
+            self._unreached.add(entry.incarnation)
+            self.connect_failures += 1
         self.continue_wait()
 
     def continue_wait(self) -> None:
@@ -717,10 +723,9 @@
             )
         else:
             serving = fleet.ready_servers(self.service)
-        serving = self._of_required_version(serving)
-        is_held = bool(serving)
-        serving = self._without_unreachable(serving, now)
-        are_unreachable = is_held and not serving
+        candidates = self._of_required_version(serving)
+        serving = self._without_unreachable(candidates, now)
+        are_unreachable = bool(candidates) and not serving
         serving = self._without_leaving(serving, now)
         if self._silent_server:
             serving = [entry for entry in serving if self._may_take_over(entry, now)]
--- a/sequoiapoint/state/engine_ledger.py
+++ b/sequoiapoint/state/engine_ledger.py
@@ -73,9 +73,9 @@
         held = sum(len(adapters) for adapters in self.held.values())
         return held + len(self.evicting_adapters)
 
-    def unnamed_models(self, spec: EngineSpec) -> list[str]:
+    def unconfigured_models(self, spec: EngineSpec) -> list[str]:
         """Return the held models that the configuration does not name, in order."""
-        return sorted(self.held.keys() - spec.models.keys())
+        return sorted(name for name in self.held if name not in spec.models)
 
     def used_mb(self, spec: EngineSpec) -> float:
         """Return the memory used by models and adapters, in MB.
--- a/sequoiapoint/state/fleet.py
+++ b/sequoiapoint/state/fleet.py
@@ -225,8 +225,8 @@
     def may_have_restarted(self, incarnation: Incarnation, connected_at: float) -> bool:
         """Tell whether a connection may lead to a process that is not listed yet.
 
-        A server that restarts registers itself up to a heartbeat after it accepts
-        connections.  It has not restarted if its former process still writes entries.
+        A server that restarts accepts connections before it writes its first entry.  It
+        has not restarted if its former process still writes entries.
 
         :param connected_at: When the connection was opened, in seconds.
         """
--- a/sequoiapoint/state/fleet_test.py
+++ b/sequoiapoint/state/fleet_test.py
@@ -4,7 +4,12 @@
 import pytest
 
 from sequoiapoint.protocol.gateway import HeldModel, ServerEntry, ServerState
-from sequoiapoint.state.fleet import NOT_HELD_TTL_S, WITHDRAWN_TTL_S, Fleet
+from sequoiapoint.state.fleet import (
+    MAX_FORMER,
+    NOT_HELD_TTL_S,
+    WITHDRAWN_TTL_S,
+    Fleet,
+)
 
 ENTRY = ServerEntry(
     "s-1",
@@ -250,3 +255,30 @@
     assert announced == []
     fleet.set_held(ENTRY.incarnation, {"oak": {"a1"}, "elm": set()})
     assert announced == [("lm", {"elm"})]
+
+
+@pytest.mark.parametrize(
+    ("complete_until", "started_ms", "is_doubted"),
+    [(4.9, 1, True), (5.0, 1, False), (5.0, 2, True)],
+)
+def test_a_process_that_writes_an_entry_has_not_restarted(
+    complete_until, started_ms, is_doubted
+):
+    """An entry may have been under way as the process ended."""
+    entry = replace(ENTRY, started_ms=1)
+    fleet = fleet_of(entry)
+    fleet.confirm(4.0)
+    fleet.note_ended(entry.incarnation, 5.0)
+    assert not fleet.may_have_restarted(entry.incarnation, 4.9)
+    assert fleet.may_have_restarted(entry.incarnation, 5.1)
+    fleet.confirm(complete_until)
+    fleet.put(replace(entry, started_ms=started_ms))
+    assert fleet.may_have_restarted(entry.incarnation, 5.1) is is_doubted
+
+
+def test_the_processes_that_may_have_restarted_are_limited():
+    fleet = Fleet()
+    for number in range(MAX_FORMER + 1):
+        fleet.note_ended((f"s-{number}", 1), 5.0)
+    assert not fleet.may_have_restarted(("s-0", 1), 6.0)
+    assert fleet.may_have_restarted(("s-1", 1), 6.0)
