Responses without a length: believe the end of those of servers that leave

What callers would see: 502, or a stream broken off, for a whole response without a length or chunks whose server was leaving.

Cause: such a server may cease to listen before its last responses end, or end just behind them. Since a refused connection counted as a crash, whatever was known of the server.

Why this fix works: if the server drains, has announced that it leaves, or has lost its entry, a refused connection is expected and shows nothing, so the end counts as before.

Evidence: six cases of test_the_last_response_of_a_server_that_leaves_is_whole failed before.

--- a/sequoiapoint/node/request_forwarder.py
+++ b/sequoiapoint/node/request_forwarder.py
@@ -1352,8 +1352,17 @@
             self._state.apply_rejected_parts(self._state.settings.host)
 
     async def _is_cut_short(self, entry: ServerEntry, exchange: Exchange) -> bool:
-        """Tell whether a response ended as its server crashed, with the connection."""
-        return exchange.ended_with_connection and await self._has_ended(entry)
+        """Tell whether a response ended as its server crashed, with the connection.
+
+        One that leaves ceases to listen before its last responses end, so nothing is
+        known of these, and they count as whole.
+        """
+        if not exchange.ended_with_connection:
+            return False
+        fleet, now = self._state.fleet, monotonic_s()
+        if not fleet.is_ready(entry) or fleet.leaving_s(entry, now) is not None:
+            return False
+        return await self._has_ended(entry)
 
     async def _has_ended(self, entry: ServerEntry) -> bool:
         """Tell whether the server's process has ended, as far as can be seen.
--- a/sequoiapoint/node/unframed_response_test.py
+++ b/sequoiapoint/node/unframed_response_test.py
@@ -16,7 +16,8 @@
     engine_site,
 )
 from sequoiapoint.node.stream_continuation_test import STREAM, event, know_version
-from sequoiapoint.protocol.gateway import Repeatability
+from sequoiapoint.protocol.gateway import Repeatability, ServerState
+from sequoiapoint.transport.clock import monotonic_s
 
 BEGUN = event(1) + event(2)
 REST = event(3) + event(4)
@@ -77,6 +78,36 @@
     assert site.streamed == [BEGUN, END]
 
 
+@pytest.mark.parametrize("is_page", [False, True])
+@pytest.mark.parametrize(
+    "leave",
+    [
+        lambda fleet, entry: fleet.put(replace(entry, state=ServerState.DRAINING)),
+        lambda fleet, entry: fleet.note_leaving(entry.incarnation, monotonic_s()),
+        lambda fleet, entry: fleet.remove(entry.server),
+    ],
+    ids=["draining", "announced", "removed"],
+)
+def test_the_last_response_of_a_server_that_leaves_is_whole(
+    monkeypatch, leave, is_page
+):
+    """It ceases to listen before its last responses end; these were answered 502."""
+    site = unframed_site(monkeypatch, BEGUN)
+    site.route = replace(site.route, is_stream=not is_page)
+    send = site._send
+
+    def send_and_leave(entry, accepts):
+        leave(site.state.fleet, entry)
+        return send(entry, accepts)
+
+    site._send = send_and_leave
+    asyncio.run(site.request(model="oak"))
+    if is_page:
+        assert site.answer[0] == 200
+    else:
+        assert site.streamed == [BEGUN, END]
+
+
 def test_a_host_that_is_cut_off_believes_the_end_of_a_stream(monkeypatch):
     """New connections are refused there, while those that are open live on."""
     site = unframed_site(monkeypatch, BEGUN)
